Move what any daemon runs on into its own package

The platform's front end needs ports, peer streams, storage and metrics, but neither MySQL nor aiohttp. They were part of the package that imports both; a process that never listens for MySQL paid for their start.

--- a/lovagewalk/edge/__init__.py
+++ b/lovagewalk/edge/__init__.py
@@ -1,7 +1,7 @@
 """Encodings and sockets: MySQL, peer streams, HTTP, files."""
 
+from lovagewalk.runtime import Network, on_stop_signals
+
 from ._daemon import Daemon
-from ._network import Network
-from ._signals import on_stop_signals
 
 __all__ = ["Daemon", "Network", "on_stop_signals"]
--- a/lovagewalk/edge/_callers.py
+++ b/lovagewalk/edge/_callers.py
@@ -26,6 +26,7 @@
     StatementArrived,
     StatementRejected,
 )
+from lovagewalk.runtime import Ports
 from lovagewalk.statements import classify, split_marks
 
 from ._endpoints import StatementResult
@@ -37,7 +38,6 @@
     build_columns,
     refusal_error,
 )
-from ._ports import Ports
 
 DEFAULT_COLUMN = "value"
 KEYLESS_USERS = ("", "public")
--- a/lovagewalk/edge/_daemon.py
+++ b/lovagewalk/edge/_daemon.py
@@ -19,16 +19,13 @@
 from lovagewalk.groups import PollTick
 from lovagewalk.journal import Journal
 from lovagewalk.node import Identity, NodeState
+from lovagewalk.runtime import Network, PeerAddress, Peers, Ports, _storage
 from lovagewalk.settings import DaemonSettings, parse_address
 
-from . import _storage
 from ._callers import CallerFront
 from ._endpoints import EndpointClient
 from ._group_client import Credentials
-from ._network import Network
 from ._operators import Operators
-from ._peers import PeerAddress, Peers
-from ._ports import Ports
 from ._steering import Steering
 
 DRAIN_LIMIT_S = 10.0
--- a/lovagewalk/edge/_endpoints.py
+++ b/lovagewalk/edge/_endpoints.py
@@ -32,6 +32,7 @@
     StatementFailed,
     StreamEnded,
 )
+from lovagewalk.runtime import Network, Ports
 
 from ._group_client import (
     CLIENT_ERRORS,
@@ -45,8 +46,6 @@
     query_status,
     wait_query,
 )
-from ._network import Network
-from ._ports import Ports
 
 FIRST_ROWS = 200
 POSITION_QUERY = "SELECT @@group_term, @@group_position"
--- a/lovagewalk/edge/_operators.py
+++ b/lovagewalk/edge/_operators.py
@@ -22,8 +22,7 @@
     is_ready,
 )
 from lovagewalk.core import Code, LovageError, Refusal, performs
-
-from ._ports import Ports
+from lovagewalk.runtime import Ports
 
 CHANGE_TIMEOUT_S = 5.0
 MAX_BODY_BYTES = 64 * 1024
--- a/lovagewalk/edge/_steering.py
+++ b/lovagewalk/edge/_steering.py
@@ -5,6 +5,7 @@
 from lovagewalk.control import InstanceSteered, Order, SteerInstance
 from lovagewalk.core import performs
 from lovagewalk.groups import InstanceStatus, Position
+from lovagewalk.runtime import Network, Ports
 
 from ._group_client import (
     CLIENT_ERRORS,
@@ -15,8 +16,6 @@
     promote_query,
     wait_query,
 )
-from ._network import Network
-from ._ports import Ports
 
 ORDER_TIMEOUT_S = 0.5
 CATCH_UP_S = 0.3
--- a/lovagewalk/edge/tests/site.py
+++ b/lovagewalk/edge/tests/site.py
@@ -17,9 +17,9 @@
     follow_query,
     promote_query,
 )
-from lovagewalk.edge._ports import Ports
 from lovagewalk.groups import PollTick
 from lovagewalk.node import Identity, NodeState
+from lovagewalk.runtime import Ports
 from lovagewalk.shares import Share
 from lovagewalk.standin import Standin, StandinSettings
 
--- a/lovagewalk/edge/tests/test_hostile.py
+++ b/lovagewalk/edge/tests/test_hostile.py
@@ -12,7 +12,7 @@
 from lovagewalk.consensus import AppendRequest, LogEntry
 from lovagewalk.core import Code, LovageError
 from lovagewalk.demo import Fleet, run
-from lovagewalk.edge._peers import prove
+from lovagewalk.runtime._peers import prove
 
 SEED = 20261204
 HOST = "127.0.0.1"
