--- a/lovagewalk/catalogue/_apply.py
+++ b/lovagewalk/catalogue/_apply.py
@@ -11,7 +11,15 @@
 from lovagewalk.core import Code, Refusal, replace
 
 from . import _commands as commands
-from ._state import Catalogue, ChangeResult, GroupConfig, KeyEntry, Versioned
+from ._state import (
+    Catalogue,
+    ChangeResult,
+    Endpoint,
+    GroupConfig,
+    KeyEntry,
+    Management,
+    Versioned,
+)
 
 MAX_RESULTS = 4096
 MAX_TERM_STARTS = 64
@@ -149,10 +157,14 @@
 ) -> Applied:
     endpoint = command.endpoint
     known = catalogue.endpoints.get(endpoint.name)
-    if known is not None and endpoint.sequence <= known.sequence:
+    if known is not None and endpoint.age <= known.age:
         return _refused(catalogue, index, Code.CHANGE_CONFLICT, "announced before")
-    if not endpoint.group or endpoint.connections < 1:
+    if not endpoint.group or endpoint.connections < 0:
         return _refused(catalogue, index, Code.CHANGE_BAD, "group or connections")
+    for other in endpoints_at(catalogue, endpoint):
+        if other.born >= endpoint.born:
+            return _refused(catalogue, index, Code.CHANGE_CONFLICT, "address in use")
+        catalogue = catalogue.without_endpoint(other.name)
     groups = catalogue.groups
     if endpoint.group not in groups:
         groups = groups.set(endpoint.group, GroupConfig(endpoint.group))
@@ -160,6 +172,22 @@
     return Applied(changed, ChangeResult(index))
 
 
+def endpoints_at(catalogue: Catalogue, endpoint: Endpoint) -> tuple[Endpoint, ...]:
+    """Return others that were announced at an endpoint's address.
+
+    Instances that state no start time may share an address, as behind a
+    forwarder; the others follow each other there.
+    """
+    if not endpoint.born:
+        return ()
+    return tuple(
+        other
+        for other in catalogue.endpoints.values()
+        if (other.host, other.port) == (endpoint.host, endpoint.port)
+        and other.name != endpoint.name
+    )
+
+
 @applies(commands.ForgetEndpoint)
 def _forget(
     catalogue: Catalogue, index: int, command: commands.ForgetEndpoint
@@ -177,17 +205,28 @@
     if command.term <= group.allocated_term:
         return _refused(catalogue, index, Code.CHANGE_CONFLICT, "term already given")
     groups = catalogue.groups.set(
-        command.group, replace(group, allocated_term=command.term)
+        command.group, replace(group, allocated_term=command.term, fence=index)
     )
     return Applied(replace(catalogue, groups=groups), ChangeResult(index))
 
 
+@applies(commands.AllocateFence)
+def _allocate_fence(
+    catalogue: Catalogue, index: int, command: commands.AllocateFence
+) -> Applied:
+    group = replace(catalogue.group(command.group), fence=index)
+    groups = catalogue.groups.set(command.group, group)
+    return Applied(replace(catalogue, groups=groups), ChangeResult(index))
+
+
 @applies(commands.InstallTerm)
 def _install_term(
     catalogue: Catalogue, index: int, command: commands.InstallTerm
 ) -> Applied:
     group = catalogue.group(command.group)
-    if command.term != group.allocated_term or command.term <= group.term:
+    provided = group.management is Management.PROVIDER
+    is_current = provided or command.term == group.allocated_term
+    if not is_current or command.term <= group.term:
         return _refused(catalogue, index, Code.CHANGE_CONFLICT, "term superseded")
     starts = (group.starts + (command.start,))[-MAX_TERM_STARTS:]
     installed = replace(
--- a/lovagewalk/catalogue/_commands.py
+++ b/lovagewalk/catalogue/_commands.py
@@ -1,8 +1,17 @@
 """Changes that go through the control log."""
 
-from dataclasses import dataclass
-
-from ._state import ControlVoter, CustomerEntry, Endpoint, RouteEntry, TermStart, Voter
+from dataclasses import dataclass, field
+
+from ._state import (
+    ControlVoter,
+    CustomerEntry,
+    Endpoint,
+    GroupLimits,
+    KeyEntry,
+    RouteEntry,
+    TermStart,
+    Voter,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +73,13 @@
     term: int
 
 
+@dataclass(frozen=True, slots=True)
+class AllocateFence:
+    """Give one promotion attempt a fence: the log index of this entry."""
+
+    group: str
+
+
 @dataclass(frozen=True, slots=True)
 class InstallTerm:
     """Make a promoted primary and its voters the group's configuration."""
@@ -112,8 +128,30 @@
     voters: tuple[ControlVoter, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ReplaceConfiguration:
+    """Replace routes, customers, keys and group limits as a whole.
+
+    A version that is not higher than the one held changes nothing.
+
+    Attributes
+    ----------
+    document : bytes
+        The configuration as sent, kept to be read back.
+    """
+
+    version: int
+    routes: tuple[RouteEntry, ...]
+    customers: tuple[CustomerEntry, ...]
+    keys: tuple[KeyEntry, ...]
+    groups: tuple[GroupLimits, ...]
+    idle_transaction_s: float = 0.0
+    document: bytes = field(default=b"", repr=False)
+
+
 Command = (
     NoChange
+    | ReplaceConfiguration
     | ChangeControlVoters
     | PutCustomer
     | PutRoute
@@ -122,6 +160,7 @@
     | AnnounceEndpoint
     | ForgetEndpoint
     | AllocateTerm
+    | AllocateFence
     | InstallTerm
     | RecordAccess
 )
--- /dev/null
+++ b/lovagewalk/catalogue/_configuration.py
@@ -0,0 +1,145 @@
+"""Configurations that replace routes, customers, keys and groups as a whole."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from immutables import Map
+
+from lovagewalk.core import Code, Refusal, replace
+
+from ._apply import Applied, applies
+from ._commands import ReplaceConfiguration
+from ._state import Catalogue, ChangeResult, GroupConfig, Management, Versioned
+
+Check = Callable[[ReplaceConfiguration], str]
+_checks: list[Check] = []
+
+
+def checks(check: Check) -> Check:
+    """Register the decorated function as a check of configurations.
+
+    It returns what is wrong, or an empty string.
+    """
+    _checks.append(check)
+    return check
+
+
+def configuration_refusal(command: ReplaceConfiguration) -> Refusal | None:
+    """Return why a configuration is not valid, or None.
+
+    Validity comes before versions: an invalid configuration is refused whatever
+    its version.
+    """
+    for check in _checks:
+        problem = check(command)
+        if problem:
+            return Refusal(Code.CHANGE_BAD, problem)
+    return None
+
+
+def _repeated(values: Iterable[Any]) -> bool:
+    seen = list(values)
+    return len(set(seen)) < len(seen)
+
+
+@checks
+def _check_version(command: ReplaceConfiguration) -> str:
+    return "" if command.version >= 1 else "version must be at least 1"
+
+
+@checks
+def _check_groups(command: ReplaceConfiguration) -> str:
+    if _repeated(group.name for group in command.groups):
+        return "two services have one name"
+    names = {group.name for group in command.groups}
+    for route in command.routes:
+        if route.group not in names:
+            return f"route {route.name} names an unknown service"
+    return ""
+
+
+@checks
+def _check_routes(command: ReplaceConfiguration) -> str:
+    if _repeated((route.name, route.prefix) for route in command.routes):
+        return "two routes share host and prefix"
+    for route in command.routes:
+        if route.statement_timeout_s <= 0:
+            return f"route {route.name} has no timeout"
+    return ""
+
+
+@checks
+def _check_customers(command: ReplaceConfiguration) -> str:
+    if _repeated(customer.name for customer in command.customers):
+        return "two customers have one name"
+    for customer in command.customers:
+        if customer.rate <= 0 or customer.burst < 0:
+            return f"customer {customer.name} has no rate"
+    return ""
+
+
+@checks
+def _check_keys(command: ReplaceConfiguration) -> str:
+    return "two customers share a key" if _repeated(_owners(command)) else ""
+
+
+def _owners(command: ReplaceConfiguration) -> list[str]:
+    """Return the key of each pair of key and customer, listed once."""
+    return [key_id for key_id, _ in {(k.key_id, k.customer) for k in command.keys}]
+
+
+@applies(ReplaceConfiguration)
+def _replace_configuration(
+    catalogue: Catalogue, index: int, command: ReplaceConfiguration
+) -> Applied:
+    refusal = configuration_refusal(command)
+    if refusal is not None:
+        return Applied(catalogue, ChangeResult(catalogue.version, refusal))
+    if command.version <= catalogue.version:
+        return Applied(catalogue, ChangeResult(catalogue.version))
+    routes = {route.name: route for route in reversed(command.routes)}
+    customers = {customer.name: customer for customer in command.customers}
+    keys = {key.key_id: key for key in command.keys}
+    changed = replace(
+        catalogue,
+        version=command.version,
+        document=command.document,
+        idle_transaction_s=command.idle_transaction_s,
+        routes=_merge(catalogue.routes, routes, index),
+        customers=_merge(catalogue.customers, customers, index),
+        keys=_merge(catalogue.keys, keys, index),
+        groups=_merge_groups(catalogue, command),
+    )
+    return Applied(changed, ChangeResult(command.version))
+
+
+def _merge(held: Map, entries: dict[str, Any], index: int) -> Map:
+    """Return the entries as a map that shares what has not changed.
+
+    An unchanged map is returned as it is, so that nothing is enforced anew.
+    """
+    merged = held
+    for name in held:
+        if name not in entries:
+            merged = merged.delete(name)
+    for name, entry in entries.items():
+        found = held.get(name)
+        if found is None or found.entry != entry:
+            merged = merged.set(name, Versioned(entry, index))
+    return merged
+
+
+def _merge_groups(catalogue: Catalogue, command: ReplaceConfiguration) -> Map:
+    """Return the groups with their limits; none is dropped.
+
+    A group keeps its primary and term while no route leads to it.
+    """
+    groups = catalogue.groups
+    for limits in command.groups:
+        held = groups.get(limits.name) or GroupConfig(limits.name)
+        changed = replace(
+            held, management=Management.PROVIDER, connections=limits.connections
+        )
+        if changed != held:
+            groups = groups.set(limits.name, changed)
+    return groups
--- a/lovagewalk/catalogue/_state.py
+++ b/lovagewalk/catalogue/_state.py
@@ -19,6 +19,37 @@
     OPEN = "open"
 
 
+class Consistency(Enum):
+    """What reads of a route must include.
+
+    ``SESSION`` leaves it to the marks of each statement. The other three hold
+    for every session of the route.
+    """
+
+    SESSION = "session"
+    PRIMARY = "primary"
+    BOUNDED = "bounded"
+    OWN_WRITES = "own writes"
+
+
+class RateUnit(Enum):
+    """What a customer's rate counts; a transaction is one operation."""
+
+    STATEMENTS = "statements"
+    OPERATIONS = "operations"
+
+
+class Management(Enum):
+    """Who gives a group its primary.
+
+    ``FENCED`` groups are fenced and promoted by statements of their own, and
+    confirm writes by quorum. A ``PROVIDER`` promotes instances of the others.
+    """
+
+    FENCED = "fenced"
+    PROVIDER = "provider"
+
+
 @dataclass(frozen=True, slots=True)
 class CustomerEntry:
     """A customer and its limits over the whole fleet.
@@ -26,9 +57,9 @@
     Attributes
     ----------
     rate : float
-        Statements a second.
+        Statements or operations a second, as `unit` says.
     burst : float
-        Statements that may come at once.
+        Statements or operations that may come at once.
     weight : float
         Share of scarce connections, relative to other customers.
     """
@@ -38,6 +69,7 @@
     rate: float
     burst: float
     weight: float = 1.0
+    unit: RateUnit = RateUnit.STATEMENTS
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +82,17 @@
         The database group behind the route.
     customers : tuple of str
         Customers that may use a keyed route; empty means all of them.
+    max_staleness_s : float
+        Oldest data that reads may see, in seconds; for routes of bounded
+        staleness and of own writes.
+    statement_timeout_s : float
+        Longest time for one statement, in seconds; 0 for the default.
+    objective_s : float
+        Wanted time for an operation, in seconds; 0 if none is stated.
+    priority : int
+        0 is the highest.
+    prefix : str
+        Tells routes of one name apart where a configuration has several.
     """
 
     name: str
@@ -57,6 +100,12 @@
     group: str
     route_class: RouteClass = RouteClass.KEYED
     customers: tuple[str, ...] = ()
+    consistency: Consistency = Consistency.SESSION
+    max_staleness_s: float = 0.0
+    statement_timeout_s: float = 0.0
+    objective_s: float = 0.0
+    priority: int = 0
+    prefix: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,8 +114,12 @@
 
     Attributes
     ----------
+    key_id : str
+        Name of the key. Where the key itself is all that a caller shows, the
+        hex SHA256 of it.
     digest : str
-        Hex SHA1 of the SHA1 of the secret, as MySQL native passwords store it.
+        Hex SHA1 of the SHA1 of the secret, as MySQL native passwords store it;
+        empty where no secret goes with the key.
     """
 
     key_id: str
@@ -88,6 +141,9 @@
     sequence : int
         Grows with each announcement of changed content; an old one that is
         sent again changes nothing.
+    born : int
+        Unix milliseconds of the instance's start, where it says so; the
+        sequence begins anew with each start.
     """
 
     name: str
@@ -99,6 +155,30 @@
     connections: int
     leaving: bool = False
     sequence: int = 0
+    born: int = 0
+
+    @property
+    def age(self) -> tuple[int, int]:
+        """Order of announcements: by start, then by sequence."""
+        return (self.born, self.sequence)
+
+    def says_same(self, other: "Endpoint") -> bool:
+        """Whether two announcements differ in their sequence at most."""
+        return replace(self, sequence=other.sequence) == other
+
+
+@dataclass(frozen=True, slots=True)
+class GroupLimits:
+    """Limits of a group that a configuration states.
+
+    Attributes
+    ----------
+    connections : int
+        Connections that the whole fleet may hold to each instance.
+    """
+
+    name: str
+    connections: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,8 +221,14 @@
         Term in which `primary` and `voters` hold; 0 before the first one.
     allocated_term : int
         Highest term given to any promotion attempt.
+    fence : int
+        Log index of the last allocation. It grows with each attempt, so it
+        fences orders of older attempts at an outside provider.
     starts : tuple of TermStart
         Promotion points, oldest first, the last `MAX_TERM_STARTS` of them.
+    connections : int
+        Connections per instance, where the group's configuration states them;
+        0 where each instance announces its own.
     """
 
     name: str
@@ -151,6 +237,9 @@
     voters: tuple[Voter, ...] = ()
     starts: tuple[TermStart, ...] = ()
     allocated_term: int = 0
+    fence: int = 0
+    management: Management = Management.FENCED
+    connections: int = 0
 
     @property
     def write_quorum(self) -> int:
@@ -226,6 +315,12 @@
         First answers by request id, of the last `MAX_RESULTS` changes.
     result_order : tuple of str
         Request ids of `results`, oldest first.
+    version : int
+        Version of the last configuration that came as a whole; 0 before one.
+    document : bytes
+        That configuration as the operator sent it, to be read back.
+    idle_transaction_s : float
+        How long a transaction may stay idle, in seconds; 0 for no limit.
     """
 
     revision: int = 0
@@ -239,6 +334,9 @@
     access_batches: Map = field(default_factory=Map)
     results: Map = field(default_factory=Map)
     result_order: tuple[str, ...] = ()
+    version: int = 0
+    document: bytes = field(default=b"", repr=False)
+    idle_transaction_s: float = 0.0
 
     def customer(self, name: str) -> CustomerEntry | None:
         """Return a customer's entry, or None."""
--- a/lovagewalk/cli/_logs.py
+++ b/lovagewalk/cli/_logs.py
@@ -1,23 +1,8 @@
 """Log lines as text or JSON; each starts with its part's name."""
 
-import json
 import logging
 
-
-class JsonFormatter(logging.Formatter):
-    """Writes one JSON object a line."""
-
-    def format(self, record: logging.LogRecord) -> str:
-        """Return the line of a record."""
-        fields = {
-            "time": self.formatTime(record),
-            "level": record.levelname,
-            "part": record.name.removeprefix("lovagewalk."),
-            "message": record.getMessage(),
-        }
-        if record.exc_info:
-            fields["error"] = self.formatException(record.exc_info)
-        return json.dumps(fields)
+from lovagewalk.runtime import JsonFormatter
 
 
 def set_up_logs(level: str, form: str) -> None:
--- a/lovagewalk/codec/_codec.py
+++ b/lovagewalk/codec/_codec.py
@@ -67,6 +67,9 @@
         "groups": pack(list(catalogue.groups.values())),
         "control_voters": pack(catalogue.control_voters),
         "access_batches": dict(catalogue.access_batches),
+        "version": catalogue.version,
+        "document": catalogue.document,
+        "idle_transaction_s": catalogue.idle_transaction_s,
         "results": [
             (request_id, pack(catalogue.results[request_id]))
             for request_id in catalogue.result_order
@@ -93,6 +96,9 @@
         groups=Map((item.name, item) for item in unpack_all("groups", cat.GroupConfig)),
         control_voters=tuple(unpack_all("control_voters", cat.ControlVoter)),
         access_batches=Map(raw["access_batches"]),
+        version=int(raw["version"]),
+        document=bytes(raw["document"]),
+        idle_transaction_s=float(raw["idle_transaction_s"]),
         results=Map(results),
         result_order=tuple(request_id for request_id, _ in results),
     )
--- a/lovagewalk/consensus/__init__.py
+++ b/lovagewalk/consensus/__init__.py
@@ -23,6 +23,7 @@
     compact,
     compaction_due,
     confirmed_round,
+    has_quorum,
     send_snapshots,
 )
 from ._state import (
@@ -33,6 +34,7 @@
     Standing,
     VoterConfig,
     configs_of,
+    forget_peers,
 )
 
 __all__ = [
@@ -60,6 +62,8 @@
     "compaction_due",
     "configs_of",
     "confirmed_round",
+    "forget_peers",
+    "has_quorum",
     "is_consensus_message",
     "receive",
     "send_snapshots",
--- a/lovagewalk/consensus/_election.py
+++ b/lovagewalk/consensus/_election.py
@@ -1,5 +1,7 @@
 """Elections: pre-votes, votes, and a first start."""
 
+from collections.abc import Iterable
+
 from immutables import Map
 
 from lovagewalk.catalogue import ChangeControlVoters, ControlVoter, NoChange, Proposal
@@ -15,27 +17,37 @@
     RaftStep,
     Standing,
     VoterConfig,
+    note_peers,
+    note_voters,
 )
 from ._terms import postpone_election, step_down
 
 
-def broadcast(raft: RaftState, message: object) -> RaftStep:
-    """Send a message to every peer."""
-    return RaftStep(raft, tuple(SendPeer(peer, message) for peer in raft.peers))
+def broadcast(raft: RaftState, message: object, names: Iterable[str]) -> RaftStep:
+    """Send a message to some control VMs."""
+    return RaftStep(raft, tuple(SendPeer(name, message) for name in names))
+
+
+def _ask_voters(raft: RaftState, message: object) -> RaftStep:
+    names = (voter.name for voter in raft.voters if voter.name != raft.me)
+    return broadcast(raft, message, names)
 
 
 def probe(raft: RaftState) -> RaftStep:
-    """Ask the peers whether the fleet exists already."""
+    """Ask the peers whether the fleet exists already, and to be taken in."""
     step = found_fleet(raft)
-    return step.then(broadcast(step.raft, msg.Probe(raft.disk)))
+    return step.then(broadcast(step.raft, msg.Probe(raft.disk), raft.peers))
 
 
 def found_fleet(raft: RaftState) -> RaftStep:
-    """Become a founding voter once every peer has been heard to be new too."""
-    if raft.configs or len(raft.disks) < len(raft.peers):
+    """Become a founding voter once every other founder was heard to be new too."""
+    others = [name for name in raft.founders if name != raft.me]
+    if raft.configs or raft.me not in raft.founders:
+        return RaftStep(raft)
+    if any(name not in raft.disks for name in others):
         return RaftStep(raft)
     voters = [ControlVoter(raft.me, raft.disk)]
-    voters += [ControlVoter(name, disk) for name, disk in raft.disks.items()]
+    voters += [ControlVoter(name, raft.disks[name]) for name in others]
     return adopt_founders(raft, tuple(sorted(voters)))
 
 
@@ -51,12 +63,13 @@
     known = raft.configs and raft.log.last_index > 0
     if known:
         voters = raft.configs[0].voters
-    reply = msg.ProbeReply(raft.disk, voters)
+    reply = msg.ProbeReply(raft.disk, voters, raft.leader)
     return RaftStep(raft, (SendPeer(peer, reply),))
 
 
 def on_probe_reply(raft: RaftState, peer: str, message: msg.ProbeReply) -> RaftStep:
-    """Note a peer that is new too, or join the founders that it names."""
+    """Note a peer that is new too, or join the fleet that it knows."""
+    raft = note_peers(raft, (message.leader, *(v.name for v in message.voters)))
     if raft.configs:
         return RaftStep(raft)
     if message.voters:
@@ -68,15 +81,18 @@
 
 
 def start_pre_vote(raft: RaftState, now: float) -> RaftStep:
-    """Ask whether an election could be won, without raising the term."""
+    """Ask whether an election could be won, without raising the term.
+
+    A VM that has no vote asks to be taken in again.
+    """
     raft = postpone_election(raft, now)
     if not raft.is_voter:
-        return RaftStep(raft)
+        return probe(raft)
     raft = replace(raft, standing=Standing.PRE_CANDIDATE, leader="")
     raft = replace(raft, votes=frozenset((raft.me,)))
     if len(raft.votes) >= raft.quorum:
         return start_election(raft, now)
-    return broadcast(raft, _vote_request(raft, raft.term + 1, True))
+    return _ask_voters(raft, _vote_request(raft, raft.term + 1, True))
 
 
 def start_election(raft: RaftState, now: float) -> RaftStep:
@@ -92,7 +108,7 @@
     step = RaftStep(raft, (PersistVote(raft.term, raft.me),))
     if len(raft.votes) >= raft.quorum:
         return step.then(become_leader(raft, now))
-    return step.then(broadcast(raft, _vote_request(raft, raft.term, False)))
+    return step.then(_ask_voters(raft, _vote_request(raft, raft.term, False)))
 
 
 def _vote_request(raft: RaftState, term: int, pre: bool) -> msg.VoteRequest:
@@ -161,6 +177,7 @@
 
 def become_leader(raft: RaftState, now: float) -> RaftStep:
     """Lead, and commit an entry of the new term as soon as possible."""
+    raft = note_voters(raft)
     progress = Map(
         (peer, Progress(raft.log.last_index + 1, answered_at=now))
         for peer in raft.peers
@@ -171,6 +188,7 @@
         leader=raft.me,
         progress=progress,
         heard_at=now,
+        led_since=now,
         heartbeat_at=now,
     )
     command = NoChange()
--- a/lovagewalk/consensus/_messages.py
+++ b/lovagewalk/consensus/_messages.py
@@ -35,10 +35,13 @@
     ----------
     voters : tuple of ControlVoter
         The voters that the sender started from; empty if it has none yet.
+    leader : str
+        Whom to ask to be taken in; empty if unknown.
     """
 
     disk: str
     voters: tuple[ControlVoter, ...]
+    leader: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/consensus/_raft.py
+++ b/lovagewalk/consensus/_raft.py
@@ -8,7 +8,7 @@
 from . import _election
 from . import _messages as msg
 from . import _replication
-from ._state import RaftState, RaftStep, Standing
+from ._state import RaftState, RaftStep, Standing, note_peers
 from ._terms import postpone_election
 
 PROBE_PERIOD_S = 0.3
@@ -54,10 +54,13 @@
 def receive(raft: RaftState, peer: str, message: object, now: float) -> RaftStep:
     """Handle a message from a control VM.
 
-    A VM that is offline, since its disk is full, says nothing.
+    A VM that was not known becomes a peer: a new one asks to be taken in, and
+    one that was dropped while it was away learns so. A VM that is offline,
+    since its disk is full, says nothing.
     """
-    if raft.standing is Standing.OFFLINE or peer not in raft.peers:
+    if raft.standing is Standing.OFFLINE or peer == raft.me:
         return RaftStep(raft)
+    raft = note_peers(raft, (peer,))
     return _receivers[type(message)](raft, peer, message, now)
 
 
--- a/lovagewalk/consensus/_replication.py
+++ b/lovagewalk/consensus/_replication.py
@@ -16,6 +16,7 @@
     Standing,
     VoterConfig,
     configs_of,
+    note_voters,
 )
 from ._terms import postpone_election, step_down
 
@@ -36,6 +37,7 @@
         log=raft.log.append(entries),
         configs=configs_of(raft.configs, entries),
     )
+    raft = note_voters(raft)
     step = RaftStep(raft, (PersistEntries(entries),))
     step = step.then(advance_commit(raft))
     return step.then(send_appends(step.raft, now, False))
@@ -165,7 +167,7 @@
         log=raft.log.truncate(first).append(kept),
         configs=configs_of(configs, kept),
     )
-    return RaftStep(raft, (PersistEntries(kept),))
+    return RaftStep(note_voters(raft), (PersistEntries(kept),))
 
 
 def on_append_reply(
@@ -275,6 +277,7 @@
         commit=message.index,
         applied=message.index,
     )
+    raft = note_voters(raft)
     return RaftStep(raft, (_snapshot(raft, message.catalogue, ()),))
 
 
--- a/lovagewalk/consensus/_state.py
+++ b/lovagewalk/consensus/_state.py
@@ -1,5 +1,6 @@
 """State of the consensus on one control VM."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -128,7 +129,10 @@
     Attributes
     ----------
     peers : tuple of str
-        The other control VMs, voters or not.
+        The other control VMs that are known, voters or not.
+    founders : tuple of str
+        The VMs, this one among them, that may found a fleet together; empty
+        where this VM may only join one.
     voted_for : str
         Who got this VM's vote in `term`; empty for nobody.
     configs : tuple of VoterConfig
@@ -141,12 +145,15 @@
         Data folders of the peers that answered a probe.
     heard_at : float
         When a leader, or as leader a quorum, was last heard.
+    led_since : float
+        When this VM last became leader.
     """
 
     me: str
     disk: str
     peers: tuple[str, ...]
     seed: int
+    founders: tuple[str, ...] = ()
     standing: Standing = Standing.JOINING
     term: int = 0
     voted_for: str = ""
@@ -162,6 +169,7 @@
     election_at: float = 0.0
     heartbeat_at: float = 0.0
     heard_at: float = 0.0
+    led_since: float = 0.0
 
     @property
     def voters(self) -> tuple[ControlVoter, ...]:
@@ -184,6 +192,37 @@
         return self.standing is Standing.LEADER
 
 
+def note_peers(raft: RaftState, names: Iterable[str]) -> RaftState:
+    """Return the state with more control VMs known."""
+    known = set(raft.peers) | {raft.me, ""}
+    fresh = tuple(sorted({name for name in names if name not in known}))
+    if not fresh:
+        return raft
+    progress = raft.progress
+    if raft.is_leader:
+        for name in fresh:
+            progress = progress.set(name, Progress(raft.log.last_index + 1))
+    return replace(raft, peers=raft.peers + fresh, progress=progress)
+
+
+def note_voters(raft: RaftState) -> RaftState:
+    """Return the state with the voters in force known as peers."""
+    return note_peers(raft, (voter.name for voter in raft.voters))
+
+
+def forget_peers(raft: RaftState, names: Iterable[str]) -> RaftState:
+    """Return the state without some peers."""
+    gone = set(names)
+    if not gone:
+        return raft
+    progress = raft.progress
+    for name in gone:
+        if name in progress:
+            progress = progress.delete(name)
+    peers = tuple(peer for peer in raft.peers if peer not in gone)
+    return replace(raft, peers=peers, progress=progress)
+
+
 def configs_of(
     base: tuple[VoterConfig, ...], entries: tuple[LogEntry, ...]
 ) -> tuple[VoterConfig, ...]:
--- a/lovagewalk/consensus/tests/test_machine.py
+++ b/lovagewalk/consensus/tests/test_machine.py
@@ -111,6 +111,7 @@
             disk=disk.disk,
             peers=tuple(other for other in NAMES if other != name),
             seed=self.seed,
+            founders=NAMES,
             standing=Standing.FOLLOWER if configs else Standing.JOINING,
             term=disk.term,
             voted_for=disk.voted_for,
@@ -370,7 +371,7 @@
 
 
 def test_a_single_vm_leads_itself():
-    raft = RaftState("vm1", "disk1", (), seed=1)
+    raft = RaftState("vm1", "disk1", (), seed=1, founders=("vm1",))
     for number in range(40):
         raft = tick(raft, number * 0.05).raft
     assert raft.is_leader
--- a/lovagewalk/control/__init__.py
+++ b/lovagewalk/control/__init__.py
@@ -1,14 +1,24 @@
 """Control over the fleet: catalogue changes, leases, shares, primaries."""
 
-from ._effects import AnswerOperator, RecordAudit, SteerInstance, StopDaemon
+from ._effects import (
+    AnswerOperator,
+    PromoteInstance,
+    RecordAudit,
+    SteerInstance,
+    StopDaemon,
+)
 from ._events import (
     ChangeRequested,
     ConsensusTick,
     ControlTick,
     DrainRequested,
+    EndpointBeat,
+    EndpointLeft,
+    InstancePromoted,
     InstanceSteered,
     JournalFilled,
     Order,
+    Ordered,
     PeerMessage,
     RepairTick,
     SwitchRequested,
@@ -24,11 +34,16 @@
     "ControlState",
     "ControlTick",
     "DrainRequested",
+    "EndpointBeat",
+    "EndpointLeft",
     "FollowState",
+    "InstancePromoted",
     "InstanceSteered",
     "JournalFilled",
     "Order",
+    "Ordered",
     "PeerMessage",
+    "PromoteInstance",
     "RecordAudit",
     "RepairTick",
     "SteerInstance",
--- /dev/null
+++ b/lovagewalk/control/_beats.py
@@ -0,0 +1,42 @@
+"""Heartbeats of endpoints: only what has changed goes through the log."""
+
+from lovagewalk.catalogue import (
+    AnnounceEndpoint,
+    ChangeResult,
+    ForgetEndpoint,
+    Proposal,
+)
+from lovagewalk.core import Step
+from lovagewalk.node import NodeState
+
+from . import _proposals
+from ._effects import AnswerOperator
+from ._events import EndpointBeat, EndpointLeft
+
+
+def on_beat(state: NodeState, event: EndpointBeat) -> Step[NodeState]:
+    """Acknowledge what is known already, and propose what is not.
+
+    A beat that is older than what is known changes nothing: it was delayed.
+    """
+    endpoint = event.endpoint
+    known = state.catalogue.endpoints.get(endpoint.name)
+    is_known = known is not None and (
+        endpoint.says_same(known) or endpoint.age <= known.age
+    )
+    if is_known:
+        result = ChangeResult(state.catalogue.revision)
+        return Step(state, (AnswerOperator(event.ticket, result),))
+    proposal = Proposal(
+        "", f"endpoint {endpoint.name}", 0.0, AnnounceEndpoint(endpoint)
+    )
+    return _proposals.request_change(state, event.ticket, proposal, event.at)
+
+
+def on_left(state: NodeState, event: EndpointLeft) -> Step[NodeState]:
+    """Forget an endpoint that says that it has gone."""
+    if event.name not in state.catalogue.endpoints:
+        result = ChangeResult(state.catalogue.revision)
+        return Step(state, (AnswerOperator(event.ticket, result),))
+    proposal = Proposal("", f"endpoint {event.name}", 0.0, ForgetEndpoint(event.name))
+    return _proposals.request_change(state, event.ticket, proposal, event.at)
--- a/lovagewalk/control/_effects.py
+++ b/lovagewalk/control/_effects.py
@@ -51,6 +51,24 @@
     wait_term: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class PromoteInstance(Effect):
+    """Order the provider to make an instance the primary of its group.
+
+    Attributes
+    ----------
+    holder : str
+        The daemon that gives the order.
+    fence : int
+        Bars orders that were given before this one.
+    """
+
+    group: str
+    endpoint: str
+    holder: str
+    fence: int
+
+
 @dataclass(frozen=True, slots=True)
 class StopDaemon(Effect):
     """Nothing is left to finish; the process may end."""
--- a/lovagewalk/control/_events.py
+++ b/lovagewalk/control/_events.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import Any
 
-from lovagewalk.catalogue import Proposal
+from lovagewalk.catalogue import Endpoint, Proposal
 from lovagewalk.core import Event, every
 from lovagewalk.groups import InstanceStatus
 
@@ -66,6 +66,40 @@
     """The data folder is full; nothing can be promised any more."""
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointBeat(Event):
+    """An endpoint says where it is and whether it leaves."""
+
+    ticket: int
+    endpoint: Endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointLeft(Event):
+    """An endpoint says that it has gone."""
+
+    ticket: int
+    name: str
+
+
+class Ordered(Enum):
+    """What became of an order to the provider."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class InstancePromoted(Event):
+    """The provider answered an order, or did not."""
+
+    group: str
+    endpoint: str
+    fence: int
+    outcome: Ordered
+
+
 class Order(Enum):
     """What an instance is told to do."""
 
--- a/lovagewalk/control/_failover.py
+++ b/lovagewalk/control/_failover.py
@@ -15,6 +15,7 @@
     Endpoint,
     GroupConfig,
     InstallTerm,
+    Management,
     Proposal,
     TermStart,
     Voter,
@@ -46,6 +47,8 @@
     suspicions = collect_suspicions(state.control, now)
     step = Step(state)
     for name, config in state.catalogue.groups.items():
+        if config.management is Management.PROVIDER:
+            continue
         if _is_quiet(step.state, config, suspicions):
             continue
         step = step.then(_tick_group(step.state, name, suspicions, now))
--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -11,8 +11,8 @@
 )
 from lovagewalk.consensus import LogEntry, SendPeer, Standing
 from lovagewalk.core import Effect, Step, replace
-from lovagewalk.daemon._changes import install_catalogue
-from lovagewalk.groups import is_primary_suspect
+from lovagewalk.daemon._changes import install_catalogue, resize_pools
+from lovagewalk.groups import add_proof, is_primary_suspect, view_of
 from lovagewalk.node import NodeState
 from lovagewalk.routing import _sweep
 from lovagewalk.shares import Share, expire, grow, shrink, smooth_demand
@@ -88,7 +88,7 @@
 def _send_report(state: NodeState, now: float) -> Step[NodeState]:
     follow: FollowState = state.follow
     elapsed = max(now - follow.sent_at, URGENT_PERIOD_S)
-    target = _next_target(follow)
+    target = _next_target(state)
     state = replace(state, shares=_prepare_shares(state, elapsed, now))
     request = FollowRequest(
         boot=follow.boot,
@@ -97,6 +97,8 @@
         draining=is_leaving(state),
         suspects=follow.suspects,
         shares=tuple(_report(share) for share in state.shares.values()),
+        entry=state.me.entry and not is_leaving(state),
+        observes=state.me.entry,
     )
     cleared = state.shares
     for customer, share in state.shares.items():
@@ -113,21 +115,26 @@
     return Step(state, (SendPeer(target, request),))
 
 
-def _next_target(follow: FollowState) -> str:
+def _next_target(state: NodeState) -> str:
     """Return whom to ask; another control VM if the last one kept silent."""
+    follow: FollowState = state.follow
     if follow.answered_seq == follow.seq:
         return follow.target
-    return _target_after(follow)
+    return _target_after(state)
 
 
-def _target_after(follow: FollowState) -> str:
-    position = follow.controls.index(follow.target)
-    return follow.controls[(position + 1) % len(follow.controls)]
+def _target_after(state: NodeState) -> str:
+    """Return the next control VM, of those of the settings and of the voters."""
+    follow: FollowState = state.follow
+    voters = {voter.name for voter in state.catalogue.control_voters}
+    names = sorted(voters | set(follow.controls))
+    later = [name for name in names if name > follow.target]
+    return (later or names)[0]
 
 
 def _prepare_shares(state: NodeState, elapsed_s: float, now: float):
     shares = state.shares
-    if len(state.catalogue.customers) <= MAX_EAGER_CUSTOMERS:
+    if state.me.entry and len(state.catalogue.customers) <= MAX_EAGER_CUSTOMERS:
         for customer in state.catalogue.customers:
             if customer not in shares:
                 shares = shares.set(customer, Share(customer, updated_at=now))
@@ -167,6 +174,9 @@
     state = replace(state, follow=follow)
     if state.catalogue.revision >= reply.revision:
         state = replace(state, fresh_until=follow.sent_at + LEASE_S)
+    state = _take_samples(state, reply)
+    if state.me.entry and reply.entry_daemons != state.entry_daemons:
+        state = resize_pools(replace(state, entry_daemons=reply.entry_daemons))
     lease_until = follow.sent_at + LEASE_S
     shares = state.shares
     for grant in reply.grants:
@@ -180,6 +190,22 @@
     return step.then(_serve_all(step.state, (g.customer for g in reply.grants), now))
 
 
+def _take_samples(state: NodeState, reply: FollowReply) -> NodeState:
+    """Note what primaries held, by this daemon's clock.
+
+    The reply left its sender after this daemon had asked, so its samples are at
+    most their stated age older than the question.
+    """
+    asked_at = state.follow.sent_at
+    for sample in reply.samples:
+        if state.catalogue.group(sample.group).term != sample.term:
+            continue
+        view = view_of(state, sample.group)
+        view = add_proof(view, asked_at - sample.age_s, sample.position)
+        state = replace(state, groups=state.groups.set(sample.group, view))
+    return state
+
+
 def _note_start(state: NodeState) -> NodeState:
     follow: FollowState = state.follow
     if follow.has_started or not holds_shares(state):
@@ -189,11 +215,10 @@
 
 def _redirect(step: Step[NodeState], peer: str, reply: FollowReply) -> Step[NodeState]:
     follow: FollowState = step.state.follow
-    is_known = reply.leader in follow.controls and reply.leader != peer
-    if is_known:
+    if reply.leader and reply.leader != peer:
         follow = replace(follow, target=reply.leader, urgent=True)
     elif peer == follow.target:
-        follow = replace(follow, target=_target_after(follow))
+        follow = replace(follow, target=_target_after(step.state))
     return Step(replace(step.state, follow=follow), step.effects)
 
 
--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -1,5 +1,6 @@
 """The leader's side of following: reports in; leases, entries and grants out."""
 
+from lovagewalk.catalogue import Management
 from lovagewalk.consensus import LogEntry, RaftState, SendPeer, confirmed_round
 from lovagewalk.core import Effect, Step, replace
 from lovagewalk.node import NodeState
@@ -9,10 +10,11 @@
     CatalogueUpdate,
     FollowReply,
     FollowRequest,
+    GroupSample,
     ShareRecall,
     SuspectNotice,
 )
-from ._state import ControlState, Follower, PendingFollow
+from ._state import FOLLOWER_LOST_S, ControlState, Follower, PendingFollow
 
 MAX_PUSHED_ENTRIES = 200
 FORGET_FOLLOWER_S = 30.0
@@ -112,6 +114,8 @@
         entries=entries,
         snapshot=state.catalogue if behind else None,
         grants=granted.grants,
+        entry_daemons=count_entry_daemons(control, now),
+        samples=_samples(state, now),
     )
     revision = entries[-1].index if entries else known
     if behind:
@@ -127,6 +131,27 @@
     return Step(replace(state, control=control), effects)
 
 
+def count_entry_daemons(control: ControlState, now: float) -> int:
+    """Return how many daemons that serve callers have reported lately."""
+    return sum(
+        follower.request.entry and now - follower.seen_at < FOLLOWER_LOST_S
+        for follower in control.followers.values()
+    )
+
+
+def _samples(state: NodeState, now: float) -> tuple[GroupSample, ...]:
+    """Return the latest proof of each primary that a provider promotes."""
+    found: tuple[GroupSample, ...] = ()
+    for name, view in state.groups.items():
+        config = state.catalogue.group(name)
+        if config.management is not Management.PROVIDER or not view.samples:
+            continue
+        sample = view.samples[-1]
+        age_s = now - sample.sent_at
+        found += (GroupSample(name, config.term, sample.position, age_s),)
+    return found
+
+
 def _push(state: NodeState, now: float) -> Step[NodeState]:
     raft: RaftState = state.consensus
     control: ControlState = state.control
--- a/lovagewalk/control/_members.py
+++ b/lovagewalk/control/_members.py
@@ -1,24 +1,32 @@
-"""Replaces control VMs that lost their disk, one step at a time.
+"""Takes in new control VMs and replaces lost ones, one step at a time.
 
 A VM that came back with another disk has nothing to vote on. It is dropped
-from the voters first, learns the log, and is added once it has caught up; each
-step changes one voter, so any two majorities in a row share a VM.
+from the voters first, learns the log, and is added once it has caught up. A VM
+that is new takes the place of the voter that has been silent longest. Each step
+changes one voter, so any two majorities in a row share a VM.
 """
 
 from lovagewalk.catalogue import ChangeControlVoters, ControlVoter, Proposal
-from lovagewalk.consensus import RaftState
-from lovagewalk.core import Step
+from lovagewalk.consensus import RaftState, forget_peers
+from lovagewalk.core import Step, replace
 from lovagewalk.node import NodeState
 
 from . import _proposals
 
 ANSWERING_S = 1.0
 CAUGHT_UP_ENTRIES = 10
+# Two disks may be lost at once; a majority of five survives that.
+MAX_VOTERS = 5
+# Longer than a restart or a freeze, which a voter returns from with its disk.
+VOTER_SILENT_S = 4.0
+# A peer without a vote that is silent for so long is not dialled any more.
+FORGET_PEER_S = 30.0
 
 
 def tick(state: NodeState, now: float) -> Step[NodeState]:
     """Propose the next single change of voters, if one is due."""
-    raft: RaftState = state.consensus
+    raft = forget_peers(state.consensus, _gone(state.consensus, now))
+    state = replace(state, consensus=raft)
     if (
         raft.configs[-1].index > raft.commit
         or raft.log.term_at(raft.commit) != raft.term
@@ -31,13 +39,38 @@
     return _proposals.propose(state, proposal, None, now)
 
 
+def _gone(raft: RaftState, now: float) -> list[str]:
+    """Return peers without a vote that have been silent for long."""
+    names = {voter.name for voter in raft.voters}
+    return [
+        peer
+        for peer in raft.peers
+        if peer not in names
+        and now - max(raft.progress[peer].answered_at, raft.led_since) > FORGET_PEER_S
+    ]
+
+
 def wanted_voters(raft: RaftState, now: float) -> tuple[ControlVoter, ...]:
     """Return the voters with at most one of them changed."""
-    names = {voter.name for voter in raft.voters}
     for voter in raft.voters:
         progress = raft.progress.get(voter.name)
         if progress is not None and progress.disk not in ("", voter.disk):
-            return tuple(other for other in raft.voters if other != voter)
+            return _without(raft, voter)
+    learner = _caught_up_learner(raft, now)
+    if learner is None:
+        return raft.voters
+    if len(raft.voters) < MAX_VOTERS:
+        return tuple(sorted(raft.voters + (learner,)))
+    silent = _longest_silent(raft, now)
+    return raft.voters if silent is None else _without(raft, silent)
+
+
+def _without(raft: RaftState, voter: ControlVoter) -> tuple[ControlVoter, ...]:
+    return tuple(other for other in raft.voters if other != voter)
+
+
+def _caught_up_learner(raft: RaftState, now: float) -> ControlVoter | None:
+    names = {voter.name for voter in raft.voters}
     for peer in raft.peers:
         progress = raft.progress[peer]
         if peer in names or not progress.disk:
@@ -45,5 +78,15 @@
         behind = raft.log.last_index - progress.match_index
         answering = now - progress.answered_at < ANSWERING_S
         if answering and behind <= CAUGHT_UP_ENTRIES:
-            return tuple(sorted(raft.voters + (ControlVoter(peer, progress.disk),)))
-    return raft.voters
+            return ControlVoter(peer, progress.disk)
+    return None
+
+
+def _longest_silent(raft: RaftState, now: float) -> ControlVoter | None:
+    silent = [
+        (raft.progress[voter.name].answered_at, voter)
+        for voter in raft.voters
+        if voter.name != raft.me
+        and now - raft.progress[voter.name].answered_at >= VOTER_SILENT_S
+    ]
+    return min(silent)[1] if silent else None
--- a/lovagewalk/control/_messages.py
+++ b/lovagewalk/control/_messages.py
@@ -4,6 +4,7 @@
 
 from lovagewalk.catalogue import Catalogue, ChangeResult, Proposal
 from lovagewalk.consensus import LogEntry
+from lovagewalk.groups import Position
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +69,10 @@
         Counts the requests of this run; only the answer to the latest counts.
     revision : int
         The catalogue revision that the daemon has in force.
+    entry : bool
+        Whether it serves callers, and so shares rates and connections.
+    observes : bool
+        Whether it watches primaries itself.
     """
 
     boot: str
@@ -76,6 +81,8 @@
     draining: bool
     suspects: tuple[SuspectReport, ...]
     shares: tuple[ShareReport, ...]
+    entry: bool = True
+    observes: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +92,22 @@
     suspects: tuple[SuspectReport, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class GroupSample:
+    """What a group's primary held a known time ago.
+
+    Attributes
+    ----------
+    age_s : float
+        Time since the primary was asked, in seconds, when this was sent.
+    """
+
+    group: str
+    term: int
+    position: Position
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class FollowReply:
     """Answers a `FollowRequest`.
@@ -98,6 +121,10 @@
         is the latest; only then are leases renewed.
     snapshot : Catalogue or None
         Sent in place of entries to a daemon that is too far behind.
+    entry_daemons : int
+        Daemons that serve callers at present.
+    samples : tuple of GroupSample
+        The latest proof of each primary that the leader has.
     """
 
     seq: int
@@ -107,6 +134,8 @@
     entries: tuple[LogEntry, ...]
     snapshot: Catalogue | None
     grants: tuple[ShareGrant, ...]
+    entry_daemons: int = 0
+    samples: tuple[GroupSample, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lovagewalk/control/_provider.py
@@ -0,0 +1,339 @@
+"""Primaries of groups that an outside provider promotes.
+
+The leader watches each primary, decides by its own view and the daemons' word
+when one is lost, and orders the provider to promote another instance. Each
+order carries a fence from the control log. A call without an answer may still
+be carried out later, so another target is named only under a new fence.
+"""
+
+from collections.abc import Callable
+
+from lovagewalk.catalogue import (
+    AllocateFence,
+    Endpoint,
+    GroupConfig,
+    InstallTerm,
+    Management,
+    Proposal,
+    TermStart,
+)
+from lovagewalk.consensus import has_quorum
+from lovagewalk.core import Effect, Step, replace
+from lovagewalk.groups import (
+    GroupView,
+    InstanceView,
+    PollInstance,
+    Role,
+    view_of,
+)
+from lovagewalk.node import NodeState
+
+from . import _proposals
+from ._effects import PromoteInstance
+from ._events import InstancePromoted, Ordered
+from ._state import ControlState, Promotion, PromotionStage
+from ._suspicion import Suspicions, collect_suspicions
+
+# Often enough that samples of the primary stay young against the shortest
+# staleness of the sheets, 1.5 s.
+WATCH_PERIOD_S = 0.3
+# All instances, while the primary is not known or another is looked for.
+SURVEY_PERIOD_S = 0.1
+# Replies from the other region take 40 ms.
+SURVEY_LIMIT_S = 0.25
+# Two polls without an answer.
+PRIMARY_SILENT_S = 0.6
+# Longer than the longest promotion of the sheets, 1 s.
+PROMOTED_LIMIT_S = 2.5
+REORDER_S = 0.5
+# What was seen before such a pause, as under another leader, tells nothing now.
+WATCH_LAPSE_S = 2.0
+OPERATOR = "control"
+
+
+def tick(state: NodeState, now: float) -> Step[NodeState]:
+    """Watch primaries, and start and advance promotions."""
+    step = Step(state)
+    if not has_quorum(state.consensus, now):
+        return step
+    suspicions = collect_suspicions(state.control, now)
+    for name, config in state.catalogue.groups.items():
+        if config.management is Management.PROVIDER:
+            step = step.then(_tick_group(step.state, name, suspicions, now))
+    return step
+
+
+def _tick_group(
+    state: NodeState, group: str, suspicions: Suspicions, now: float
+) -> Step[NodeState]:
+    config = state.catalogue.group(group)
+    promotion = state.control.promotions.get(group)
+    if promotion is not None:
+        return _stages[promotion.stage](state, promotion, config, now)
+    found = _find_primary(state, config)
+    if found is not None:
+        return _install(state, config, found, now)
+    if not config.primary:
+        return _seek_primary(state, config, now)
+    endpoint = state.catalogue.endpoints.get(config.primary)
+    if endpoint is None or endpoint.leaving:
+        return _begin(state, config, now)
+    if _is_lost(state, config, suspicions, now):
+        return _begin(state, config, now)
+    return _poll(state, (endpoint,), WATCH_PERIOD_S, now)
+
+
+def _find_primary(state: NodeState, config: GroupConfig) -> InstanceView | None:
+    """Return an instance that leads a later term than the installed one."""
+    view = view_of(state, config.name)
+    leading = [
+        instance
+        for instance in view.instances.values()
+        if instance.status is not None
+        and instance.endpoint in state.catalogue.endpoints
+        and instance.status.role is Role.PRIMARY
+        and instance.status.term > config.term
+    ]
+    return max(leading, key=lambda i: i.status.term, default=None)
+
+
+def _seek_primary(state: NodeState, config: GroupConfig, now: float) -> Step[NodeState]:
+    """Ask all instances; promote one if none of them leads."""
+    endpoints = state.catalogue.group_endpoints(config.name)
+    step = _poll(state, endpoints, WATCH_PERIOD_S, now)
+    view = view_of(step.state, config.name)
+    replicas = [
+        instance
+        for instance in view.instances.values()
+        if instance.status is not None and instance.status.role is Role.REPLICA
+    ]
+    if len(replicas) < len(endpoints) or not endpoints:
+        return step
+    return step.then(_begin(step.state, config, now))
+
+
+def _is_lost(
+    state: NodeState, config: GroupConfig, suspicions: Suspicions, now: float
+) -> bool:
+    """Whether a primary has to be replaced.
+
+    The leader's own silence is not enough, since it may be the one that is cut
+    off; a daemon that could not get a statement through has to agree. Most of
+    the daemons are enough without it. A primary that says it is none is lost.
+    """
+    primary = view_of(state, config.name).instances.get(config.primary)
+    if primary is None:
+        return False
+    status = primary.status
+    demoted = status is not None and status.role is Role.REPLICA
+    if demoted and status.term > config.term:
+        return True
+    silent = now - primary.seen_at >= PRIMARY_SILENT_S
+    if silent and suspicions.count(config) >= 1:
+        return True
+    return suspicions.is_lost(config)
+
+
+def _poll(
+    state: NodeState, endpoints: tuple[Endpoint, ...], period_s: float, now: float
+) -> Step[NodeState]:
+    """Ask instances for their status that have not been asked lately."""
+    effects: tuple[Effect, ...] = ()
+    for endpoint in endpoints:
+        view = view_of(state, endpoint.group)
+        instance = view.instances.get(endpoint.name)
+        if instance is None:
+            instance = InstanceView(endpoint.name, seen_at=now)
+        if instance.polling or now - instance.polled_at < period_s:
+            continue
+        if now - instance.polled_at >= WATCH_LAPSE_S:
+            instance = replace(instance, seen_at=now, status=None)
+        instance = replace(instance, polling=True, polled_at=now)
+        view = replace(view, instances=view.instances.set(endpoint.name, instance))
+        state = replace(state, groups=state.groups.set(view.name, view))
+        effects += (
+            PollInstance(endpoint.name, endpoint.host, endpoint.port, endpoint.group),
+        )
+    return Step(state, effects)
+
+
+def _put(state: NodeState, promotion: Promotion) -> NodeState:
+    control: ControlState = state.control
+    promotions = control.promotions.set(promotion.group, promotion)
+    return replace(state, control=replace(control, promotions=promotions))
+
+
+def _drop(state: NodeState, group: str) -> NodeState:
+    control: ControlState = state.control
+    if group not in control.promotions:
+        return state
+    promotions = control.promotions.delete(group)
+    return replace(state, control=replace(control, promotions=promotions))
+
+
+def _propose(state: NodeState, command: object, now: float) -> Step[NodeState]:
+    return _proposals.propose(state, Proposal("", OPERATOR, 0.0, command), None, now)
+
+
+def _begin(state: NodeState, config: GroupConfig, now: float) -> Step[NodeState]:
+    """Start a promotion by allocating its fence through the log."""
+    promotion = Promotion(config.name, PromotionStage.ALLOCATE, now, config.fence)
+    return _propose(_put(state, promotion), AllocateFence(config.name), now)
+
+
+Stage = Callable[[NodeState, Promotion, GroupConfig, float], Step[NodeState]]
+_stages: dict[PromotionStage, Stage] = {}
+
+
+def at_stage(stage: PromotionStage) -> Callable[[Stage], Stage]:
+    """Register the decorated function as what a stage does."""
+
+    def decorate(handler: Stage) -> Stage:
+        _stages[stage] = handler
+        return handler
+
+    return decorate
+
+
+@at_stage(PromotionStage.ALLOCATE)
+def _allocate(
+    state: NodeState, promotion: Promotion, config: GroupConfig, now: float
+) -> Step[NodeState]:
+    if config.fence <= promotion.fence:
+        return Step(state)
+    promotion = replace(
+        promotion, stage=PromotionStage.SURVEY, fence=config.fence, since=now
+    )
+    return _survey(_put(state, promotion), promotion, config, now)
+
+
+@at_stage(PromotionStage.SURVEY)
+def _survey(
+    state: NodeState, promotion: Promotion, config: GroupConfig, now: float
+) -> Step[NodeState]:
+    """Learn what each replica has received, then order the best to lead."""
+    endpoints = state.catalogue.group_endpoints(config.name)
+    step = _poll(state, endpoints, SURVEY_PERIOD_S, now)
+    state = step.state
+    found = _find_primary(state, config)
+    if found is not None:
+        return step.then(_install(state, config, found, now))
+    view = view_of(state, config.name)
+    candidates = _candidates(state, view, config, promotion)
+    others = [e for e in endpoints if e.name != config.primary]
+    if not candidates:
+        return step
+    if len(candidates) < len(others) and now - promotion.since < SURVEY_LIMIT_S:
+        return step
+    target = max(candidates, key=lambda i: _merit(state, config, i))
+    promotion = replace(
+        promotion,
+        stage=PromotionStage.ORDER,
+        target=target.endpoint,
+        since=now,
+        ordered_at=now,
+    )
+    return step.then(_order(_put(state, promotion), promotion))
+
+
+def _candidates(
+    state: NodeState, view: GroupView, config: GroupConfig, promotion: Promotion
+) -> list[InstanceView]:
+    """Return the replicas that have answered since the survey began."""
+    found = []
+    for endpoint in state.catalogue.group_endpoints(config.name):
+        instance = view.instances.get(endpoint.name)
+        if instance is None or instance.status is None or endpoint.leaving:
+            continue
+        is_replica = instance.status.role is Role.REPLICA
+        if is_replica and instance.sent_at >= promotion.since:
+            found.append(instance)
+    return found
+
+
+def _merit(
+    state: NodeState, config: GroupConfig, instance: InstanceView
+) -> tuple[int, int, bool, str]:
+    """Order candidates: what they have received, then where a primary is best."""
+    endpoints = state.catalogue.group_endpoints(config.name)
+    regions = {endpoint.name: endpoint.region for endpoint in endpoints}
+    region = regions.get(instance.endpoint, "")
+    neighbours = sum(other == region for other in regions.values())
+    status = instance.status
+    return (status.last_term, status.index, neighbours > 1, instance.endpoint)
+
+
+def _order(state: NodeState, promotion: Promotion) -> Step[NodeState]:
+    effect = PromoteInstance(
+        promotion.group, promotion.target, state.me.name, promotion.fence
+    )
+    return Step(state, (effect,))
+
+
+@at_stage(PromotionStage.ORDER)
+def _ordered(
+    state: NodeState, promotion: Promotion, config: GroupConfig, now: float
+) -> Step[NodeState]:
+    """Wait until the target leads; order it again if the call was lost."""
+    found = _find_primary(state, config)
+    if found is not None:
+        return _install(state, config, found, now)
+    target = state.catalogue.endpoints.get(promotion.target)
+    if target is None or target.leaving or _target_failed(state, promotion, now):
+        return _begin(_drop(state, promotion.group), config, now)
+    step = _poll(state, (target,), SURVEY_PERIOD_S, now)
+    if promotion.accepted or now - promotion.ordered_at < REORDER_S:
+        return step
+    promotion = replace(promotion, ordered_at=now)
+    return step.then(_order(_put(step.state, promotion), promotion))
+
+
+def _target_failed(state: NodeState, promotion: Promotion, now: float) -> bool:
+    instance = view_of(state, promotion.group).instances.get(promotion.target)
+    silent = instance is None or now - instance.seen_at >= PRIMARY_SILENT_S
+    return silent or now - promotion.since >= PROMOTED_LIMIT_S
+
+
+@at_stage(PromotionStage.INSTALL)
+def _installing(
+    state: NodeState, promotion: Promotion, config: GroupConfig, now: float
+) -> Step[NodeState]:
+    """Wait for the new term's entry; give up on one that was overtaken."""
+    installed = config.term >= promotion.term
+    if installed or now - promotion.since >= PROMOTED_LIMIT_S:
+        return Step(_drop(state, promotion.group))
+    return Step(state)
+
+
+def _install(
+    state: NodeState, config: GroupConfig, found: InstanceView, now: float
+) -> Step[NodeState]:
+    """Install the term of an instance that has been seen to lead."""
+    status = found.status
+    promotion = Promotion(
+        config.name, PromotionStage.INSTALL, now, config.fence, term=status.term
+    )
+    start = TermStart(status.term, status.index, status.last_term)
+    command = InstallTerm(config.name, status.term, found.endpoint, (), start)
+    return _propose(_put(state, promotion), command, now)
+
+
+def on_promoted(state: NodeState, event: InstancePromoted) -> Step[NodeState]:
+    """Take in the provider's answer to an order."""
+    raft = state.consensus
+    if raft is None or not raft.is_leader:
+        return Step(state)
+    promotion = state.control.promotions.get(event.group)
+    current = (
+        promotion is not None
+        and promotion.stage is PromotionStage.ORDER
+        and promotion.fence == event.fence
+    )
+    if not current:
+        return Step(state)
+    if event.outcome is Ordered.ACCEPTED:
+        return Step(_put(state, replace(promotion, accepted=True)))
+    if event.outcome is Ordered.REFUSED:
+        config = state.catalogue.group(event.group)
+        return _begin(_drop(state, event.group), config, event.at)
+    return Step(state)
--- a/lovagewalk/control/_reducer.py
+++ b/lovagewalk/control/_reducer.py
@@ -15,15 +15,18 @@
 from lovagewalk.daemon._changes import install_catalogue
 from lovagewalk.node import NodeState
 
-from . import _failover, _follow, _leader, _members
+from . import _beats, _failover, _follow, _leader, _members
 from . import _messages as msg
-from . import _proposals, _repair, _settle
+from . import _proposals, _provider, _repair, _settle
 from ._effects import StopDaemon
 from ._events import (
     ChangeRequested,
     ConsensusTick,
     ControlTick,
     DrainRequested,
+    EndpointBeat,
+    EndpointLeft,
+    InstancePromoted,
     InstanceSteered,
     JournalFilled,
     PeerMessage,
@@ -86,6 +89,7 @@
     raft = step.state.consensus
     if raft is not None and raft.is_leader:
         step = step.then(_failover.tick(step.state, event.at))
+        step = step.then(_provider.tick(step.state, event.at))
     if step.state.draining and not _has_work(step.state):
         step = step.then(Step(step.state, (StopDaemon(),)))
     return step
@@ -105,6 +109,8 @@
         return True
     if state.follow is not None and state.follow.batch is not None:
         return True
+    if state.me.drain_s and state.sessions:
+        return True
     return any(session.conn for session in state.sessions.values())
 
 
@@ -113,6 +119,21 @@
     return _failover.on_steered(state, event)
 
 
+@reduces(InstancePromoted)
+def _instance_promoted(state: NodeState, event: InstancePromoted) -> Step[NodeState]:
+    return _provider.on_promoted(state, event)
+
+
+@reduces(EndpointBeat)
+def _endpoint_beat(state: NodeState, event: EndpointBeat) -> Step[NodeState]:
+    return _beats.on_beat(state, event)
+
+
+@reduces(EndpointLeft)
+def _endpoint_left(state: NodeState, event: EndpointLeft) -> Step[NodeState]:
+    return _beats.on_left(state, event)
+
+
 @reduces(ChangeRequested)
 def _change_requested(state: NodeState, event: ChangeRequested) -> Step[NodeState]:
     return _proposals.request_change(state, event.ticket, event.proposal, event.at)
@@ -131,7 +152,8 @@
     follow = state.follow
     if follow is not None:
         follow = replace(follow, urgent=True)
-    return Step(replace(state, draining=True, follow=follow))
+    state = replace(state, draining=True, draining_since=event.at, follow=follow)
+    return Step(state)
 
 
 @reduces(JournalFilled)
--- a/lovagewalk/control/_repair.py
+++ b/lovagewalk/control/_repair.py
@@ -5,7 +5,7 @@
 new voter holds the start of the term before it counts.
 """
 
-from lovagewalk.catalogue import GroupConfig, Voter
+from lovagewalk.catalogue import GroupConfig, Management, Voter
 from lovagewalk.core import Effect, Step, replace
 from lovagewalk.groups import GroupView, InstanceView, Role
 from lovagewalk.node import NodeState
@@ -26,7 +26,8 @@
     step = Step(state)
     for name, config in state.catalogue.groups.items():
         view = state.groups.get(name)
-        settled = config.primary and name not in state.control.failovers
+        fenced = config.management is Management.FENCED
+        settled = fenced and config.primary and name not in state.control.failovers
         if view is not None and settled and view.term == config.term:
             step = step.then(_follow_primary(step.state, view, config))
             step = step.then(_repair_voters(step.state, view, config, now))
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -10,7 +10,9 @@
 
 from ._messages import FollowRequest
 
-LEASE_S = 2.0
+# Three fifths of the shortest time in which a withdrawn key has to be dead, 5 s;
+# without a sound way to control for so long, keyed requests are refused.
+LEASE_S = 3.0
 LEASE_MARGIN = 1.1
 FOLLOW_PERIOD_S = 0.5
 FOLLOWER_LOST_S = 1.5
@@ -23,7 +25,7 @@
     Attributes
     ----------
     controls : tuple of str
-        All control VMs, from the settings.
+        Control VMs to ask at first, from the settings.
     target : str
         The one asked at present.
     boot : str
@@ -191,6 +193,45 @@
     tickets: tuple[Ticket, ...] = ()
 
 
+class PromotionStage(Enum):
+    """Stages of a promotion through the provider, in their order."""
+
+    ALLOCATE = "allocate"
+    SURVEY = "survey"
+    ORDER = "order"
+    INSTALL = "install"
+
+
+@dataclass(frozen=True, slots=True)
+class Promotion:
+    """A promotion through the provider under way.
+
+    Attributes
+    ----------
+    since : float
+        When the stage began, in monotonic seconds.
+    fence : int
+        The fence of this attempt; while it is being allocated, the last one.
+    target : str
+        The instance that was ordered to lead.
+    ordered_at : float
+        When the order was last given.
+    accepted : bool
+        Whether the provider has taken the order.
+    term : int
+        The term that is being installed.
+    """
+
+    group: str
+    stage: PromotionStage
+    since: float
+    fence: int
+    target: str = ""
+    ordered_at: float = 0.0
+    accepted: bool = False
+    term: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class ControlState:
     """What a control VM keeps while it leads.
@@ -205,6 +246,8 @@
         By log index.
     lost_since : Map of str to float
         When each silent voter was first missed.
+    promotions : Map of str to Promotion
+        By group, those through the provider.
     """
 
     led_term: int = 0
@@ -215,3 +258,4 @@
     failovers: Map = field(default_factory=Map)
     ledgers: Map = field(default_factory=Map)
     lost_since: Map = field(default_factory=Map)
+    promotions: Map = field(default_factory=Map)
--- a/lovagewalk/control/_suspicion.py
+++ b/lovagewalk/control/_suspicion.py
@@ -23,13 +23,16 @@
     observers: int
     counts: dict[SuspectReport, int]
 
+    def count(self, config: GroupConfig) -> int:
+        """Return how many observers hold a group's primary for failed."""
+        return self.counts.get(SuspectReport(config.name, config.term), 0)
+
     def is_lost(self, config: GroupConfig) -> bool:
         """Whether most observers hold a group's primary for failed.
 
         One cut-off observer therefore neither promotes nor blocks.
         """
-        count = self.counts.get(SuspectReport(config.name, config.term), 0)
-        return count > self.observers / 2
+        return self.count(config) > self.observers / 2
 
 
 def collect_suspicions(control: ControlState, now: float) -> Suspicions:
@@ -39,7 +42,7 @@
     for follower in control.followers.values():
         if now - follower.seen_at >= FOLLOWER_LOST_S:
             continue
-        observers += 1
+        observers += follower.request.observes
         for suspect in follower.request.suspects:
             counts[suspect] = counts.get(suspect, 0) + 1
     return Suspicions(observers, counts)
--- a/lovagewalk/control/tests/test_fleet_machine.py
+++ b/lovagewalk/control/tests/test_fleet_machine.py
@@ -66,7 +66,7 @@
     def _new_state(self, name):
         self.boots += 1
         peers = tuple(other for other in NAMES if other != name)
-        raft = RaftState(name, f"disk-{name}", peers, seed=self.boots)
+        raft = RaftState(name, f"disk-{name}", peers, seed=self.boots, founders=NAMES)
         return NodeState(
             Identity(name, "z", "r", b"secret", control=True),
             consensus=raft,
--- a/lovagewalk/core/_timer.py
+++ b/lovagewalk/core/_timer.py
@@ -1,6 +1,7 @@
 """The timer service: the only source of time."""
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from reactivex import Observable
@@ -10,6 +11,15 @@
 from ._types import Event
 
 
+def boot_clock() -> float:
+    """Return seconds since the machine's start.
+
+    Unlike the loop's clock it goes on while the machine is suspended, so that a
+    lease runs out meanwhile.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class TimerService:
     """Emits timer events that parts subscribe to.
 
@@ -18,19 +28,17 @@
     Parameters
     ----------
     clock : callable, optional
-        Returns monotonic seconds; the running loop's clock by default.
+        Returns monotonic seconds; `boot_clock` by default.
     """
 
     def __init__(self, clock: Callable[[], float] | None = None) -> None:
-        self._clock = clock
+        self._clock = clock or boot_clock
         self._handles: dict[type[Event], asyncio.TimerHandle] = {}
         self._subjects: dict[type[Event], Subject] = {}
 
     def now(self) -> float:
         """Return monotonic seconds."""
-        if self._clock is not None:
-            return self._clock()
-        return asyncio.get_running_loop().time()
+        return self._clock()
 
     def subscribe(self, event_type: type[Event]) -> Observable:
         """Return an observable of a periodic event, starting its timer."""
--- a/lovagewalk/daemon/_changes.py
+++ b/lovagewalk/daemon/_changes.py
@@ -1,10 +1,10 @@
 """Brings a new catalogue into force on this daemon, under traffic."""
 
-from lovagewalk.catalogue import Catalogue
+from lovagewalk.catalogue import Catalogue, Management
 from lovagewalk.core import Step, replace
 from lovagewalk.groups._reducer import reset_group
 from lovagewalk.node import NodeState
-from lovagewalk.routing import _callers, _outcome, _place, _sweep
+from lovagewalk.routing import _callers, _dispatch, _outcome, _place, _sweep
 
 
 def install_catalogue(
@@ -17,8 +17,10 @@
     state = replace(state, catalogue=catalogue)
     step = Step(state)
     if catalogue.endpoints is not before.endpoints:
-        step = Step(_resize_pools(state))
+        step = Step(resize_pools(state))
+        step = step.then(_leave_endpoints(step.state, before, now))
     if catalogue.groups is not before.groups:
+        step = Step(resize_pools(step.state), step.effects)
         step = step.then(_change_groups(step.state, before, now))
     if _access_changed(before, catalogue):
         step = step.then(_callers.enforce_keys(step.state, now))
@@ -29,11 +31,46 @@
     return before.keys is not after.keys or before.routes is not after.routes
 
 
-def _resize_pools(state: NodeState) -> NodeState:
+def _leave_endpoints(
+    state: NodeState, before: Catalogue, now: float
+) -> Step[NodeState]:
+    """Take work off endpoints that leave, and let waiting work use new ones."""
+    step = Step(state)
+    groups = set()
+    for name, old in before.endpoints.items():
+        new = state.catalogue.endpoints.get(name)
+        if new is old:
+            continue
+        groups.add(old.group)
+        if name in state.pools and (new is None or new.leaving or new.born != old.born):
+            step = step.then(_close_idle_connections(step.state, name, now))
+    groups |= {
+        endpoint.group
+        for name, endpoint in state.catalogue.endpoints.items()
+        if name not in before.endpoints
+    }
+    for group in groups:
+        if state.catalogue.group(group).management is Management.PROVIDER:
+            step = step.then(_sweep.replace_waiting(step.state, group, now))
+    return step
+
+
+def _close_idle_connections(
+    state: NodeState, endpoint: str, now: float
+) -> Step[NodeState]:
+    step = Step(state)
+    for conn in state.pools[endpoint].idle:
+        step = step.then(_dispatch.close(step.state, conn, now))
+    return step
+
+
+def resize_pools(state: NodeState) -> NodeState:
+    """Return the state with each pool's limit as it should be now."""
     pools = state.pools
     for name, pool in state.pools.items():
         limit = _place.pool_of(replace(state, pools=pools.delete(name)), name).limit
-        pools = pools.set(name, replace(pool, limit=limit))
+        if pool.limit != limit:
+            pools = pools.set(name, replace(pool, limit=limit))
     return replace(state, pools=pools)
 
 
--- a/lovagewalk/edge/_daemon.py
+++ b/lovagewalk/edge/_daemon.py
@@ -19,7 +19,7 @@
 from lovagewalk.groups import PollTick
 from lovagewalk.journal import Journal
 from lovagewalk.node import Identity, NodeState
-from lovagewalk.runtime import Network, PeerAddress, Peers, Ports, _storage
+from lovagewalk.runtime import Decisions, Network, PeerAddress, Peers, Ports, _storage
 from lovagewalk.settings import DaemonSettings, parse_address
 
 from ._callers import CallerFront
@@ -56,6 +56,7 @@
         self.peers_port = cfg.listen.peers_port
         self.operators_port = cfg.listen.operators_port
         self.ports = Ports(timer)
+        self.ports.decisions = Decisions(self.ports)
         network = network or Network()
         credentials = Credentials(
             cfg.endpoints.user, cfg.endpoints.password, cfg.endpoints.monitor
@@ -69,7 +70,7 @@
         self.ports.steering = Steering(self.ports, credentials, network)
         self.ports.callers = CallerFront(self.ports)
         self.ports.peers = Peers(
-            self.ports, cfg.daemon.name, fleet_secret, addresses, network
+            self.ports, cfg.daemon.name, fleet_secret, addresses.get, network
         )
         self.ports.operators = Operators(
             self.ports, cfg.secrets.operator, cfg.secrets.announce
@@ -123,7 +124,7 @@
         stored = self.ports.journal.load()
         self.ports.audit = AuditTrail(folder)
         peers = tuple(name for name in controls if name != me.name)
-        raft = stored.build_raft(me.name, peers, secrets.randbits(62))
+        raft = stored.build_raft(me.name, peers, secrets.randbits(62), controls)
         state = replace(state, consensus=raft, control=ControlState())
         now = self.ports.timer.now()
         return install_catalogue(state, stored.catalogue, now).state
--- a/lovagewalk/edge/_endpoints.py
+++ b/lovagewalk/edge/_endpoints.py
@@ -112,7 +112,9 @@
             return
         self._conns[effect.conn] = conn
         self._ports.feed(
-            ConnectionOpened(self._ports.now(), effect.conn, effect.endpoint, status)
+            ConnectionOpened(
+                self._ports.now(), effect.conn, effect.endpoint, status.incarnation
+            )
         )
 
     async def _cross(self, endpoint: str) -> None:
--- a/lovagewalk/edge/_operators.py
+++ b/lovagewalk/edge/_operators.py
@@ -117,22 +117,13 @@
         )
 
     async def _metrics(self, req: web.Request) -> web.Response:
-        self._set_gauges()
+        ports = self._ports
+        ports.metrics.collect_state(ports.state, ports.now(), ports.peers.sent_bytes)
         body, headers = render(
             self._ports.metrics.registry, req.headers.getall("Accept", [])
         )
         return web.Response(body=body, headers=headers)
 
-    def _set_gauges(self) -> None:
-        metrics, state = self._ports.metrics, self._ports.state
-        metrics.collect()
-        metrics.revision.set({}, state.catalogue.revision)
-        left = max(state.fresh_until - self._ports.now(), 0.0)
-        metrics.fresh_seconds.set({}, left)
-        metrics.peer_bytes.set({}, self._ports.peers.sent_bytes)
-        for name, config in state.catalogue.groups.items():
-            metrics.group_term.set({"group": name}, config.term)
-
     async def _status(self, req: web.Request) -> web.Response:
         self._authorise(req)
         return web.json_response(build_status(self._ports))
--- a/lovagewalk/groups/__init__.py
+++ b/lovagewalk/groups/__init__.py
@@ -2,14 +2,17 @@
 
 from ._effects import AwaitPosition, ForgetInstance, PollInstance
 from ._events import POLL_PERIOD_S, InstanceFailed, InstanceSeen, PollTick
+from ._notes import note_lacking, note_proof, note_trouble, view_of
 from ._policy import (
     SUSPECT_AFTER_S,
+    add_proof,
     add_sample,
     data_age,
     is_confirmed,
     is_primary_suspect,
     replica_holds,
     resolve,
+    sample_since,
     translate,
     verify_samples,
 )
@@ -39,12 +42,18 @@
     "PollTick",
     "Position",
     "Role",
+    "add_proof",
     "add_sample",
     "data_age",
     "is_confirmed",
     "is_primary_suspect",
+    "note_lacking",
+    "note_proof",
+    "note_trouble",
     "replica_holds",
     "resolve",
+    "sample_since",
     "translate",
     "verify_samples",
+    "view_of",
 ]
--- a/lovagewalk/groups/_effects.py
+++ b/lovagewalk/groups/_effects.py
@@ -14,6 +14,7 @@
     endpoint: str
     host: str
     port: int
+    group: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/groups/_events.py
+++ b/lovagewalk/groups/_events.py
@@ -41,8 +41,11 @@
     ----------
     broken : bool
         Whether the connection broke, rather than the answer being late.
+    alive : bool
+        Whether the instance answered, though without its status.
     """
 
     endpoint: str
     awaited: bool
     broken: bool
+    alive: bool = False
--- a/lovagewalk/groups/_policy.py
+++ b/lovagewalk/groups/_policy.py
@@ -1,6 +1,6 @@
 """Pure rules over positions: quorum confirmation, translation, data age."""
 
-from lovagewalk.catalogue import GroupConfig, Voter
+from lovagewalk.catalogue import GroupConfig, Management, Voter
 from lovagewalk.core import replace
 
 from ._state import (
@@ -13,6 +13,8 @@
 )
 
 MAX_SAMPLES = 64
+# Keeps 64 samples spread over the longest staleness that the sheets accept.
+SAMPLE_SPACING_S = 0.05
 SUSPECT_AFTER_S = 0.4
 UNLINKED_AFTER_S = 0.5
 
@@ -85,9 +87,21 @@
 
 def add_sample(view: GroupView, sample: AgeSample) -> GroupView:
     """Remember a primary's position for judging the age of replicas."""
+    if view.samples and sample.sent_at < view.samples[-1].sent_at:
+        return view
     return replace(view, samples=(view.samples + (sample,))[-MAX_SAMPLES:])
 
 
+def add_proof(view: GroupView, sent_at: float, position: Position) -> GroupView:
+    """Remember what an instance held that proved to be the primary.
+
+    Samples that follow each other closely tell little more and are left out.
+    """
+    if view.samples and sent_at - view.samples[-1].sent_at < SAMPLE_SPACING_S:
+        return view
+    return add_sample(view, AgeSample(sent_at, position, verified=True))
+
+
 def verify_samples(view: GroupView, term: int, sent_at: float) -> GroupView:
     """Mark samples proven by a replica's answer to a poll sent at `sent_at`.
 
@@ -108,6 +122,18 @@
     return replace(view, samples=view.samples[:first_open] + proven)
 
 
+def sample_since(view: GroupView, since: float) -> AgeSample | None:
+    """Return the oldest proven sample that was taken at or after a moment.
+
+    A log that holds its position holds every write that was acknowledged before
+    that moment.
+    """
+    for sample in view.samples:
+        if sample.verified and sample.sent_at >= since:
+            return sample
+    return None
+
+
 def data_age(view: GroupView, status: InstanceStatus, now: float) -> float | None:
     """Return an upper bound of a replica's data age in seconds.
 
@@ -129,6 +155,8 @@
     but is no longer the primary that was installed, or when so few voters hear
     from it that no write can be confirmed.
     """
+    if config.management is Management.PROVIDER:
+        return view.trouble_at > 0 and view.term in (0, config.term)
     if not config.primary or view.term != config.term:
         return False
     if now - view.term_seen_at < SUSPECT_AFTER_S:
--- a/lovagewalk/groups/_reducer.py
+++ b/lovagewalk/groups/_reducer.py
@@ -1,6 +1,8 @@
 """Keeps the view of each group up to date and wakes what waits for it."""
 
-from lovagewalk.catalogue import GroupConfig
+from immutables import Map
+
+from lovagewalk.catalogue import GroupConfig, Management
 from lovagewalk.core import Effect, Step, reduces, replace
 from lovagewalk.node import NodeState
 from lovagewalk.routing import _outcome, _place
@@ -8,7 +10,7 @@
 
 from ._effects import ForgetInstance, PollInstance
 from ._events import InstanceFailed, InstanceSeen, PollTick
-from ._policy import add_sample, verify_samples
+from ._policy import add_proof, add_sample, verify_samples
 from ._state import AgeSample, GroupView, InstanceView, Position, Role
 
 
@@ -17,6 +19,8 @@
     effects: tuple[Effect, ...] = ()
     groups = state.groups
     for endpoint in state.catalogue.endpoints.values():
+        if state.catalogue.group(endpoint.group).management is Management.PROVIDER:
+            continue
         view = groups.get(endpoint.group) or GroupView(endpoint.group)
         instance = view.instances.get(endpoint.name) or InstanceView(endpoint.name)
         if not instance.polling:
@@ -88,6 +92,9 @@
         return verify_samples(view, status.term, event.sent_at)
     if status.role is not Role.PRIMARY:
         return view
+    if config.management is Management.PROVIDER:
+        position = Position(status.last_term, status.index)
+        return add_proof(view, event.sent_at, position)
     position = Position(status.term, status.index)
     return add_sample(view, AgeSample(event.sent_at, position))
 
@@ -124,7 +131,8 @@
         return Step(state)
     flag = {"awaiting": False} if event.awaited else {"polling": False}
     status = None if event.broken else instance.status
-    instance = replace(instance, status=status, **flag)
+    seen_at = event.at if event.alive else instance.seen_at
+    instance = replace(instance, status=status, seen_at=seen_at, **flag)
     view = replace(view, instances=view.instances.set(event.endpoint, instance))
     return Step(replace(state, groups=state.groups.set(endpoint.group, view)))
 
@@ -139,6 +147,12 @@
     for name, instance in view.instances.items():
         instances = instances.set(name, replace(instance, linked_at=now))
     view = replace(
-        view, term=config.term, term_seen_at=now, samples=(), instances=instances
+        view,
+        term=config.term,
+        term_seen_at=now,
+        samples=(),
+        instances=instances,
+        lacking=Map(),
+        trouble_at=0.0,
     )
     return replace(state, groups=state.groups.set(group, view))
--- a/lovagewalk/groups/_state.py
+++ b/lovagewalk/groups/_state.py
@@ -74,6 +74,8 @@
         Whether a poll or a wait for a position is under way.
     linked_at : float
         When it last reported a link to its primary.
+    polled_at : float
+        When it was last asked.
     """
 
     endpoint: str
@@ -83,6 +85,7 @@
     polling: bool = False
     awaiting: bool = False
     linked_at: float = 0.0
+    polled_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +114,14 @@
     position: Position
 
 
+@dataclass(frozen=True, slots=True)
+class Lacking:
+    """A position that an endpoint has been found to lack, and how long it counts."""
+
+    position: Position
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class GroupView:
     """A daemon's view of one group.
@@ -126,6 +137,12 @@
         The term that this view was last reset for.
     term_seen_at : float
         When this daemon learned that term, in monotonic seconds.
+    lacking : Map of str to Lacking
+        What endpoints have just been found to lack.
+    served_at : float
+        When the primary last answered as such.
+    trouble_at : float
+        When the primary last failed a statement; 0 if it has answered since.
     """
 
     name: str
@@ -135,3 +152,6 @@
     reads: tuple[int, ...] = ()
     term: int = 0
     term_seen_at: float = 0.0
+    lacking: Map = field(default_factory=Map)
+    served_at: float = 0.0
+    trouble_at: float = 0.0
--- a/lovagewalk/journal/_journal.py
+++ b/lovagewalk/journal/_journal.py
@@ -65,8 +65,22 @@
         """The catalogue as of the snapshot."""
         return self.snapshot.catalogue if self.snapshot else Catalogue()
 
-    def build_raft(self, me: str, peers: tuple[str, ...], seed: int) -> RaftState:
-        """Return the consensus state that this folder stands for."""
+    def build_raft(
+        self,
+        me: str,
+        peers: tuple[str, ...],
+        seed: int,
+        founders: tuple[str, ...] = (),
+    ) -> RaftState:
+        """Return the consensus state that this folder stands for.
+
+        Parameters
+        ----------
+        peers : tuple of str
+            Control VMs to ask at first.
+        founders : tuple of str
+            The VMs that may found a fleet; empty to join one only.
+        """
         applied = self.snapshot.index if self.snapshot else 0
         raft_log = RaftLog()
         configs: tuple[VoterConfig, ...] = ()
@@ -85,6 +99,7 @@
             disk=self.disk,
             peers=peers,
             seed=seed,
+            founders=founders,
             standing=Standing.FOLLOWER if configs else Standing.JOINING,
             term=self.term,
             voted_for=self.voted_for,
--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -21,6 +21,11 @@
         Signs session tokens; shared by all daemons of the fleet.
     fleet_size : int
         Entry daemons that share an endpoint's connections.
+    entry : bool
+        Whether it serves callers.
+    drain_s : float
+        How long callers may go on while it drains, in seconds; 0 to refuse
+        them at once.
     """
 
     name: str
@@ -29,6 +34,8 @@
     fleet_secret: bytes = field(repr=False)
     fleet_size: int = 1
     control: bool = False
+    entry: bool = True
+    drain_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,8 +61,13 @@
         Endpoint of each pool connection, open or opening.
     accesses : Map of AccessKey to int
         Statements answered since the last audit report.
+    entry_daemons : int
+        Daemons that share endpoints' connections, as the control leader counts
+        them; 0 before it has said so.
     retry_credits : Map of str to float
         Retries each customer may still cause.
+    draining_since : float
+        When draining began, in monotonic seconds.
     consensus, control, follow
         Set by the control rooms; None where a daemon has no such role.
     """
@@ -71,8 +83,10 @@
     conn_endpoints: Map = field(default_factory=Map)
     accesses: Map = field(default_factory=Map)
     retry_credits: Map = field(default_factory=Map)
+    entry_daemons: int = 0
     next_conn: int = 1
     draining: bool = False
+    draining_since: float = 0.0
     consensus: object = None
     control: object = None
     follow: object = None
--- /dev/null
+++ b/lovagewalk/platform/__main__.py
@@ -0,0 +1,35 @@
+"""Starts a daemon on the platform."""
+
+import sys
+
+import uvloop
+
+from lovagewalk.core import LovageError
+from lovagewalk.runtime import set_up_structured_logs
+
+from ._daemon import run_daemon
+from ._settings import load_platform_settings
+
+EXIT_BAD_SETTINGS = 2
+EXIT_FAULT = 1
+LOG_LEVEL = "INFO"
+
+
+def main() -> int:
+    """Run a daemon and return its exit status."""
+    set_up_structured_logs(LOG_LEVEL)
+    try:
+        cfg = load_platform_settings()
+    except LovageError as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    try:
+        uvloop.run(run_daemon(cfg))
+    except LovageError as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_FAULT
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lovagewalk/platform/_callers.py
@@ -0,0 +1,241 @@
+"""The front towards callers: sessions over the line protocol."""
+
+import asyncio
+import logging
+from collections import deque
+from hashlib import sha256
+
+from lovagewalk.core import Code, LovageError, Refusal, performs
+from lovagewalk.routing import (
+    AcceptCaller,
+    AnswerCaller,
+    CallerConnected,
+    CallerLeft,
+    CloseCaller,
+    Marks,
+    StatementArrived,
+    StatementRejected,
+)
+from lovagewalk.runtime import Ports, limit_silence
+
+from ._endpoints import StatementResult
+from ._lines import (
+    NOTHING,
+    LineSplitter,
+    Query,
+    Startup,
+    Terminate,
+    join_line,
+    parse_caller_line,
+    parse_statement,
+    word_of,
+)
+
+# A caller whose VM has gone is noticed before its transaction may be ended.
+CALLER_SILENT_S = 3.0
+# Lines that a caller may send ahead of its answers.
+MAX_PENDING_LINES = 64
+# Answers that a caller has not taken in; more ends its connection.
+MAX_UNSENT_BYTES = 4 * 1024 * 1024
+IDLE, IN_TRANSACTION, FAILED = "I", "T", "E"
+EMPTY_RESULT = StatementResult()
+
+log = logging.getLogger("lovagewalk.callers")
+
+
+def hash_key(key: str) -> str:
+    """Return the name under which the catalogue holds a key."""
+    return sha256(key.encode()).hexdigest() if key else ""
+
+
+class CallerConnection(asyncio.Protocol):
+    """One caller's connection; messages are taken one at a time."""
+
+    def __init__(self, ports: Ports) -> None:
+        self._ports = ports
+        self._front: CallerFront = ports.callers
+        self._splitter = LineSplitter()
+        self._pending: deque[str] = deque()
+        self._transport: asyncio.Transport | None = None
+        self._accepted = False
+        self._waiting = False
+        self.caller = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Note the transport."""
+        self._transport = transport
+        self._front.open_connections.add(self)
+        limit_silence(transport.get_extra_info("socket"), CALLER_SILENT_S)
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes and handle what is whole."""
+        try:
+            self._pending.extend(self._splitter.feed(data))
+            if len(self._pending) > MAX_PENDING_LINES:
+                raise LovageError(Code.PACKET_BAD, "too many messages ahead")
+            self._go_on()
+        except LovageError as exc:
+            log.warning("callers: connection ended: %s", exc)
+            self._send_error(exc.refusal)
+            self._transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the decisions that the caller has left."""
+        self._front.open_connections.discard(self)
+        if self.caller:
+            self._front.sessions.pop(self.caller, None)
+            self._ports.feed(CallerLeft(self._ports.now(), self.caller))
+
+    def _go_on(self) -> None:
+        while self._pending and not self._waiting:
+            if self._transport.is_closing():
+                return
+            self._handle(parse_caller_line(self._pending.popleft()))
+
+    def _handle(self, message: Startup | Query | Terminate) -> None:
+        if isinstance(message, Terminate):
+            self._transport.close()
+        elif isinstance(message, Startup) and not self.caller:
+            self._start(message)
+        elif isinstance(message, Query) and self._accepted:
+            self._ask(message)
+        else:
+            raise LovageError(Code.PACKET_BAD, "out of order")
+
+    def _start(self, message: Startup) -> None:
+        self._waiting = True
+        self.caller = next(self._ports.numbers)
+        self._front.sessions[self.caller] = self
+        key_id = hash_key(message.key)
+        now = self._ports.now()
+        self._ports.feed(CallerConnected(now, self.caller, key_id, message.database))
+
+    def _ask(self, message: Query) -> None:
+        try:
+            statement = parse_statement(message.text)
+        except LovageError as exc:
+            now = self._ports.now()
+            self._ports.feed(StatementRejected(now, self.caller, exc.code))
+            self._send_error(exc.refusal)
+            self._send_ready(self._state())
+            return
+        self._waiting = True
+        marks = Marks(request_id=message.request_id)
+        self._ports.feed(
+            StatementArrived(
+                self._ports.now(),
+                next(self._ports.numbers),
+                self.caller,
+                statement.kind,
+                statement.text,
+                marks,
+                statement.detail,
+            )
+        )
+
+    def _state(self) -> str:
+        session = self._ports.state.sessions.get(self.caller)
+        in_transaction = session is not None and session.in_transaction
+        return IN_TRANSACTION if in_transaction else IDLE
+
+    def accept(self) -> None:
+        """Tell the caller that its session is open."""
+        self._accepted = True
+        self._waiting = False
+        self._send_ready(IDLE)
+        self._go_on_later()
+
+    def _go_on_later(self) -> None:
+        if self._pending:
+            asyncio.get_running_loop().call_soon(self.data_received, b"")
+
+    def answer(self, effect: AnswerCaller, result: StatementResult | None) -> None:
+        """Send a statement's answer."""
+        self._waiting = False
+        state = IN_TRANSACTION if effect.in_transaction else IDLE
+        if effect.failed_transaction:
+            state = FAILED
+        if effect.refusal is not None:
+            self._send_error(effect.refusal)
+        else:
+            result = result or EMPTY_RESULT
+            for row in result.rows:
+                self._send("DATAROW", row)
+            self._send("COMPLETE", result.signature)
+        self._send_ready(state)
+        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            log.warning("callers: caller %d takes in too little, ended", self.caller)
+            self._transport.abort()
+        self._go_on_later()
+
+    def close(self, refusal: Refusal) -> None:
+        """End the connection; a caller that was never let in is told why."""
+        if not self._accepted:
+            self._send_error(refusal)
+        self._transport.close()
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        self._transport.abort()
+
+    def _send(self, *fields: str) -> None:
+        if not self._transport.is_closing():
+            self._transport.write(join_line(*fields))
+
+    def _send_error(self, refusal: Refusal) -> None:
+        self._send("ERROR", word_of(refusal.code), str(refusal))
+
+    def _send_ready(self, state: str) -> None:
+        self._send("READY", state, NOTHING)
+
+
+class CallerFront:
+    """The listener for callers of one daemon."""
+
+    def __init__(self, ports: Ports) -> None:
+        self._ports = ports
+        self.sessions: dict[int, CallerConnection] = {}
+        self.open_connections: set[CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> int:
+        """Accept callers, and return the port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self._ports), host, port, backlog=1024
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Stop listening and drop every connection."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.open_connections):
+            connection.abort()
+
+
+@performs(AcceptCaller)
+def _accept_caller(ports: Ports, effect: AcceptCaller) -> None:
+    connection = ports.callers.sessions.get(effect.caller)
+    if connection is not None:
+        connection.accept()
+
+
+@performs(AnswerCaller)
+def _answer_caller(ports: Ports, effect: AnswerCaller) -> None:
+    result = ports.results.pop(effect.req, None)
+    connection = ports.callers.sessions.get(effect.caller)
+    if effect.trace is not None:
+        elapsed_s = ports.now() - effect.trace.arrived_at
+        ports.metrics.note_answer(effect.customer, effect.refusal, elapsed_s)
+        ports.decisions.note_answer(effect, elapsed_s)
+    if connection is not None:
+        connection.answer(effect, result)
+
+
+@performs(CloseCaller)
+def _close_caller(ports: Ports, effect: CloseCaller) -> None:
+    connection = ports.callers.sessions.get(effect.caller)
+    ports.decisions.note_close(effect)
+    if connection is not None:
+        connection.close(effect.refusal)
--- /dev/null
+++ b/lovagewalk/platform/_http.py
@@ -0,0 +1,207 @@
+"""HTTP/1.1 on the loop, in both directions, over the h11 library."""
+
+import asyncio
+import json
+import logging
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import h11
+
+from lovagewalk.core import Code, LovageError
+from lovagewalk.runtime import PeerAddress, limit_silence
+
+# Larger than the longest configuration, whose own limit is 256 KiB.
+MAX_BODY_BYTES = 1024 * 1024
+READ_BYTES = 64 * 1024
+# Clients keep a connection open between calls; a silent one is closed.
+IDLE_LIMIT_S = 30.0
+SILENT_S = 5.0
+JSON = "application/json"
+
+log = logging.getLogger("lovagewalk.http")
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A request as a whole."""
+
+    method: str
+    path: str
+    body: bytes = field(default=b"", repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A response as a whole."""
+
+    status: int
+    body: bytes = field(default=b"", repr=False)
+    content_type: str = JSON
+
+
+def json_response(status: int, content: Mapping[str, Any]) -> HttpResponse:
+    """Return a response with a JSON body."""
+    return HttpResponse(status, json.dumps(content).encode())
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+class HttpServer:
+    """Serves one address.
+
+    Parameters
+    ----------
+    handler : coroutine function
+        Answers requests; a coded error of it becomes a 400.
+    """
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def listen(self, host: str, port: int) -> int:
+        """Accept connections, and return the port."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        limit_silence(writer.get_extra_info("socket"), SILENT_S)
+        conn = h11.Connection(h11.SERVER)
+        try:
+            while conn.our_state is h11.IDLE:
+                request = await _read_request(conn, reader)
+                if request is None:
+                    break
+                response = await self._answer(request)
+                _write_response(conn, writer, response)
+                await writer.drain()
+                if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
+                    conn.start_next_cycle()
+        except (OSError, TimeoutError, h11.ProtocolError) as exc:
+            log.debug("http: connection ended: %r", exc)
+        except LovageError as exc:
+            _write_response(conn, writer, _refused(exc))
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await self._handler(request)
+        except LovageError as exc:
+            return _refused(exc)
+
+    def close(self) -> None:
+        """Stop listening and drop every connection."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+
+def _refused(exc: LovageError) -> HttpResponse:
+    status = 413 if exc.code is Code.STATEMENT_LARGE else 400
+    return json_response(status, {"error": str(exc)})
+
+
+async def _read_request(
+    conn: h11.Connection, reader: asyncio.StreamReader
+) -> HttpRequest | None:
+    """Return the next request, or None at the end of the connection."""
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = conn.next_event()
+        if event is h11.NEED_DATA:
+            async with asyncio.timeout(IDLE_LIMIT_S):
+                conn.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+            if len(body) > MAX_BODY_BYTES:
+                raise LovageError(Code.STATEMENT_LARGE, "body")
+        elif isinstance(event, h11.EndOfMessage):
+            target = head.target.decode("ascii", "replace")
+            return HttpRequest(head.method.decode(), target.partition("?")[0], body)
+        else:
+            return None
+
+
+def _write_response(
+    conn: h11.Connection, writer: asyncio.StreamWriter, response: HttpResponse
+) -> None:
+    if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return
+    headers = [
+        ("Content-Type", response.content_type),
+        ("Content-Length", str(len(response.body))),
+    ]
+    reason = b""
+    head = h11.Response(status_code=response.status, headers=headers, reason=reason)
+    writer.write(conn.send(head))
+    writer.write(conn.send(h11.Data(data=response.body)))
+    writer.write(conn.send(h11.EndOfMessage()))
+
+
+async def call(
+    address: PeerAddress,
+    method: str,
+    path: str,
+    headers: Mapping[str, str],
+    content: Mapping[str, Any],
+    limit_s: float,
+) -> int:
+    """Send a request with a JSON body and return the status of its response.
+
+    Raises
+    ------
+    OSError, TimeoutError
+        If no response came; the call may still be carried out.
+    """
+    async with asyncio.timeout(limit_s):
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        try:
+            return await _call(reader, writer, address, method, path, headers, content)
+        except h11.ProtocolError as exc:
+            raise ConnectionError(f"malformed response: {exc}") from exc
+        finally:
+            writer.close()
+
+
+async def _call(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    address: PeerAddress,
+    method: str,
+    path: str,
+    headers: Mapping[str, str],
+    content: Mapping[str, Any],
+) -> int:
+    conn = h11.Connection(h11.CLIENT)
+    body = json.dumps(content).encode()
+    fields = [
+        ("Host", f"{address.host}:{address.port}"),
+        ("Content-Type", JSON),
+        ("Content-Length", str(len(body))),
+        ("Connection", "close"),
+        *headers.items(),
+    ]
+    writer.write(conn.send(h11.Request(method=method, target=path, headers=fields)))
+    writer.write(conn.send(h11.Data(data=body)))
+    writer.write(conn.send(h11.EndOfMessage()))
+    while True:
+        event = conn.next_event()
+        if event is h11.NEED_DATA:
+            conn.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Response):
+            return event.status_code
+        elif isinstance(event, h11.ConnectionClosed):
+            raise ConnectionResetError("closed before a response")
--- /dev/null
+++ b/lovagewalk/platform/_lines.py
@@ -0,0 +1,345 @@
+"""The line protocol that callers and endpoints speak.
+
+A message is a word and fields, separated by blanks, on one line; the last field
+extends to the end of the line.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from lovagewalk.core import Code, LovageError
+from lovagewalk.groups import InstanceStatus, Position, Role
+from lovagewalk.routing import (
+    Failure,
+    NamedStatement,
+    PrepareStatement,
+    SetValue,
+    StatementKind,
+)
+from lovagewalk.routing._types import Detail
+from lovagewalk.sessions import PreparedShape
+
+# The protocol's own limit of a message.
+MAX_LINE_BYTES = 1024 * 1024
+LINE_END = b"\r\n"
+# Id of statements that are not a caller's.
+OWN_ID = "-"
+# Stands for a position or a signature that there is none of.
+NOTHING = "-"
+
+
+class LineSplitter:
+    """Splits a stream of bytes into lines."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[str]:
+        """Take in bytes and return the lines that are whole now.
+
+        Raises
+        ------
+        LovageError
+            ``STATEMENT_LARGE`` if a line is longer than `MAX_LINE_BYTES`;
+            ``PACKET_BAD`` if it is not UTF-8.
+        """
+        *lines, self._rest = (self._rest + data).split(LINE_END)
+        if max(map(len, lines), default=0) > MAX_LINE_BYTES:
+            raise LovageError(Code.STATEMENT_LARGE)
+        if len(self._rest) > MAX_LINE_BYTES:
+            raise LovageError(Code.STATEMENT_LARGE)
+        try:
+            return [line.decode() for line in lines]
+        except UnicodeDecodeError as exc:
+            raise LovageError(Code.PACKET_BAD, "not UTF-8") from exc
+
+
+def join_line(*fields: str) -> bytes:
+    """Return a message as bytes."""
+    return " ".join(fields).encode() + LINE_END
+
+
+@dataclass(frozen=True, slots=True)
+class Startup:
+    """Opens a session.
+
+    Attributes
+    ----------
+    key : str
+        The caller's key; empty if it shows none.
+    """
+
+    database: str
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """A statement under the caller's id."""
+
+    request_id: str
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Terminate:
+    """Ends a session."""
+
+
+def parse_caller_line(line: str) -> Startup | Query | Terminate:
+    """Return what a caller says.
+
+    Raises
+    ------
+    LovageError
+        ``PACKET_BAD`` if it is no message of a caller.
+    """
+    word, _, rest = line.partition(" ")
+    if word == "QUERY":
+        request_id, blank, text = rest.partition(" ")
+        if request_id and blank and text:
+            return Query(request_id, text)
+    elif word == "STARTUP":
+        database, _, key = rest.partition(" ")
+        if database:
+            return Startup(database, key)
+    elif word == "TERMINATE":
+        return Terminate()
+    raise LovageError(Code.PACKET_BAD, "no message of a caller")
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """A caller's statement as the decisions take it.
+
+    Attributes
+    ----------
+    text : str
+        What is passed on; for a prepared statement its arguments.
+    """
+
+    kind: StatementKind
+    text: str
+    detail: Detail | None = None
+
+
+_PLAIN_KINDS = {
+    "BEGIN": StatementKind.BEGIN,
+    "BEGIN READ": StatementKind.BEGIN_READ,
+    "COMMIT": StatementKind.COMMIT,
+    "ROLLBACK": StatementKind.ROLLBACK,
+}
+_SHAPES = {"READ": False, "WRITE": True}
+
+
+def parse_statement(text: str) -> Statement:
+    """Return a query's statement.
+
+    Raises
+    ------
+    LovageError
+        ``STATEMENT_BAD`` if it is none of the known ones.
+    """
+    kind = _PLAIN_KINDS.get(text)
+    if kind is not None:
+        return Statement(kind, text)
+    word, _, rest = text.partition(" ")
+    first, _, second = rest.partition(" ")
+    if word == "READ" and first and not second:
+        return Statement(StatementKind.READ, text)
+    if word == "WRITE" and first and second:
+        return Statement(StatementKind.WRITE, text)
+    if word == "SET" and first and second:
+        return Statement(StatementKind.SET_VALUE, text, SetValue(first, second))
+    if word == "EXECUTE" and first and second:
+        return Statement(StatementKind.EXECUTE, second, NamedStatement(first))
+    if word == "DEALLOC" and first and not second:
+        return Statement(StatementKind.DEALLOCATE, text, NamedStatement(first))
+    if word == "PREPARE" and first:
+        mode, _, shape = second.partition(" ")
+        if mode in _SHAPES and shape:
+            prepared = PreparedShape(_SHAPES[mode], shape)
+            detail = PrepareStatement(first, prepared)
+            return Statement(StatementKind.PREPARE, text, detail)
+    raise LovageError(Code.STATEMENT_BAD, "unknown statement")
+
+
+def prepare_text(shape: PreparedShape) -> str:
+    """Return the statement that prepares a shape under its shared name."""
+    mode = "WRITE" if shape.writes else "READ"
+    return f"PREPARE {shape.name} {mode} {shape.shape}"
+
+
+class EndpointState(Enum):
+    """Where a connection to an endpoint stands."""
+
+    IDLE = "I"
+    TRANSACTION = "T"
+    FAILED = "E"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An endpoint's whole answer to one message.
+
+    Attributes
+    ----------
+    signature : str
+        The endpoint's mark on a result; empty on an error.
+    error : str
+        Code of the error; empty on success.
+    position : Position or None
+        Of the instance's log afterwards.
+    """
+
+    rows: tuple[str, ...]
+    signature: str
+    error: str
+    detail: str
+    state: EndpointState
+    position: Position | None
+
+
+def refused_start(error: str) -> Answer:
+    """Return the answer of an endpoint that refused a session and closed it."""
+    return Answer((), "", error, "", EndpointState.IDLE, None)
+
+
+class AnswerParser:
+    """Puts an endpoint's lines together to answers."""
+
+    def __init__(self) -> None:
+        self._splitter = LineSplitter()
+        self._rows: tuple[str, ...] = ()
+        self._signature = ""
+        self._error = ""
+        self._detail = ""
+
+    def feed(self, data: bytes) -> list[Answer]:
+        """Take in bytes and return the answers that are whole now.
+
+        Raises
+        ------
+        LovageError
+            ``PACKET_BAD`` if the endpoint sends no message of its own.
+        """
+        answers = []
+        for line in self._splitter.feed(data):
+            answer = self._take(line)
+            if answer is not None:
+                answers.append(answer)
+        return answers
+
+    def _take(self, line: str) -> Answer | None:
+        word, _, rest = line.partition(" ")
+        if word == "DATAROW":
+            self._rows += (rest,)
+        elif word == "COMPLETE":
+            self._signature = rest
+        elif word == "ERROR":
+            self._error, _, self._detail = rest.partition(" ")
+        elif word == "READY":
+            return self._finish(rest)
+        else:
+            raise LovageError(Code.PACKET_BAD, "no message of an endpoint")
+        return None
+
+    def _finish(self, rest: str) -> Answer:
+        state, _, position = rest.partition(" ")
+        answer = Answer(
+            self._rows,
+            self._signature,
+            self._error,
+            self._detail,
+            _parse_state(state),
+            parse_position(position),
+        )
+        self._rows, self._signature, self._error, self._detail = (), "", "", ""
+        return answer
+
+    @property
+    def open_error(self) -> str:
+        """Code of an error that no state has followed yet."""
+        return self._error
+
+
+def _parse_state(text: str) -> EndpointState:
+    try:
+        return EndpointState(text)
+    except ValueError as exc:
+        raise LovageError(Code.PACKET_BAD, "unknown state") from exc
+
+
+def parse_position(text: str) -> Position | None:
+    """Return a log position, or None for one that is not given.
+
+    Raises
+    ------
+    LovageError
+        ``PACKET_BAD`` if it is malformed.
+    """
+    if text in (NOTHING, ""):
+        return None
+    term, _, index = text.partition(".")
+    try:
+        return Position(int(term), int(index))
+    except ValueError as exc:
+        raise LovageError(Code.PACKET_BAD, "position") from exc
+
+
+def wait_prefix(position: Position | None) -> str:
+    """Return the prefix that makes a statement need a position."""
+    return f"WAITLSN {position.term}.{position.index} " if position else ""
+
+
+def parse_status(row: str, incarnation: str) -> InstanceStatus:
+    """Return what an instance says of itself.
+
+    The fields are role, term, position received, term of a pause, lag in
+    milliseconds, statements running, and connections; only the first three
+    matter here.
+
+    Raises
+    ------
+    LovageError
+        ``PACKET_BAD`` if it is malformed.
+    """
+    fields = row.split(" ")
+    try:
+        role, term = Role(fields[0]), int(fields[1])
+        position = parse_position(fields[2]) or Position(0, 0)
+    except (ValueError, IndexError) as exc:
+        raise LovageError(Code.PACKET_BAD, "status") from exc
+    return InstanceStatus(incarnation, role, term, position.index, position.term)
+
+
+FAILURES = {
+    "BUSY": Failure.BUSY,
+    "LAGGING": Failure.BEHIND,
+    "READONLY": Failure.READ_ONLY,
+    "NOSTMT": Failure.UNKNOWN_NAME,
+}
+
+# What a caller is told: the platform's word for each of the product's codes.
+# Words that promise that nothing is kept stand only for codes that say so.
+_WORDS = {
+    Code.KEY_UNKNOWN: "NOAUTH",
+    Code.KEY_WITHDRAWN: "NOAUTH",
+    Code.ROUTE_FORBIDDEN: "NOAUTH",
+    Code.ROUTE_UNKNOWN: "NODB",
+    Code.STATEMENT_BAD: "MALFORMED",
+    Code.STATEMENT_UNKNOWN: "NOSTMT",
+    Code.STATEMENT_LARGE: "TOOLARGE",
+    Code.PACKET_BAD: "MALFORMED",
+    Code.TRANSACTION_LOST: "ABORTED",
+    Code.ENDPOINT_ERROR: "FAILED",
+    Code.TIMED_OUT: "INDOUBT",
+    Code.CONNECTION_LOST: "INDOUBT",
+    Code.UNCONFIRMED: "INDOUBT",
+}
+_NOT_RUN = "BUSY"
+
+
+def word_of(code: Code) -> str:
+    """Return the platform's word for a code of the product."""
+    return _WORDS.get(code, _NOT_RUN)
--- /dev/null
+++ b/lovagewalk/platform/_provider.py
@@ -0,0 +1,64 @@
+"""The client of the provider, which promotes instances."""
+
+import logging
+
+from lovagewalk.control import InstancePromoted, Ordered, PromoteInstance
+from lovagewalk.core import performs
+from lovagewalk.runtime import PeerAddress, Ports
+
+from ._http import call
+
+# The provider answers in about 12 ms; a call that hangs is given again.
+CALL_LIMIT_S = 1.0
+HOLDER_HEADER = "Lovagewalk-Lease-Holder"
+FENCE_HEADER = "Lovagewalk-Fencing-Token"
+
+log = logging.getLogger("lovagewalk.provider")
+
+
+class Provider:
+    """Orders promotions."""
+
+    def __init__(self, ports: Ports, address: PeerAddress | None) -> None:
+        self._ports = ports
+        self._address = address
+
+    async def promote(self, effect: PromoteInstance) -> None:
+        """Order a promotion and report the answer."""
+        outcome = await self._order(effect)
+        log.info(
+            "provider: promotion ordered",
+            extra={
+                "group": effect.group,
+                "endpoint": effect.endpoint,
+                "fence": effect.fence,
+                "outcome": outcome.value,
+            },
+        )
+        self._ports.feed(
+            InstancePromoted(
+                self._ports.now(), effect.group, effect.endpoint, effect.fence, outcome
+            )
+        )
+
+    async def _order(self, effect: PromoteInstance) -> Ordered:
+        if self._address is None:
+            log.error("provider: no address in the settings")
+            return Ordered.UNKNOWN
+        headers = {HOLDER_HEADER: effect.holder, FENCE_HEADER: str(effect.fence)}
+        content = {"service": effect.group, "id": effect.endpoint}
+        try:
+            status = await call(
+                self._address, "POST", "/promote", headers, content, CALL_LIMIT_S
+            )
+        except (OSError, TimeoutError) as exc:
+            log.warning("provider: no answer: %r", exc)
+            return Ordered.UNKNOWN
+        if status == 200:
+            return Ordered.ACCEPTED
+        return Ordered.REFUSED if status == 409 else Ordered.UNKNOWN
+
+
+@performs(PromoteInstance)
+def _promote_instance(ports: Ports, effect: PromoteInstance) -> None:
+    ports.spawn(ports.provider.promote(effect))
--- /dev/null
+++ b/lovagewalk/platform/_settings.py
@@ -0,0 +1,173 @@
+"""The platform's settings file, decoded into the product's words."""
+
+import os
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from lovagewalk.core import Code, LovageError
+from lovagewalk.runtime import PeerAddress
+from lovagewalk.settings import parse_address
+
+SETTINGS_VARIABLE = "LOVAGEWALK_SETTINGS"
+SECRET_VARIABLE = "LOVAGEWALK_FLEET_SECRET"
+MIN_SECRET_LENGTH = 8
+# Which of the internal ports serves what.
+PEERS_PORT = 0
+METRICS_PORT = 1
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What a daemon learns from the platform.
+
+    Attributes
+    ----------
+    name : str
+        Name of the VM.
+    callers, health, operators : PeerAddress or None
+        Where it listens for callers, for the balancer's questions, and for
+        operators and endpoints; None where it does not serve them.
+    peers_port, metrics_port : int
+        The same on all VMs.
+    seeds : tuple of str
+        Hosts of control VMs to ask at first.
+    may_found : bool
+        Whether the whole system starts for the first time.
+    data_folder : str
+        Empty on VMs without a disk.
+    regions : mapping of str to str
+        Region of each availability zone.
+    provider : PeerAddress or None
+        Where promotions are ordered.
+    grace_s : float
+        Time between a request to stop and the end by force, in seconds.
+    """
+
+    name: str
+    host: str
+    zone: str
+    region: str
+    callers: PeerAddress | None
+    health: PeerAddress | None
+    operators: PeerAddress | None
+    peers_port: int
+    metrics_port: int
+    seeds: tuple[str, ...]
+    may_found: bool
+    data_folder: str
+    regions: Mapping[str, str]
+    provider: PeerAddress | None
+    grace_s: float
+    secret: str = field(repr=False)
+
+
+class _Reader:
+    """Reads typed values and says which one is wrong."""
+
+    def __init__(self, raw: Mapping[str, Any], path: str = "") -> None:
+        self._raw = raw
+        self._path = path
+
+    def get(self, key: str, kind: type, default: Any = None) -> Any:
+        value = self._raw.get(key, default)
+        if kind is float and isinstance(value, int):
+            value = float(value)
+        if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+            raise LovageError(
+                Code.SETTINGS_BAD, f"{self._path}{key}: not of type {kind.__name__}"
+            )
+        return value
+
+    def table(self, key: str) -> "_Reader":
+        return _Reader(self.get(key, dict, {}), f"{self._path}{key}.")
+
+    def address(self, key: str) -> PeerAddress | None:
+        text = self.get(key, str, "")
+        if not text:
+            return None
+        try:
+            return PeerAddress(*parse_address(text))
+        except ValueError as exc:
+            raise LovageError(
+                Code.SETTINGS_BAD, f"{self._path}{key}: not IP:PORT"
+            ) from exc
+
+
+def load_platform_settings(
+    environ: Mapping[str, str] = os.environ,
+) -> PlatformSettings:
+    """Read the settings file that the environment names.
+
+    Raises
+    ------
+    LovageError
+        ``SETTINGS_BAD`` with the first setting that is wrong.
+    """
+    path = environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        raise LovageError(Code.SETTINGS_BAD, f"{SETTINGS_VARIABLE} is not set")
+    try:
+        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as exc:
+        raise LovageError(Code.SETTINGS_BAD, f"settings file: {exc}") from exc
+    secret = environ.get(SECRET_VARIABLE, "")
+    if len(secret) < MIN_SECRET_LENGTH:
+        raise LovageError(
+            Code.SETTINGS_BAD,
+            f"{SECRET_VARIABLE}: shorter than {MIN_SECRET_LENGTH} characters",
+        )
+    return decode_settings(raw, secret)
+
+
+def decode_settings(raw: Mapping[str, Any], secret: str) -> PlatformSettings:
+    """Return the settings of a decoded file; unknown fields are ignored.
+
+    Raises
+    ------
+    LovageError
+        ``SETTINGS_BAD`` with the first setting that is wrong.
+    """
+    reader = _Reader(raw)
+    listen = reader.table("listenAddrs")
+    first_port = _first_port(reader)
+    return PlatformSettings(
+        name=reader.get("nodeName", str),
+        host=reader.get("ip", str),
+        zone=reader.get("zone", str),
+        region=reader.get("region", str),
+        callers=listen.address("frontend"),
+        health=listen.address("ready"),
+        operators=listen.address("controlPlane"),
+        peers_port=first_port + PEERS_PORT,
+        metrics_port=first_port + METRICS_PORT,
+        seeds=_seed_hosts(reader),
+        may_found=reader.get("bootstrap", bool, False),
+        data_folder=reader.get("dataDir", str, ""),
+        regions=reader.get("zones", dict, {}),
+        provider=reader.table("providerApi").address("addr"),
+        grace_s=reader.table("bounds").get("graceS", float, 6.0),
+        secret=secret,
+    )
+
+
+def _first_port(reader: _Reader) -> int:
+    ports = reader.get("internalPorts", list)
+    if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
+        raise LovageError(Code.SETTINGS_BAD, "internalPorts: not two numbers")
+    if ports[1] - ports[0] < METRICS_PORT:
+        raise LovageError(Code.SETTINGS_BAD, "internalPorts: too few")
+    return ports[0]
+
+
+def _seed_hosts(reader: _Reader) -> tuple[str, ...]:
+    """Return the hosts of the seeds; their ports are those of all VMs."""
+    hosts = []
+    for text in reader.get("seedNodes", list, []):
+        try:
+            hosts.append(parse_address(str(text))[0])
+        except ValueError as exc:
+            raise LovageError(Code.SETTINGS_BAD, "seedNodes: not IP:PORT") from exc
+    return tuple(hosts)
--- a/lovagewalk/pools/__init__.py
+++ b/lovagewalk/pools/__init__.py
@@ -1,16 +1,18 @@
 """Connection pools with a fair queue over customers."""
 
 from ._effects import CloseConnection, OpenConnection
-from ._events import ConnectionBroken, ConnectionOpened, ConnectionRefused
+from ._events import ConnectionBroken, ConnectionOpened, ConnectionRefused, Refused
 from ._policy import (
     MAX_WAITING,
     Grant,
+    Openings,
     count_to_open,
     discard,
     enqueue,
     grant,
     open_failed,
     opened,
+    plan_openings,
     release,
     remove_waiting,
     take_idle,
@@ -26,14 +28,17 @@
     "CustomerQueue",
     "Grant",
     "OpenConnection",
+    "Openings",
     "Pool",
     "PoolConnection",
+    "Refused",
     "count_to_open",
     "discard",
     "enqueue",
     "grant",
     "open_failed",
     "opened",
+    "plan_openings",
     "release",
     "remove_waiting",
     "take_idle",
--- a/lovagewalk/pools/_effects.py
+++ b/lovagewalk/pools/_effects.py
@@ -7,12 +7,22 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenConnection(Effect):
-    """Open a connection to an endpoint."""
+    """Open a connection to an endpoint.
+
+    Attributes
+    ----------
+    group : str
+        The group that the endpoint belongs to.
+    customer : str
+        Whom it is opened for; empty where it serves anybody.
+    """
 
     conn: int
     endpoint: str
     host: str
     port: int
+    group: str = ""
+    customer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/pools/_events.py
+++ b/lovagewalk/pools/_events.py
@@ -1,9 +1,9 @@
 """Events of pool connections."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from lovagewalk.core import Event
-from lovagewalk.groups import InstanceStatus
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,13 +12,21 @@
 
     Attributes
     ----------
-    status : InstanceStatus
-        What the instance said of itself on this connection.
+    incarnation : str
+        Identity of the data that the connection leads to.
     """
 
     conn: int
     endpoint: str
-    status: InstanceStatus
+    incarnation: str
+
+
+class Refused(Enum):
+    """Why a connection could not be opened."""
+
+    UNREACHABLE = "unreachable"
+    TOO_MANY = "too many connections"
+    MISPLACED = "another instance answers there"
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +35,7 @@
 
     conn: int
     endpoint: str
+    reason: Refused = Refused.UNREACHABLE
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/pools/_policy.py
+++ b/lovagewalk/pools/_policy.py
@@ -50,29 +50,40 @@
 
 def take_idle(pool: Pool, customer: str, now: float) -> Grant:
     """Give an idle connection to a request that nobody waits before."""
-    if not pool.idle or pool.waiting:
-        return Grant(pool)
+    conn = _idle_for(pool, customer)
     queue = pool.queues.get(customer) or CustomerQueue(customer)
+    ahead = len(queue.reqs) if pool.dedicated else pool.waiting
+    if not conn or ahead:
+        return Grant(pool)
     start = max(queue.virtual_time, pool.virtual_time)
-    return _hand_out(pool, replace(queue, virtual_time=start), 0, now)
+    return _hand_out(pool, replace(queue, virtual_time=start), conn, 0, now)
+
 
+def _idle_for(pool: Pool, customer: str) -> int:
+    """Return the idle connection that served a customer last, or 0."""
+    for conn in reversed(pool.idle):
+        if not pool.dedicated or pool.connections[conn].owner == customer:
+            return conn
+    return 0
 
-def _hand_out(pool: Pool, queue: CustomerQueue, taken: int, now: float) -> Grant:
-    """Give the last idle connection to a queue's customer.
+
+def _hand_out(
+    pool: Pool, queue: CustomerQueue, conn: int, taken: int, now: float
+) -> Grant:
+    """Give an idle connection to a queue's customer.
 
     Parameters
     ----------
     taken : int
         Waiting requests that are taken off the queue: none or one.
     """
-    conn = pool.idle[-1]
     held = pool.connections[conn]
-    connection = replace(held, customer=queue.customer, held_since=now)
+    connection = replace(held, customer=queue.customer, held_since=now, held=True)
     req = queue.reqs[0] if taken else 0
     queue = replace(queue, reqs=queue.reqs[taken:], held=queue.held + 1)
     granted = replace(
         pool,
-        idle=pool.idle[:-1],
+        idle=tuple(other for other in pool.idle if other != conn),
         connections=pool.connections.set(conn, connection),
         queues=pool.queues.set(queue.customer, queue),
         waiting=pool.waiting - taken,
@@ -94,11 +105,15 @@
     queue = _next_queue(pool, weight_of)
     if queue is None:
         return Grant(pool)
-    return _hand_out(pool, queue, 1, now)
+    return _hand_out(pool, queue, _idle_for(pool, queue.customer), 1, now)
 
 
 def _next_queue(pool: Pool, weight_of: Callable[[str], float]) -> CustomerQueue | None:
-    waiting = [queue for queue in pool.queues.values() if queue.reqs]
+    waiting = [
+        queue
+        for queue in pool.queues.values()
+        if queue.reqs and _idle_for(pool, queue.customer)
+    ]
     if len(waiting) > 1:
         cap = max(1, int(pool.limit * MAX_HELD_SHARE))
         waiting = [queue for queue in waiting if queue.held < cap] or waiting
@@ -114,10 +129,10 @@
 def release(pool: Pool, conn: int, weight: float, now: float) -> Pool:
     """Put a connection back and charge its holder for the time it was held."""
     connection = pool.connections.get(conn)
-    if connection is None or not connection.customer:
+    if connection is None or not connection.held:
         return pool
     pool = _charge(pool, connection, weight, now)
-    idle = replace(connection, customer="")
+    idle = replace(connection, customer="", held=False)
     return replace(
         pool,
         idle=pool.idle + (conn,),
@@ -130,7 +145,7 @@
     connection = pool.connections.get(conn)
     if connection is None:
         return pool
-    if connection.customer:
+    if connection.held:
         pool = _charge(pool, connection, weight, now)
     return replace(
         pool,
@@ -154,18 +169,26 @@
 
 def opened(pool: Pool, conn: int, incarnation: str) -> Pool:
     """Add a connection that has just been opened."""
-    connection = PoolConnection(conn, pool.endpoint, incarnation)
+    owner = pool.opening_for.get(conn, "")
+    connection = PoolConnection(conn, pool.endpoint, incarnation, owner=owner)
+    pool = _end_opening(pool, conn)
     return replace(
         pool,
-        opening=max(pool.opening - 1, 0),
         idle=pool.idle + (conn,),
         connections=pool.connections.set(conn, connection),
     )
 
 
-def open_failed(pool: Pool, now: float) -> Pool:
+def _end_opening(pool: Pool, conn: int) -> Pool:
+    opening_for = pool.opening_for
+    if conn in opening_for:
+        opening_for = opening_for.delete(conn)
+    return replace(pool, opening=max(pool.opening - 1, 0), opening_for=opening_for)
+
+
+def open_failed(pool: Pool, conn: int, now: float) -> Pool:
     """Note a failed opening; the next attempt waits `OPEN_RETRY_S`."""
-    return replace(pool, opening=max(pool.opening - 1, 0), retry_at=now + OPEN_RETRY_S)
+    return replace(_end_opening(pool, conn), retry_at=now + OPEN_RETRY_S)
 
 
 def count_to_open(pool: Pool, now: float) -> int:
@@ -174,3 +197,48 @@
         return 0
     wanted = pool.waiting + SPARE_CONNECTIONS - len(pool.idle) - pool.opening
     return max(0, min(wanted, pool.limit - pool.size))
+
+
+@dataclass(frozen=True, slots=True)
+class Openings:
+    """What a dedicated pool needs.
+
+    Attributes
+    ----------
+    customers : tuple of str
+        Whom to open a connection for, one each.
+    evicted : tuple of int
+        Idle connections of other customers that have to make room.
+    """
+
+    customers: tuple[str, ...] = ()
+    evicted: tuple[int, ...] = ()
+
+
+def plan_openings(pool: Pool, now: float) -> Openings:
+    """Decide which connections a dedicated pool opens, and which make room."""
+    if now < pool.retry_at or not pool.waiting:
+        return Openings()
+    customers = _wanted_customers(pool)
+    room = max(pool.limit - pool.size, 0)
+    idle = [
+        conn for conn in pool.idle if not _has_waiting(pool, pool.connections[conn])
+    ]
+    evicted = tuple(idle[: max(len(customers) - room, 0)])
+    return Openings(customers[: room + len(evicted)], evicted)
+
+
+def _has_waiting(pool: Pool, connection: PoolConnection) -> bool:
+    queue = pool.queues.get(connection.owner)
+    return queue is not None and bool(queue.reqs)
+
+
+def _wanted_customers(pool: Pool) -> tuple[str, ...]:
+    """Return a customer for each waiting request that nothing is on its way for."""
+    customers: tuple[str, ...] = ()
+    opening = list(pool.opening_for.values())
+    waiting = [queue for queue in pool.queues.values() if queue.reqs]
+    for queue in sorted(waiting, key=lambda q: (q.virtual_time, q.customer)):
+        lacking = len(queue.reqs) - opening.count(queue.customer)
+        customers += (queue.customer,) * max(lacking, 0)
+    return customers
--- a/lovagewalk/pools/_reducer.py
+++ b/lovagewalk/pools/_reducer.py
@@ -1,12 +1,13 @@
 """Reacts to pool connections that open, fail to open, or break."""
 
 from lovagewalk.core import Step, reduces, replace
+from lovagewalk.groups import note_trouble
 from lovagewalk.node import NodeState
-from lovagewalk.routing import _dispatch, _outcome, _place
+from lovagewalk.routing import _dispatch, _outcome, _place, _recovery, _sweep
 from lovagewalk.sessions import TransactionState
 
 from ._effects import CloseConnection
-from ._events import ConnectionBroken, ConnectionOpened, ConnectionRefused
+from ._events import ConnectionBroken, ConnectionOpened, ConnectionRefused, Refused
 from ._policy import open_failed, opened
 
 
@@ -15,7 +16,7 @@
     if event.conn not in state.conn_endpoints:
         return Step(state, (CloseConnection(event.conn),))
     pool = _place.pool_of(state, event.endpoint)
-    pool = opened(pool, event.conn, event.status.incarnation)
+    pool = replace(opened(pool, event.conn, event.incarnation), heard_at=event.at)
     state = replace(state, pools=state.pools.set(event.endpoint, pool))
     return _dispatch.dispatch(state, event.endpoint, event.at)
 
@@ -24,14 +25,27 @@
 def _connection_refused(state: NodeState, event: ConnectionRefused) -> Step[NodeState]:
     if event.conn not in state.conn_endpoints:
         return Step(state)
-    pool = open_failed(_place.pool_of(state, event.endpoint), event.at)
-    return Step(
-        replace(
-            state,
-            pools=state.pools.set(event.endpoint, pool),
-            conn_endpoints=state.conn_endpoints.delete(event.conn),
-        )
+    pool = open_failed(_place.pool_of(state, event.endpoint), event.conn, event.at)
+    state = replace(
+        state,
+        pools=state.pools.set(event.endpoint, pool),
+        conn_endpoints=state.conn_endpoints.delete(event.conn),
     )
+    if not pool.dedicated:
+        return Step(state)
+    if event.reason is Refused.UNREACHABLE:
+        state = _note_unreachable(state, event.endpoint, event.at)
+    return _sweep.move_waiting(state, event.endpoint, event.at)
+
+
+def _note_unreachable(state: NodeState, name: str, now: float) -> NodeState:
+    state = _recovery.shun(state, name, now)
+    endpoint = state.catalogue.endpoints.get(name)
+    if endpoint is None:
+        return state
+    if state.catalogue.group(endpoint.group).primary != name:
+        return state
+    return note_trouble(state, endpoint.group, now)
 
 
 @reduces(ConnectionBroken)
--- a/lovagewalk/pools/_state.py
+++ b/lovagewalk/pools/_state.py
@@ -17,15 +17,27 @@
         The data that the endpoint had when the connection was opened.
     held_since : float
         When it was last handed out, in monotonic seconds.
+    held : bool
+        Whether it is handed out.
     customer : str
-        Who holds it; empty while idle or opening.
+        Who holds it; empty also for callers without a customer.
+    owner : str
+        The customer that it was opened for; empty if it may serve anybody.
+    values : Map of str to str
+        Session values set on it.
+    prepared : Map of str to PreparedShape
+        Statements prepared on it.
     """
 
     conn: int
     endpoint: str
     incarnation: str = ""
     held_since: float = 0.0
+    held: bool = False
     customer: str = ""
+    owner: str = ""
+    values: Map = field(default_factory=Map)
+    prepared: Map = field(default_factory=Map)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +74,14 @@
         Virtual time of the last dispatch; newly active customers start here.
     retry_at : float
         No new connection is opened before this time, in monotonic seconds.
+    dedicated : bool
+        Whether each connection is opened for one customer and serves no other.
+    opening_for : Map of int to str
+        In a dedicated pool, the customer of each connection being opened.
+    shunned_until : float
+        Until then other endpoints are preferred, in monotonic seconds.
+    heard_at : float
+        When the endpoint last answered anything.
     """
 
     endpoint: str
@@ -73,6 +93,15 @@
     waiting: int = 0
     virtual_time: float = 0.0
     retry_at: float = 0.0
+    dedicated: bool = False
+    opening_for: Map = field(default_factory=Map)
+    shunned_until: float = 0.0
+    heard_at: float = 0.0
+
+    @property
+    def busy(self) -> int:
+        """Requests running or waiting."""
+        return len(self.connections) - len(self.idle) + self.waiting
 
     @property
     def size(self) -> int:
@@ -82,5 +111,4 @@
     @property
     def load(self) -> float:
         """Requests running or waiting, per connection allowed."""
-        busy = len(self.connections) - len(self.idle)
-        return (busy + self.waiting) / max(self.limit, 1)
+        return self.busy / max(self.limit, 1)
--- a/lovagewalk/pools/tests/test_policy.py
+++ b/lovagewalk/pools/tests/test_policy.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from lovagewalk.core import replace
 from lovagewalk.pools import (
     Pool,
     count_to_open,
@@ -9,6 +10,7 @@
     enqueue,
     grant,
     opened,
+    plan_openings,
     release,
     remove_waiting,
     take_idle,
@@ -97,3 +99,40 @@
     for req in range(5):
         pool = enqueue(pool, "a", req + 1)
     assert count_to_open(pool, 0.0) == 3
+
+
+def test_a_connection_of_a_caller_without_a_customer_comes_back():
+    taken = take_idle(_pool(), "", 1.0)
+    pool = release(taken.pool, taken.conn, 1.0, 2.0)
+    assert pool.idle == (taken.conn,)
+    assert release(pool, taken.conn, 1.0, 3.0).idle == (taken.conn,)
+
+
+def _dedicated(limit, owners):
+    pool = Pool("db1", limit, dedicated=True)
+    for conn, owner in enumerate(owners, 1):
+        opening = pool.opening_for.set(conn, owner)
+        pool = replace(pool, opening=1, opening_for=opening)
+        pool = opened(pool, conn, "x")
+    return pool
+
+
+def test_a_dedicated_connection_serves_its_customer_only():
+    pool = _dedicated(2, ("a", "b"))
+    assert take_idle(pool, "c", 0.0).conn == 0
+    pool = enqueue(enqueue(pool, "c", 1), "b", 2)
+    granted = grant(pool, lambda name: 1.0, 0.0)
+    assert (granted.req, granted.conn) == (2, 2)
+
+
+def test_a_full_dedicated_pool_makes_room_for_who_waits():
+    pool = enqueue(_dedicated(2, ("a", "b")), "c", 1)
+    openings = plan_openings(pool, 0.0)
+    assert openings.customers == ("c",) and openings.evicted == (1,)
+
+
+def test_a_dedicated_pool_opens_one_connection_for_one_request():
+    pool = enqueue(_dedicated(3, ()), "a", 1)
+    assert plan_openings(pool, 0.0).customers == ("a",)
+    pool = replace(pool, opening=1, opening_for=pool.opening_for.set(1, "a"))
+    assert plan_openings(pool, 0.0).customers == ()
--- a/lovagewalk/routing/__init__.py
+++ b/lovagewalk/routing/__init__.py
@@ -4,8 +4,11 @@
     AcceptCaller,
     AnswerCaller,
     CloseCaller,
+    DiscardSettings,
     DropResult,
     OnceMark,
+    PrepareShape,
+    RequestTrace,
     RunStatement,
 )
 from ._events import (
@@ -20,7 +23,14 @@
     StreamEnded,
 )
 from ._state import Phase, Request
-from ._types import NO_MARKS, Marks, StatementKind
+from ._types import (
+    NO_MARKS,
+    Marks,
+    NamedStatement,
+    PrepareStatement,
+    SetValue,
+    StatementKind,
+)
 
 __all__ = [
     "NO_MARKS",
@@ -30,13 +40,19 @@
     "CallerLeft",
     "CallerReset",
     "CloseCaller",
+    "DiscardSettings",
     "DropResult",
     "Failure",
     "Marks",
+    "NamedStatement",
     "OnceMark",
     "Phase",
+    "PrepareShape",
+    "PrepareStatement",
     "Request",
+    "RequestTrace",
     "RunStatement",
+    "SetValue",
     "StatementArrived",
     "StatementDone",
     "StatementFailed",
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from lovagewalk.catalogue import RouteClass
+from lovagewalk.catalogue import RateUnit, RouteClass
 from lovagewalk.core import Code, LovageError, Refusal, Step, reduces, replace
 from lovagewalk.groups import Position
 from lovagewalk.node import NodeState
@@ -17,11 +17,21 @@
 from . import _dispatch, _place
 from ._answer import answer, count_access, latest
 from ._events import StatementArrived, StatementRejected
+from ._recovery import lose_transaction
 from ._state import Phase, Request
-from ._types import StatementKind
+from ._types import (
+    BEGINS,
+    Detail,
+    NamedStatement,
+    PrepareStatement,
+    SetValue,
+    StatementKind,
+)
 
 REQUEST_DEADLINE_S = 5.0
 TOKEN_WAIT_S = 1.0
+# Part of a route's objective: leaves the rest for the statement itself.
+TOKEN_WAIT_PART = 0.4
 
 KindHandler = Callable[[NodeState, Request, float], Step[NodeState]]
 _kinds: dict[StatementKind, KindHandler] = {}
@@ -43,7 +53,34 @@
     session = state.sessions.get(event.caller)
     if session is None:
         return Step(state)
-    request = Request(
+    if not session.in_transaction:
+        session = _begin_operation(state, session, event.at)
+    request = _build_request(state, session, event)
+    session = replace(session, req=event.req)
+    state = replace(state, sessions=state.sessions.set(event.caller, session))
+    state = replace(state, requests=state.requests.set(event.req, request))
+    handler = _details.get(request.kind)
+    if handler is not None:
+        return handler(state, request, event.detail)
+    return _admit(state, request, event.at)
+
+
+def _begin_operation(state: NodeState, session: Session, now: float) -> Session:
+    """Return a session for its next operation, by its route as it is now."""
+    route = state.catalogue.route(session.route)
+    if route is not None and route.group != session.group:
+        session = replace(session, group=route.group, position=None)
+    return replace(session, operation_at=now)
+
+
+def _build_request(
+    state: NodeState, session: Session, event: StatementArrived
+) -> Request:
+    route = state.catalogue.route(session.route)
+    limit_s = REQUEST_DEADLINE_S
+    if route is not None and route.statement_timeout_s:
+        limit_s = route.statement_timeout_s
+    return Request(
         req=event.req,
         caller=event.caller,
         customer=session.customer,
@@ -52,15 +89,86 @@
         text=event.text,
         marks=event.marks,
         arrived_at=event.at,
-        deadline=event.at + REQUEST_DEADLINE_S,
+        deadline=event.at + limit_s,
+        route=route,
     )
-    session = replace(session, req=event.req)
-    state = replace(state, sessions=state.sessions.set(event.caller, session))
-    refusal = _refusal_of(state, session, request, event.at)
-    if refusal is not None:
+
+
+def _admit(state: NodeState, request: Request, now: float) -> Step[NodeState]:
+    session = state.sessions[request.caller]
+    refusal = _refusal_of(state, session, request, now)
+    if refusal is None:
+        state = _take_token(state, session, request)
+        return _kinds[request.kind](state, request, now)
+    if session.conn and request.is_stated and refusal.code is not Code.STATEMENT_BAD:
+        detail = f"{refusal.code.label} {refusal.code.text}"
+        return lose_transaction(state, request, now, detail)
+    return answer(state, request, refusal)
+
+
+DetailHandler = Callable[[NodeState, Request, Detail], Step[NodeState]]
+_details: dict[StatementKind, DetailHandler] = {}
+
+
+def details(kind: StatementKind) -> Callable[[DetailHandler], DetailHandler]:
+    """Register the decorated function for statements about the session itself."""
+
+    def decorate(handler: DetailHandler) -> DetailHandler:
+        _details[kind] = handler
+        return handler
+
+    return decorate
+
+
+def _answer_detail(
+    state: NodeState, request: Request, session: Session
+) -> Step[NodeState]:
+    """Answer a statement that changed nothing but the session."""
+    if session.transaction is TransactionState.LOST:
+        refusal = Refusal(Code.TRANSACTION_LOST, "end the transaction first")
         return answer(state, request, refusal)
-    state = _take_token(state, session, request)
-    return _kinds[request.kind](state, request, event.at)
+    state = replace(state, sessions=state.sessions.set(session.caller, session))
+    return answer(state, request)
+
+
+@details(StatementKind.SET_VALUE)
+def _set_value(state: NodeState, request: Request, detail: SetValue) -> Step[NodeState]:
+    session = state.sessions[request.caller]
+    values = session.values.set(detail.name, detail.value)
+    return _answer_detail(state, request, replace(session, values=values))
+
+
+@details(StatementKind.PREPARE)
+def _prepare(
+    state: NodeState, request: Request, detail: PrepareStatement
+) -> Step[NodeState]:
+    session = state.sessions[request.caller]
+    prepared = session.prepared.set(detail.name, detail.shape)
+    return _answer_detail(state, request, replace(session, prepared=prepared))
+
+
+@details(StatementKind.DEALLOCATE)
+def _deallocate(
+    state: NodeState, request: Request, detail: NamedStatement
+) -> Step[NodeState]:
+    session = state.sessions[request.caller]
+    if detail.name not in session.prepared:
+        return answer(state, request, Refusal(Code.STATEMENT_UNKNOWN))
+    prepared = session.prepared.delete(detail.name)
+    return _answer_detail(state, request, replace(session, prepared=prepared))
+
+
+@details(StatementKind.EXECUTE)
+def _execute(
+    state: NodeState, request: Request, detail: NamedStatement
+) -> Step[NodeState]:
+    """Admit a prepared statement as the read or write that it is."""
+    shape = state.sessions[request.caller].prepared.get(detail.name)
+    if shape is None:
+        return answer(state, request, Refusal(Code.STATEMENT_UNKNOWN))
+    kind = StatementKind.WRITE if shape.writes else StatementKind.READ
+    request = replace(request, kind=kind, prepared=shape)
+    return _admit(_place.put_request(state, request), request, request.arrived_at)
 
 
 @reduces(StatementRejected)
@@ -73,12 +181,14 @@
 def _refusal_of(
     state: NodeState, session: Session, request: Request, now: float
 ) -> Refusal | None:
-    if request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+    if request.kind is StatementKind.ROLLBACK:
+        return _transaction_refusal(session, request)
+    if request.kind is StatementKind.COMMIT and not session.conn:
         return _transaction_refusal(session, request)
     refusal = authorise(state, session, now)
     if refusal is not None:
         return refusal
-    if state.draining and session.transaction is TransactionState.NONE:
+    if session.transaction is TransactionState.NONE and is_closed(state, now):
         return Refusal(Code.DRAINING)
     refusal = _transaction_refusal(session, request)
     if refusal is not None:
@@ -90,6 +200,11 @@
     return _token_refusal(state, session, request)
 
 
+def is_closed(state: NodeState, now: float) -> bool:
+    """Whether this daemon drains and takes no new operations any more."""
+    return state.draining and now - state.draining_since >= state.me.drain_s
+
+
 def authorise(state: NodeState, session: Session, now: float) -> Refusal | None:
     """Return why a session may not run statements now, or None.
 
@@ -162,8 +277,8 @@
 
 @handles(StatementKind.READ, StatementKind.WRITE, StatementKind.DEFINITION)
 def _run(state: NodeState, request: Request, now: float) -> Step[NodeState]:
-    if not request.customer:
-        return _place.place(state, request, now)
+    if not request.customer or not _is_charged(state, request):
+        return proceed(state, request, now)
     share = state.shares.get(request.customer) or Share(request.customer)
     if share.waiting:
         share = replace(share, arrivals=share.arrivals + 1)
@@ -172,9 +287,31 @@
     if not taken.admitted:
         return _wait_for_tokens(state, taken.share, request)
     state = replace(state, shares=state.shares.set(request.customer, taken.share))
+    return proceed(state, request, now)
+
+
+def _is_charged(state: NodeState, request: Request) -> bool:
+    """Whether a statement counts towards its customer's rate."""
+    entry = state.catalogue.customer(request.customer)
+    if entry is None or entry.unit is RateUnit.STATEMENTS:
+        return request.kind not in BEGINS
+    return not state.sessions[request.caller].in_transaction
+
+
+def proceed(state: NodeState, request: Request, now: float) -> Step[NodeState]:
+    """Go on with a request that its customer's rate admits."""
+    if request.kind in BEGINS:
+        return _begin_transaction(state, request)
     return _place.place(state, request, now)
 
 
+def token_wait_s(request: Request) -> float:
+    """Return how long a request may wait for tokens, in seconds."""
+    if request.route is None or not request.route.objective_s:
+        return TOKEN_WAIT_S
+    return min(TOKEN_WAIT_S, request.route.objective_s * TOKEN_WAIT_PART)
+
+
 def _wait_for_tokens(
     state: NodeState, share: Share, request: Request
 ) -> Step[NodeState]:
@@ -182,9 +319,10 @@
         state = replace(state, shares=state.shares.set(request.customer, share))
         refusal = Refusal(Code.RATE_EXCEEDED, retry_after_s=TOKEN_WAIT_S)
         return answer(state, request, refusal)
+    request = replace(request, phase=Phase.TOKENS)
     share = replace(share, waiting=share.waiting + (request.req,))
     state = replace(state, shares=state.shares.set(request.customer, share))
-    return Step(_place.put_request(state, replace(request, phase=Phase.TOKENS)))
+    return Step(_place.put_request(state, request))
 
 
 def max_waiting(state: NodeState, share: Share) -> float:
@@ -198,13 +336,22 @@
     return max(burst, share.rate * TOKEN_WAIT_S)
 
 
-@handles(StatementKind.BEGIN)
+@handles(StatementKind.BEGIN, StatementKind.BEGIN_READ)
 def _begin(state: NodeState, request: Request, now: float) -> Step[NodeState]:
     session = state.sessions[request.caller]
     if session.transaction is TransactionState.PINNED:
         refusal = Refusal(Code.STATEMENT_BAD, "a transaction is open already")
         return answer(state, request, refusal)
-    session = replace(session, transaction=TransactionState.BEGUN)
+    return _run(state, request, now)
+
+
+def _begin_transaction(state: NodeState, request: Request) -> Step[NodeState]:
+    session = replace(
+        state.sessions[request.caller],
+        transaction=TransactionState.BEGUN,
+        read_only=request.kind is StatementKind.BEGIN_READ,
+        wrote=False,
+    )
     state = replace(state, sessions=state.sessions.set(session.caller, session))
     return answer(state, request)
 
--- a/lovagewalk/routing/_answer.py
+++ b/lovagewalk/routing/_answer.py
@@ -7,8 +7,9 @@
 from lovagewalk.node import AccessKey, NodeState
 from lovagewalk.sessions import Session, TransactionState
 
-from ._effects import AnswerCaller, CloseCaller, DropResult
+from ._effects import AnswerCaller, CloseCaller, DropResult, RequestTrace
 from ._state import Phase, Request
+from ._types import StatementKind
 
 OK_LABEL = "ok"
 RETRY_CREDIT_PER_ANSWER = 0.1
@@ -34,6 +35,17 @@
         state = count_access(state, request.customer, refusal)
         return Step(state, (DropResult(request.req),))
     session = _learn(session, request, refusal)
+    trace = RequestTrace(
+        request.marks.request_id,
+        session.route,
+        request.kind,
+        request.phase,
+        request.endpoint,
+        request.attempts,
+        request.arrived_at,
+        request.sent_term,
+        state.catalogue.revision,
+    )
     state = replace(
         state,
         requests=requests,
@@ -41,22 +53,31 @@
         accesses=_add_access(state, request.customer, refusal),
     )
     state = _earn_retry_credit(state, request.customer)
-    pinned = session.transaction in (TransactionState.BEGUN, TransactionState.PINNED)
     effects: tuple[Effect, ...] = (
         AnswerCaller(
-            request.req, request.caller, refusal, value, pinned, request.customer
+            req=request.req,
+            caller=request.caller,
+            refusal=refusal,
+            value=value,
+            in_transaction=session.in_transaction,
+            customer=request.customer,
+            failed_transaction=session.transaction is TransactionState.LOST,
+            trace=trace,
         ),
     )
     if session.closing:
-        reason = Refusal(Code.KEY_WITHDRAWN)
-        effects += (CloseCaller(request.caller, reason),)
+        code = Code.DRAINING if state.draining else Code.KEY_WITHDRAWN
+        effects += (CloseCaller(request.caller, Refusal(code)),)
     return Step(state, effects)
 
 
 def _learn(session: Session, request: Request, refusal: Refusal | None) -> Session:
     """Return the session after an answer: free, and with what it has seen."""
     if refusal is not None:
-        return replace(session, req=0)
+        return replace(session, req=0, idle_since=request.arrived_at)
+    session = replace(session, idle_since=request.arrived_at)
+    if request.is_stated:
+        return _learn_stated(session, request)
     return replace(
         session,
         req=0,
@@ -65,6 +86,26 @@
     )
 
 
+def _learn_stated(session: Session, request: Request) -> Session:
+    """Remember where a session's own write stands in the log.
+
+    A read at the primary of a later term takes the place of a position that may
+    have been rolled back.
+    """
+    renews = request.at_primary and session.position is not None
+    wrote = request.kind is StatementKind.WRITE or session.wrote
+    if request.position is None or not (renews or wrote):
+        return replace(session, req=0)
+    if session.transaction is TransactionState.PINNED:
+        return replace(session, req=0)
+    return replace(
+        session,
+        req=0,
+        position=request.position,
+        position_term=request.sent_term,
+    )
+
+
 def latest(first: Position | None, second: Position | None) -> Position | None:
     """Return the later of two positions, either of which may be unknown."""
     if first is None or second is None:
--- a/lovagewalk/routing/_callers.py
+++ b/lovagewalk/routing/_callers.py
@@ -1,5 +1,7 @@
 """Callers that come, go, or have to go."""
 
+from immutables import Map
+
 from lovagewalk.catalogue import RouteClass
 from lovagewalk.core import Code, Effect, Refusal, Step, reduces, replace
 from lovagewalk.node import NodeState
@@ -7,13 +9,17 @@
 from lovagewalk.sessions import Session, TransactionState
 
 from . import _dispatch, _place
-from ._admit import access_refusal, authorise
+from ._admit import access_refusal, authorise, is_closed
 from ._answer import answer
 from ._effects import AcceptCaller, CloseCaller, DropResult
 from ._events import CallerConnected, CallerLeft, CallerReset
 from ._outcome import end_transaction
 from ._state import Phase, Request
 
+# Half of the shortest time that a platform gives a process to end, with room for
+# the statement in progress.
+TRANSACTION_DRAIN_S = 3.5
+
 
 @reduces(CallerConnected)
 def _caller_connected(state: NodeState, event: CallerConnected) -> Step[NodeState]:
@@ -28,12 +34,12 @@
     session = Session(
         caller=event.caller,
         customer=key.customer if key else "",
-        key_id=event.key_id,
+        key_id=event.key_id if key else "",
         route=event.route,
         group=route.group,
     )
     refusal = authorise(state, session, event.at)
-    if refusal is None and state.draining:
+    if refusal is None and is_closed(state, event.at):
         refusal = Refusal(Code.DRAINING)
     if refusal is not None:
         return Step(state, (CloseCaller(event.caller, refusal),))
@@ -64,6 +70,8 @@
         conn=0,
         req=0,
         last_insert_id=0,
+        values=Map(),
+        prepared=Map(),
     )
     sessions = step.state.sessions.set(event.caller, fresh)
     return Step(replace(step.state, sessions=sessions), step.effects)
@@ -111,6 +119,34 @@
     return replace(state, shares=state.shares.set(request.customer, share))
 
 
+def end_idle(state: NodeState, session: Session, now: float) -> Step[NodeState]:
+    """Roll back a transaction that its caller has left alone."""
+    endpoint = state.conn_endpoints.get(session.conn, "")
+    step = _dispatch.close(state, session.conn, now)
+    lost = end_transaction(step.state, session, TransactionState.LOST)
+    return Step(lost, step.effects).then(_dispatch.dispatch(lost, endpoint, now))
+
+
+def close_idle(state: NodeState, now: float) -> Step[NodeState]:
+    """Close sessions with nothing open, as this daemon goes.
+
+    A transaction has until `TRANSACTION_DRAIN_S`; then it is rolled back.
+    """
+    step = Step(state)
+    for session in state.sessions.values():
+        if session.req or session.closing:
+            continue
+        overdue = now - state.draining_since >= TRANSACTION_DRAIN_S
+        if session.in_transaction and not overdue:
+            continue
+        reason = Refusal(Code.DRAINING)
+        step = step.then(_expel(step.state, session, reason, now))
+        current = replace(step.state.sessions[session.caller], closing=True)
+        sessions = step.state.sessions.set(session.caller, current)
+        step = Step(replace(step.state, sessions=sessions), step.effects)
+    return step
+
+
 def enforce_keys(state: NodeState, now: float) -> Step[NodeState]:
     """Close every session whose key or route no longer admits it.
 
@@ -131,11 +167,7 @@
     request = state.requests.get(session.req)
     step = Step(state)
     if session.conn and (request is None or request.conn != session.conn):
-        endpoint = state.conn_endpoints.get(session.conn, "")
-        step = _dispatch.close(state, session.conn, now)
-        lost = end_transaction(step.state, session, TransactionState.LOST)
-        step = Step(lost, step.effects)
-        step = step.then(_dispatch.dispatch(step.state, endpoint, now))
+        step = end_idle(state, session, now)
     if request is None:
         closed = CloseCaller(session.caller, refusal)
         return Step(step.state, step.effects + (closed,))
--- /dev/null
+++ b/lovagewalk/routing/_consistency.py
@@ -0,0 +1,178 @@
+"""Where statements run whose route states what reads must include.
+
+A read is sent with a position that the log has to hold. The endpoint itself
+checks it, so a choice made on old knowledge costs time, never correctness.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lovagewalk.catalogue import Consistency, Endpoint, GroupConfig
+from lovagewalk.core import replace
+from lovagewalk.groups import GroupView, Position, sample_since
+from lovagewalk.node import NodeState
+from lovagewalk.sessions import Session, TransactionState
+
+from ._state import Request
+
+# Requests in flight per step of an endpoint's rank: below it, nearness counts
+# more than load. Endpoints of both sites run three statements at a time.
+LOAD_STEP = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What a request needs of the endpoint that serves it.
+
+    Attributes
+    ----------
+    at_primary : bool
+        Only the primary will do.
+    need : Position or None
+        What the log must hold.
+    """
+
+    at_primary: bool
+    need: Position | None = None
+
+
+PRIMARY = Plan(at_primary=True)
+
+Planner = Callable[[NodeState, Request, Session], Plan]
+_planners: dict[Consistency, Planner] = {}
+
+
+def plans(consistency: Consistency) -> Callable[[Planner], Planner]:
+    """Register the decorated function for reads of a consistency."""
+
+    def decorate(planner: Planner) -> Planner:
+        _planners[consistency] = planner
+        return planner
+
+    return decorate
+
+
+@plans(Consistency.PRIMARY)
+def _plan_primary(state: NodeState, request: Request, session: Session) -> Plan:
+    return PRIMARY
+
+
+@plans(Consistency.BOUNDED)
+def _plan_bounded(state: NodeState, request: Request, session: Session) -> Plan:
+    """Any log will do that holds what the primary held not too long ago.
+
+    Of the samples that are young enough the oldest is taken, since most
+    replicas hold it. Without one the primary itself is asked.
+    """
+    view = state.groups.get(request.group)
+    if view is None:
+        return PRIMARY
+    since = session.operation_at - request.route.max_staleness_s
+    sample = sample_since(view, since)
+    return PRIMARY if sample is None else Plan(False, sample.position)
+
+
+@plans(Consistency.OWN_WRITES)
+def _plan_own_writes(state: NodeState, request: Request, session: Session) -> Plan:
+    """As for bounded staleness, and the session's own writes besides.
+
+    A position of an older term may have been rolled back, and no log would ever
+    hold it; the primary has whatever survived.
+    """
+    plan = _plan_bounded(state, request, session)
+    if plan.at_primary or session.position is None:
+        return plan
+    if session.position_term != state.catalogue.group(request.group).term:
+        return PRIMARY
+    return Plan(False, max(plan.need, session.position))
+
+
+def plan_read(state: NodeState, request: Request, session: Session) -> Plan:
+    """Return what a read, or a transaction for reading, needs."""
+    return _planners[request.route.consistency](state, request, session)
+
+
+def may_use_replica(request: Request, session: Session) -> bool:
+    """Whether a request may run elsewhere than at the primary."""
+    if not request.reads:
+        return False
+    if session.transaction is TransactionState.NONE:
+        return True
+    return session.transaction is TransactionState.BEGUN and session.read_only
+
+
+def plan_request(state: NodeState, request: Request, session: Session) -> Request:
+    """Return a request with what it needs written down.
+
+    A single read at the primary has the primary prove its role, since one that
+    was replaced goes on answering reads. A transaction proves it by itself.
+    """
+    plan = PRIMARY
+    if may_use_replica(request, session):
+        plan = plan_read(state, request, session)
+    single = session.transaction is TransactionState.NONE
+    return replace(
+        request,
+        at_primary=plan.at_primary,
+        need=plan.need,
+        vouch=plan.at_primary and single and request.reads,
+    )
+
+
+def choose_endpoint(state: NodeState, request: Request, now: float) -> str:
+    """Return where a planned request should run; empty if nowhere at present."""
+    config = state.catalogue.group(request.group)
+    if request.at_primary:
+        return _usable_primary(state, config, request)
+    endpoints = [
+        endpoint
+        for endpoint in state.catalogue.group_endpoints(request.group)
+        if not endpoint.leaving and endpoint.name not in request.tried
+    ]
+    if not endpoints:
+        return ""
+    view = state.groups.get(request.group)
+    best = min(endpoints, key=lambda e: _rank(state, config, view, request, e, now))
+    return best.name
+
+
+def _usable_primary(state: NodeState, config: GroupConfig, request: Request) -> str:
+    if not config.primary or config.term == request.refused_term:
+        return ""
+    return config.primary if config.primary in state.catalogue.endpoints else ""
+
+
+def _rank(
+    state: NodeState,
+    config: GroupConfig,
+    view: GroupView | None,
+    request: Request,
+    endpoint: Endpoint,
+    now: float,
+) -> tuple[bool, bool, bool, int, bool, bool, int, str]:
+    """Order endpoints: able, near, lightly loaded, and no primary if possible."""
+    pool = state.pools.get(endpoint.name)
+    busy = pool.busy if pool else 0
+    shunned = pool is not None and now < pool.shunned_until
+    return (
+        shunned,
+        endpoint.region != state.me.region,
+        _is_behind(view, endpoint, request, now),
+        busy // LOAD_STEP,
+        endpoint.name == config.primary,
+        endpoint.zone != state.me.zone,
+        busy,
+        endpoint.name,
+    )
+
+
+def _is_behind(
+    view: GroupView | None, endpoint: Endpoint, request: Request, now: float
+) -> bool:
+    """Whether an endpoint has just said that it lacks what is needed."""
+    if view is None or request.need is None:
+        return False
+    lacking = view.lacking.get(endpoint.name)
+    if lacking is None or now >= lacking.until:
+        return False
+    return request.need >= lacking.position
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -1,7 +1,7 @@
 """Hands pool connections to waiting requests and runs them."""
 
-from lovagewalk.catalogue import GroupConfig
-from lovagewalk.core import Effect, Step, replace
+from lovagewalk.catalogue import Endpoint, GroupConfig
+from lovagewalk.core import Effect, Refusal, Step, replace
 from lovagewalk.groups import replica_holds
 from lovagewalk.node import NodeState
 from lovagewalk.pools import (
@@ -11,12 +11,15 @@
     count_to_open,
     discard,
     grant,
+    plan_openings,
     release,
 )
 from lovagewalk.sessions import Session, TransactionState
 
-from . import _place
+from . import _admit, _place, _recovery
+from ._answer import answer
 from ._effects import OnceMark, RunStatement
+from ._settings import carry, plan_setup
 from ._state import Phase, Request
 from ._types import WRITES, StatementKind
 
@@ -46,22 +49,47 @@
 def _open_more(state: NodeState, endpoint: str, now: float) -> Step[NodeState]:
     pool = _place.pool_of(state, endpoint)
     announced = state.catalogue.endpoints.get(endpoint)
-    count = count_to_open(pool, now) if announced else 0
-    if not count:
+    if announced is None:
+        return Step(state)
+    if not pool.dedicated:
+        customers = ("",) * count_to_open(pool, now)
+        return _open(state, pool, announced, customers)
+    openings = plan_openings(pool, now)
+    step = Step(state)
+    for conn in openings.evicted:
+        step = step.then(close(step.state, conn, now))
+    pool = _place.pool_of(step.state, endpoint)
+    return step.then(_open(step.state, pool, announced, openings.customers))
+
+
+def _open(
+    state: NodeState, pool: Pool, announced: Endpoint, customers: tuple[str, ...]
+) -> Step[NodeState]:
+    """Open a connection for each of some customers."""
+    if not customers:
         return Step(state)
-    conns = range(state.next_conn, state.next_conn + count)
     conn_endpoints = state.conn_endpoints
-    for conn in conns:
-        conn_endpoints = conn_endpoints.set(conn, endpoint)
-    pool = replace(pool, opening=pool.opening + count)
+    opening_for = pool.opening_for
+    effects: tuple[Effect, ...] = ()
+    for conn, customer in enumerate(customers, state.next_conn):
+        conn_endpoints = conn_endpoints.set(conn, announced.name)
+        opening_for = opening_for.set(conn, customer)
+        effects += (
+            OpenConnection(
+                conn,
+                announced.name,
+                announced.host,
+                announced.port,
+                announced.group,
+                customer,
+            ),
+        )
+    pool = replace(pool, opening=pool.opening + len(customers), opening_for=opening_for)
     state = replace(
         state,
-        next_conn=state.next_conn + count,
+        next_conn=state.next_conn + len(customers),
         conn_endpoints=conn_endpoints,
-        pools=state.pools.set(endpoint, pool),
-    )
-    effects = tuple(
-        OpenConnection(conn, endpoint, announced.host, announced.port) for conn in conns
+        pools=state.pools.set(announced.name, pool),
     )
     return Step(state, effects)
 
@@ -74,7 +102,7 @@
     if not _is_current(state, request, conn):
         step = close(state, conn, now)
         return step.then(_place.place(step.state, request, now))
-    if _holds_enough(state, request):
+    if request.is_stated or _holds_enough(state, request):
         return run_on(state, request, conn, now)
     step = put_back(state, conn, now)
     return step.then(_place.place(step.state, request, now))
@@ -85,6 +113,9 @@
     config = state.catalogue.group(request.group)
     pool = state.pools[request.endpoint]
     incarnation = pool.connections[conn].incarnation
+    if pool.dedicated:
+        endpoint = state.catalogue.endpoints.get(request.endpoint)
+        return endpoint is not None and str(endpoint.born) == incarnation
     if request.endpoint == config.primary:
         return _is_voter(config, request.endpoint, incarnation)
     instance = state.groups[request.group].instances.get(request.endpoint)
@@ -115,6 +146,9 @@
 ) -> Step[NodeState]:
     """Run a request on a connection, opening its transaction if need be."""
     session = state.sessions[request.caller]
+    refusal = _late_refusal(state, session, request, now)
+    if refusal is not None:
+        return _refuse_late(state, request, conn, refusal, now)
     endpoint = state.conn_endpoints[conn]
     begin = needs_begin(request, session)
     if begin:
@@ -127,7 +161,11 @@
         endpoint=endpoint,
         attempts=request.attempts + 1,
         sent_term=state.catalogue.group(request.group).term,
+        opens=begin or request.opens,
+        sent_at=now,
     )
+    if request.is_stated:
+        return _run_stated(state, request, session, begin)
     effect = RunStatement(
         req=request.req,
         conn=conn,
@@ -140,6 +178,55 @@
     return Step(_place.put_request(state, request), (effect,))
 
 
+def _late_refusal(
+    state: NodeState, session: Session, request: Request, now: float
+) -> Refusal | None:
+    """Check key and lease once more, as a statement leaves for its endpoint.
+
+    It may have waited, and this VM may have been suspended meanwhile.
+    """
+    if not request.is_stated or request.kind is StatementKind.ROLLBACK:
+        return None
+    return _admit.authorise(state, session, now)
+
+
+def _refuse_late(
+    state: NodeState, request: Request, conn: int, refusal: Refusal, now: float
+) -> Step[NodeState]:
+    if state.sessions[request.caller].conn:
+        return _recovery.lose_transaction(state, request, now, refusal.code.label)
+    step = put_back(state, conn, now)
+    return step.then(answer(step.state, request, refusal))
+
+
+def _run_stated(
+    state: NodeState, request: Request, session: Session, begin: bool
+) -> Step[NodeState]:
+    """Run a request with its session's settings brought to the connection."""
+    pool = state.pools[request.endpoint]
+    connection = pool.connections[request.conn]
+    setup = plan_setup(connection, session, request.prepared)
+    if setup:
+        connection = carry(connection, setup)
+        connections = pool.connections.set(request.conn, connection)
+        pool = replace(pool, connections=connections)
+        state = replace(state, pools=state.pools.set(request.endpoint, pool))
+    effect = RunStatement(
+        req=request.req,
+        conn=request.conn,
+        text=request.text,
+        begin=begin,
+        request_id=request.marks.request_id,
+        setup=setup,
+        read_only=begin and session.read_only and not request.at_primary,
+        wait_for=None if session.conn else request.need,
+        vouch=request.vouch,
+        prepared=request.prepared,
+        valid_until=state.fresh_until if session.key_id else 0.0,
+    )
+    return Step(_place.put_request(state, request), (effect,))
+
+
 def needs_begin(request: Request, session: Session) -> bool:
     """Whether this statement opens the session's transaction."""
     if request.kind not in (StatementKind.READ, StatementKind.WRITE):
--- a/lovagewalk/routing/_events.py
+++ b/lovagewalk/routing/_events.py
@@ -6,7 +6,7 @@
 from lovagewalk.core import Code, Event
 from lovagewalk.groups import Position
 
-from ._types import Marks, StatementKind
+from ._types import Detail, Marks, StatementKind
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +42,8 @@
         Number of the request on this daemon, never used twice.
     text : str
         Opaque to the decisions; without marks.
+    detail : SetValue or PrepareStatement or NamedStatement or None
+        What a statement about the session itself says.
     """
 
     req: int
@@ -49,6 +51,7 @@
     kind: StatementKind
     text: str
     marks: Marks
+    detail: Detail | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +74,8 @@
         Whether rows are still to come on the connection.
     in_transaction : bool
         Whether the endpoint says that a transaction is open.
+    sent_at : float
+        When the statement was sent, in monotonic seconds.
     """
 
     req: int
@@ -79,6 +84,7 @@
     insert_id: int = 0
     streaming: bool = False
     in_transaction: bool = False
+    sent_at: float = 0.0
 
 
 class Failure(Enum):
@@ -90,6 +96,9 @@
     DUPLICATE_ID = "duplicate id"
     ROLLED_BACK = "rolled back"
     ERROR = "error"
+    BUSY = "busy"
+    BEHIND = "behind"
+    UNKNOWN_NAME = "unknown prepared name"
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +111,8 @@
         MySQL error number of the endpoint; 0 for none.
     usable : bool
         Whether the connection may be used again.
+    in_transaction : bool
+        Whether the endpoint says that a transaction is open.
     """
 
     req: int
@@ -111,6 +122,7 @@
     detail: str = ""
     usable: bool = False
     position: Position | None = None
+    in_transaction: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from lovagewalk.core import Code, Refusal, Step, reduces, replace
-from lovagewalk.groups import ConfirmWaiter, is_confirmed, resolve
+from lovagewalk.groups import ConfirmWaiter, is_confirmed, note_proof, resolve
 from lovagewalk.node import NodeState
 from lovagewalk.sessions import Session, TransactionState
 
@@ -11,6 +11,7 @@
 from ._answer import MAX_RETRY_CREDIT, answer
 from ._effects import DropResult
 from ._events import Failure, StatementDone, StatementFailed, StreamEnded
+from ._recovery import note_heard, recover
 from ._state import Phase, Request
 from ._types import WRITES, StatementKind
 
@@ -24,6 +25,8 @@
     if request is None or request.conn != event.conn:
         step = _dispatch.close(state, event.conn, event.at)
         return Step(step.state, step.effects + (DropResult(event.req),))
+    if request.is_stated:
+        return _stated_done(state, request, event)
     if event.position is not None or event.insert_id:
         request = replace(request, position=event.position, insert_id=event.insert_id)
     if event.streaming:
@@ -35,6 +38,33 @@
     return step.then(_confirm(step.state, request, event.at))
 
 
+def _stated_done(
+    state: NodeState, request: Request, event: StatementDone
+) -> Step[NodeState]:
+    """Answer a request whose route states what reads must include."""
+    request = replace(request, position=event.position)
+    session = state.sessions[request.caller]
+    state = note_heard(state, request.endpoint, event.at)
+    if _proves_primary(request, session) and event.position is not None:
+        state = note_proof(
+            state, request.group, request.sent_term, request.sent_at, event.position
+        )
+    if request.kind is StatementKind.WRITE and session.conn:
+        session = replace(session, wrote=True)
+        state = replace(state, sessions=state.sessions.set(session.caller, session))
+    step = _settle_connection(state, request, event)
+    return step.then(answer(step.state, request))
+
+
+def _proves_primary(request: Request, session: Session) -> bool:
+    """Whether an answer shows that its endpoint led the term when it was asked."""
+    if request.vouch or request.kind is StatementKind.WRITE:
+        return True
+    if request.kind is StatementKind.COMMIT:
+        return session.wrote
+    return request.opens and request.at_primary
+
+
 def _settle_connection(
     state: NodeState, request: Request, event: StatementDone
 ) -> Step[NodeState]:
@@ -133,6 +163,8 @@
     request = state.requests.get(event.req)
     if request is None or request.conn != event.conn:
         return _dispatch.close(state, event.conn, event.at)
+    if request.is_stated:
+        return recover(state, request, event)
     session = state.sessions[request.caller]
     pinned = session.conn == event.conn
     step = _settle_failed_connection(state, session, event)
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from lovagewalk.catalogue import Endpoint, GroupConfig
+from lovagewalk.catalogue import Endpoint, GroupConfig, Management
 from lovagewalk.core import Effect, Step, replace
 from lovagewalk.groups import (
     AwaitPosition,
@@ -18,7 +18,8 @@
 from lovagewalk.pools import Pool, enqueue, take_idle
 from lovagewalk.sessions import Session, TransactionState
 
-from . import _dispatch
+from . import _dispatch, _recovery
+from ._consistency import choose_endpoint, plan_request
 from ._state import Phase, Request
 from ._types import StatementKind
 
@@ -40,6 +41,8 @@
     session = state.sessions[request.caller]
     if session.conn:
         return _dispatch.run_on(state, request, session.conn, now)
+    if request.is_stated:
+        return _place_stated(state, request, session, now)
     target = choose(state, request, session, now)
     request = replace(request, phase=target.phase, endpoint=target.endpoint)
     if target.phase is Phase.CONNECTION:
@@ -53,6 +56,28 @@
     return await_positions(state, request.group, now, False)
 
 
+def _place_stated(
+    state: NodeState, request: Request, session: Session, now: float
+) -> Step[NodeState]:
+    """Send a request on whose route states what reads must include."""
+    request = plan_request(state, request, session)
+    endpoint = choose_endpoint(state, request, now)
+    if not endpoint and not request.at_primary:
+        if not request.tried:
+            return _await_primary(state, request)
+        return _recovery.back_off(state, replace(request, tried=()), now)
+    if not endpoint:
+        return _await_primary(state, request)
+    request = replace(request, phase=Phase.CONNECTION, endpoint=endpoint)
+    return _queue(state, request, now)
+
+
+def _await_primary(state: NodeState, request: Request) -> Step[NodeState]:
+    """Let a request wait for a change of primary or of endpoints."""
+    request = replace(request, phase=Phase.PRIMARY, endpoint="")
+    return Step(put_request(state, request))
+
+
 def _queue(state: NodeState, request: Request, now: float) -> Step[NodeState]:
     """Run a request on an idle connection, or queue it for the next one."""
     pool = pool_of(state, request.endpoint)
@@ -78,8 +103,14 @@
     if pool is not None:
         return pool
     announced = state.catalogue.endpoints.get(endpoint)
+    group = state.catalogue.group(announced.group) if announced else None
+    dedicated = group is not None and group.management is Management.PROVIDER
     connections = announced.connections if announced else 1
-    return Pool(endpoint, limit=max(1, connections // state.me.fleet_size))
+    if dedicated:
+        connections = group.connections
+    daemons = state.entry_daemons or state.me.fleet_size
+    limit = max(1, connections // daemons)
+    return Pool(endpoint, limit=limit, dedicated=dedicated)
 
 
 def choose(state: NodeState, request: Request, session: Session, now: float) -> Target:
--- /dev/null
+++ b/lovagewalk/routing/_recovery.py
@@ -0,0 +1,268 @@
+"""What follows when a statement of a route with a stated consistency fails.
+
+An endpoint's word that nothing ran allows another try. A single write or a
+commit that may have reached the endpoint is never sent again.
+"""
+
+from collections.abc import Callable
+
+from lovagewalk.core import Code, Refusal, Step, replace
+from lovagewalk.groups import note_lacking, note_trouble
+from lovagewalk.node import NodeState
+from lovagewalk.sessions import Session, TransactionState
+
+from . import _dispatch, _place
+from ._answer import answer
+from ._events import Failure, StatementFailed
+from ._state import Phase, Request
+from ._types import StatementKind
+
+# A statement of the sheets holds a slot for 8 to 40 ms; a full endpoint is asked
+# again after about half of that.
+BUSY_BACKOFF_S = 0.015
+# Runs of one statement: every endpoint of a group of three twice over.
+MAX_RUNS = 6
+# Statements that were refused without a run, before the caller is told.
+MAX_REFUSED_RUNS = 60
+# A failed endpoint is asked last for as long as a failover takes to begin.
+SHUN_S = 0.5
+
+Handler = Callable[[NodeState, Request, StatementFailed], Step[NodeState]]
+_handlers: dict[Failure, Handler] = {}
+
+
+def recovers(*failures: Failure) -> Callable[[Handler], Handler]:
+    """Register the decorated function for some kinds of failure."""
+
+    def decorate(handler: Handler) -> Handler:
+        for failure in failures:
+            _handlers[failure] = handler
+        return handler
+
+    return decorate
+
+
+def recover(
+    state: NodeState, request: Request, event: StatementFailed
+) -> Step[NodeState]:
+    """Try a failed statement again where that is safe, or answer its caller."""
+    state = _note_endpoint(state, request, event)
+    session = state.sessions[request.caller]
+    if session.conn != event.conn:
+        step = _settle(state, event)
+        return step.then(_handle(step.state, request, event))
+    if event.usable and event.in_transaction:
+        return _stay(state, request, event)
+    step = _settle(state, event)
+    outcome = TransactionState.BEGUN if request.opens else TransactionState.LOST
+    if request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+        outcome = TransactionState.NONE
+    ended = replace(step.state.sessions[request.caller], conn=0, transaction=outcome)
+    state = replace(step.state, sessions=step.state.sessions.set(request.caller, ended))
+    step = Step(state, step.effects)
+    if request.opens:
+        request = replace(request, opens=False)
+        return step.then(_reopen(state, request, event))
+    return step.then(_lose(state, session, request, event))
+
+
+def _note_endpoint(
+    state: NodeState, request: Request, event: StatementFailed
+) -> NodeState:
+    """Remember what a failure says about its endpoint."""
+    if event.failure is Failure.LOST:
+        state = shun(state, request.endpoint, event.at)
+    elif event.failure is not Failure.NOT_SENT:
+        state = note_heard(state, request.endpoint, event.at)
+    config = state.catalogue.group(request.group)
+    is_primary = request.endpoint == config.primary
+    if is_primary and event.failure in (Failure.LOST, Failure.READ_ONLY):
+        state = note_trouble(state, request.group, event.at)
+    if event.failure is Failure.BEHIND and request.need is not None:
+        state = note_lacking(
+            state, request.group, request.endpoint, request.need, event.at
+        )
+    return state
+
+
+def note_heard(state: NodeState, endpoint: str, now: float) -> NodeState:
+    """Note that an endpoint has answered something."""
+    pool = state.pools.get(endpoint)
+    if pool is None:
+        return state
+    return replace(state, pools=state.pools.set(endpoint, replace(pool, heard_at=now)))
+
+
+def shun(state: NodeState, endpoint: str, now: float) -> NodeState:
+    """Prefer other endpoints for a while."""
+    pool = state.pools.get(endpoint)
+    if pool is None:
+        return state
+    pool = replace(pool, shunned_until=now + SHUN_S)
+    return replace(state, pools=state.pools.set(endpoint, pool))
+
+
+def _settle(state: NodeState, event: StatementFailed) -> Step[NodeState]:
+    """Put the connection back if it is clean, else close it."""
+    endpoint = state.conn_endpoints.get(event.conn, "")
+    if event.usable and not event.in_transaction:
+        step = _dispatch.put_back(state, event.conn, event.at)
+    else:
+        step = _dispatch.close(state, event.conn, event.at)
+    return step.then(_dispatch.dispatch(step.state, endpoint, event.at))
+
+
+def _stay(
+    state: NodeState, request: Request, event: StatementFailed
+) -> Step[NodeState]:
+    """Go on in a transaction that the endpoint has kept open."""
+    if event.failure is Failure.BUSY and _may_rerun(request, event.at):
+        return Step(_back_off(state, request, event.at))
+    if event.failure is Failure.ERROR and request.kind is not StatementKind.COMMIT:
+        refusal = Refusal(Code.ENDPOINT_ERROR, event.detail)
+        return answer(state, request, refusal)
+    return lose_transaction(state, request, event.at, event.failure.value)
+
+
+def lose_transaction(
+    state: NodeState, request: Request, now: float, detail: str
+) -> Step[NodeState]:
+    """Roll a transaction back by closing its connection, and say so."""
+    session = state.sessions[request.caller]
+    endpoint = state.conn_endpoints.get(session.conn, "")
+    step = _dispatch.close(state, session.conn, now)
+    ends = request.kind is StatementKind.COMMIT
+    outcome = TransactionState.NONE if ends else TransactionState.LOST
+    ended = replace(session, conn=0, transaction=outcome)
+    state = replace(step.state, sessions=step.state.sessions.set(ended.caller, ended))
+    step = Step(state, step.effects)
+    step = step.then(_dispatch.dispatch(state, endpoint, now))
+    refusal = Refusal(Code.TRANSACTION_LOST, detail)
+    return step.then(answer(step.state, request, refusal))
+
+
+def _lose(
+    state: NodeState, session: Session, request: Request, event: StatementFailed
+) -> Step[NodeState]:
+    """Answer a statement whose transaction is gone."""
+    if request.kind is StatementKind.ROLLBACK:
+        return answer(state, request)
+    unclear = event.failure in (Failure.LOST, Failure.ERROR)
+    if request.kind is StatementKind.COMMIT and session.wrote and unclear:
+        return answer(state, request, Refusal(Code.CONNECTION_LOST, "at commit"))
+    if event.failure is Failure.ERROR:
+        return answer(state, request, Refusal(Code.ENDPOINT_ERROR, event.detail))
+    return answer(state, request, Refusal(Code.TRANSACTION_LOST, event.failure.value))
+
+
+def _reopen(
+    state: NodeState, request: Request, event: StatementFailed
+) -> Step[NodeState]:
+    """Open the transaction anew; what its first statement did is rolled back."""
+    if event.failure is Failure.LOST:
+        return _elsewhere(state, request, event)
+    return _handle(state, request, event)
+
+
+def _handle(
+    state: NodeState, request: Request, event: StatementFailed
+) -> Step[NodeState]:
+    return _handlers[event.failure](state, request, event)
+
+
+def _may_rerun(request: Request, now: float) -> bool:
+    return request.attempts < MAX_REFUSED_RUNS and now < request.deadline
+
+
+def _back_off(state: NodeState, request: Request, now: float) -> NodeState:
+    waiting = replace(
+        request, phase=Phase.BACKOFF, retry_at=now + BUSY_BACKOFF_S, tried=()
+    )
+    return _place.put_request(state, waiting)
+
+
+def place_again(state: NodeState, request: Request, now: float) -> Step[NodeState]:
+    """Send a request that has not run to where it can run now."""
+    if not _may_rerun(request, now):
+        return answer(state, request, Refusal(Code.OVERLOADED))
+    moved = replace(request, phase=Phase.CONNECTION, conn=0)
+    return _place.place(_place.put_request(state, moved), moved, now)
+
+
+def back_off(state: NodeState, request: Request, now: float) -> Step[NodeState]:
+    """Let a request that has not run wait for a moment."""
+    if not _may_rerun(request, now):
+        return answer(state, request, Refusal(Code.OVERLOADED))
+    return Step(_back_off(state, replace(request, conn=0), now))
+
+
+def note_tried(request: Request) -> Request:
+    """Return a request that goes to other endpoints first."""
+    return replace(request, tried=request.tried + (request.endpoint,))
+
+
+@recovers(Failure.BUSY)
+def _busy(
+    state: NodeState, request: Request, event: StatementFailed
+) -> Step[NodeState]:
+    if request.at_primary:
+        return back_off(state, request, event.at)
+    return place_again(state, note_tried(request), event.at)
+
+
+@recovers(Failure.BEHIND)
+def _behind(
+    state: NodeState, request: Request, event: StatementFailed
+) -> Step[NodeState]:
+    return place_again(state, note_tried(request), event.at)
+
+
+@recovers(Failure.READ_ONLY)
+def _read_only(
+    state: NodeState, request: Request, event: StatementFailed
+) -> Step[NodeState]:
+    refused = replace(request, refused_term=request.sent_term)
+    return place_again(state, refused, event.at)
+
+
+@recovers(Failure.NOT_SENT, Failure.UNKNOWN_NAME)
+def _not_run(
+    state: NodeState, request: Request, event: StatementFailed
+) -> Step[NodeState]:
+    return place_again(state, request, event.at)
+
+
+@recovers(Failure.LOST)
+def _lost(
+    state: NodeState, request: Request, event: StatementFailed
+) -> Step[NodeState]:
+    if not request.reads:
+        return answer(state, request, Refusal(Code.CONNECTION_LOST))
+    return _elsewhere(state, request, event)
+
+
+@recovers(Failure.ERROR)
+def _error(
+    state: NodeState, request: Request, event: StatementFailed
+) -> Step[NodeState]:
+    if request.reads and request.attempts < MAX_RUNS:
+        return _elsewhere(state, request, event)
+    return answer(state, request, Refusal(Code.ENDPOINT_ERROR, event.detail))
+
+
+@recovers(Failure.ROLLED_BACK, Failure.DUPLICATE_ID)
+def _unexpected(
+    state: NodeState, request: Request, event: StatementFailed
+) -> Step[NodeState]:
+    return answer(state, request, Refusal(Code.ENDPOINT_ERROR, event.failure.value))
+
+
+def _elsewhere(
+    state: NodeState, request: Request, event: StatementFailed
+) -> Step[NodeState]:
+    """Run again what left nothing behind."""
+    if request.attempts >= MAX_RUNS:
+        return answer(state, request, Refusal(Code.NO_ENDPOINT, "attempts used up"))
+    if request.at_primary:
+        return back_off(state, request, event.at)
+    return place_again(state, note_tried(request), event.at)
--- /dev/null
+++ b/lovagewalk/routing/_settings.py
@@ -0,0 +1,47 @@
+"""Session values and prepared statements on connections that sessions share."""
+
+from lovagewalk.core import replace
+from lovagewalk.pools import PoolConnection
+from lovagewalk.sessions import PreparedShape, Session
+
+from ._effects import DiscardSettings, PrepareShape, SetupStep
+from ._types import SetValue
+
+
+def plan_setup(
+    connection: PoolConnection, session: Session, prepared: PreparedShape | None
+) -> tuple[SetupStep, ...]:
+    """Return what makes a connection carry a session's settings.
+
+    Prepared statements are named by content, so those of other sessions do no
+    harm. A value that the session has not set does: it has to be discarded.
+    """
+    held_values, held_shapes = connection.values, connection.prepared
+    steps: tuple[SetupStep, ...] = ()
+    if any(name not in session.values for name in held_values):
+        steps = (DiscardSettings(),)
+        held_values, held_shapes = {}, {}
+    for name, value in session.values.items():
+        if held_values.get(name) != value:
+            steps += (SetValue(name, value),)
+    if prepared is not None and prepared.name not in held_shapes:
+        steps += (PrepareShape(prepared),)
+    return steps
+
+
+def carry(connection: PoolConnection, steps: tuple[SetupStep, ...]) -> PoolConnection:
+    """Return a connection as it is after some steps."""
+    for step in steps:
+        if isinstance(step, DiscardSettings):
+            connection = replace(
+                connection,
+                values=type(connection.values)(),
+                prepared=type(connection.prepared)(),
+            )
+        elif isinstance(step, SetValue):
+            values = connection.values.set(step.name, step.value)
+            connection = replace(connection, values=values)
+        else:
+            prepared = connection.prepared.set(step.shape.name, step.shape)
+            connection = replace(connection, prepared=prepared)
+    return connection
--- a/lovagewalk/routing/_state.py
+++ b/lovagewalk/routing/_state.py
@@ -3,8 +3,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from lovagewalk.catalogue import Consistency, RouteEntry
 from lovagewalk.core import Refusal
 from lovagewalk.groups import Position
+from lovagewalk.sessions import PreparedShape
 
 from ._types import Marks, StatementKind
 
@@ -19,6 +21,7 @@
     RUNNING = "running"
     STREAMING = "streaming"
     CONFIRMING = "confirming"
+    BACKOFF = "backoff"
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +51,24 @@
         Position to confirm before the caller is answered.
     insert_id : int
         Row id that the endpoint gave an inserted row.
+    route : RouteEntry or None
+        The route's entry as of the operation's start.
+    prepared : PreparedShape or None
+        What it executes.
+    tried : tuple of str
+        Endpoints that could not serve it so far.
+    need : Position or None
+        What the log that it reads must hold.
+    vouch : bool
+        Whether the primary has to prove its role.
+    at_primary : bool
+        Whether only the primary will do.
+    opens : bool
+        Whether it opens the session's transaction.
+    retry_at : float
+        When a request in backoff is tried again.
+    sent_at : float
+        When it was last sent.
     """
 
     req: int
@@ -69,3 +90,24 @@
     verdict: Refusal | None = None
     position: Position | None = None
     insert_id: int = 0
+    route: RouteEntry | None = None
+    prepared: PreparedShape | None = None
+    tried: tuple[str, ...] = ()
+    need: Position | None = None
+    vouch: bool = False
+    at_primary: bool = False
+    opens: bool = False
+    retry_at: float = 0.0
+    sent_at: float = 0.0
+
+    @property
+    def is_stated(self) -> bool:
+        """Whether the route itself states what reads must include."""
+        return (
+            self.route is not None and self.route.consistency is not Consistency.SESSION
+        )
+
+    @property
+    def reads(self) -> bool:
+        """Whether it reads only."""
+        return self.kind is StatementKind.READ
