--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -4,15 +4,26 @@
 
 from lovagewalk.core import Code, Event, Refusal, Step, every, reduces, replace
 from lovagewalk.node import NodeState
+from lovagewalk.sessions import TransactionState
 from lovagewalk.shares import take
 
-from . import _callers, _dispatch, _outcome, _place
+from . import _admit, _callers, _dispatch, _outcome, _place, _recovery
 from ._admit import TOKEN_WAIT_S
 from ._answer import answer
 from ._state import Phase, Request
+from ._types import StatementKind
 
 SWEEP_PERIOD_S = 0.02
 RUNNING_LIMIT_S = 60.0
+# Twice the longest undisturbed statement of the sheets.
+SILENT_S = 0.6
+# The longest statement timeout that the sheets state for transactions.
+IDLE_MARGIN_S = 1.0
+_EXPIRED = {
+    Phase.CONNECTION: Code.OVERLOADED,
+    Phase.PRIMARY: Code.NO_ENDPOINT,
+    Phase.CONFIRMING: Code.UNCONFIRMED,
+}
 
 
 @every(SWEEP_PERIOD_S)
@@ -32,6 +43,25 @@
     for endpoint, pool in step.state.pools.items():
         if pool.waiting:
             step = step.then(_dispatch.dispatch(step.state, endpoint, event.at))
+    if _admit.is_closed(step.state, event.at) and step.state.me.drain_s:
+        step = step.then(_callers.close_idle(step.state, event.at))
+    return step.then(_end_idle_transactions(step.state, event.at))
+
+
+def _end_idle_transactions(state: NodeState, now: float) -> Step[NodeState]:
+    """Roll back transactions that their callers have left alone too long.
+
+    The time is counted from the last statement's arrival, so the time that a
+    statement may take is added.
+    """
+    limit_s = state.catalogue.idle_transaction_s
+    step = Step(state)
+    if not limit_s:
+        return step
+    for session in state.sessions.values():
+        left = now - session.idle_since >= limit_s + IDLE_MARGIN_S
+        if session.conn and not session.req and left:
+            step = step.then(_callers.end_idle(step.state, session, now))
     return step
 
 
@@ -59,7 +89,7 @@
         step = Step(state, step.effects)
         request = state.requests.get(req)
         if request is not None:
-            step = step.then(_place.place(state, request, now))
+            step = step.then(_admit.proceed(state, request, now))
 
 
 def _sweep_request(state: NodeState, request: Request, now: float) -> Step[NodeState]:
@@ -70,9 +100,11 @@
     if request.phase is Phase.REPLICA and waited >= _place.AWAIT_REPLICA_S:
         moved = replace(request, phase=Phase.CONNECTION)
         return _place.place(_place.put_request(state, moved), moved, now)
-    if request.phase is Phase.TOKENS and waited >= TOKEN_WAIT_S:
+    if request.phase is Phase.TOKENS and waited >= _admit.token_wait_s(request):
         refusal = Refusal(Code.RATE_EXCEEDED, retry_after_s=TOKEN_WAIT_S)
         return answer(_callers.unqueue(state, request), request, refusal)
+    if request.is_stated:
+        return _sweep_stated(state, request, now)
     if request.phase is Phase.RUNNING and waited >= RUNNING_LIMIT_S:
         return _stop_running(state, request, now)
     if now < request.deadline:
@@ -80,6 +112,52 @@
     return _expire(state, request)
 
 
+def _sweep_stated(state: NodeState, request: Request, now: float) -> Step[NodeState]:
+    if now >= request.deadline:
+        return _expire_stated(state, request, now)
+    if request.phase is Phase.BACKOFF and now >= request.retry_at:
+        moved = replace(request, phase=Phase.CONNECTION)
+        return _place.place(_place.put_request(state, moved), moved, now)
+    if request.phase is Phase.RUNNING and _is_silent(state, request, now):
+        event = _outcome.StatementFailed(
+            now, request.req, request.conn, _outcome.Failure.LOST, detail="silent"
+        )
+        return _outcome.handle_failure(state, event)
+    return Step(state)
+
+
+def _is_silent(state: NodeState, request: Request, now: float) -> bool:
+    """Whether a read runs where nothing has been heard since it was sent."""
+    if not request.reads or request.at_primary:
+        return False
+    pool = state.pools.get(request.endpoint)
+    heard_at = pool.heard_at if pool else 0.0
+    return heard_at <= request.sent_at and now - request.sent_at >= SILENT_S
+
+
+def _expire_stated(state: NodeState, request: Request, now: float) -> Step[NodeState]:
+    """Give a statement its final answer at the end of its route's time."""
+    session = state.sessions[request.caller]
+    running = request.phase is Phase.RUNNING
+    unclear = running and request.kind is StatementKind.WRITE and not session.conn
+    if running and request.kind is StatementKind.COMMIT and session.wrote:
+        unclear = True
+    if session.conn and not unclear:
+        return _recovery.lose_transaction(state, request, now, "time limit")
+    code = Code.TIMED_OUT if unclear else _EXPIRED.get(request.phase, Code.OVERLOADED)
+    if not running:
+        unqueued = _callers.unqueue(state, request)
+        return answer(unqueued, request, Refusal(code))
+    endpoint = request.endpoint
+    step = _dispatch.close(_recovery.shun(state, endpoint, now), request.conn, now)
+    if session.conn:
+        ended = replace(session, conn=0, transaction=TransactionState.NONE)
+        sessions = step.state.sessions.set(session.caller, ended)
+        step = Step(replace(step.state, sessions=sessions), step.effects)
+    step = step.then(answer(step.state, request, Refusal(code)))
+    return step.then(_dispatch.dispatch(step.state, endpoint, now))
+
+
 def _stop_running(state: NodeState, request: Request, now: float) -> Step[NodeState]:
     event = _outcome.StatementFailed(
         now, request.req, request.conn, _outcome.Failure.LOST, detail="time limit"
@@ -89,12 +167,7 @@
 
 
 def _expire(state: NodeState, request: Request) -> Step[NodeState]:
-    codes = {
-        Phase.CONNECTION: Code.OVERLOADED,
-        Phase.PRIMARY: Code.NO_ENDPOINT,
-        Phase.CONFIRMING: Code.UNCONFIRMED,
-    }
-    code = codes.get(request.phase)
+    code = _EXPIRED.get(request.phase)
     if code is None:
         return Step(state)
     if request.maybe_ran:
@@ -116,3 +189,21 @@
         step = Step(moved, step.effects)
         step = step.then(_place.place(step.state, request, now))
     return step
+
+
+def move_waiting(state: NodeState, endpoint: str, now: float) -> Step[NodeState]:
+    """Send requests that wait for an endpoint elsewhere, if they may go."""
+    step = Step(state)
+    for request in state.requests.values():
+        if request.phase is not Phase.CONNECTION or request.endpoint != endpoint:
+            continue
+        if not request.is_stated or request.req not in step.state.requests:
+            continue
+        moved = _callers.unqueue(step.state, request)
+        step = Step(moved, step.effects)
+        if request.at_primary:
+            step = step.then(_recovery.back_off(step.state, request, now))
+            continue
+        request = _recovery.note_tried(request)
+        step = step.then(_recovery.place_again(step.state, request, now))
+    return step
--- a/lovagewalk/routing/_types.py
+++ b/lovagewalk/routing/_types.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from lovagewalk.sessions import PreparedShape
+
 
 class StatementKind(Enum):
     """What a statement does, as far as routing is concerned.
@@ -22,6 +24,11 @@
     TOKEN = "token"
     LAST_INSERT_ID = "last insert id"
     NOTHING = "nothing"
+    BEGIN_READ = "begin read"
+    EXECUTE = "execute"
+    SET_VALUE = "set value"
+    PREPARE = "prepare"
+    DEALLOCATE = "deallocate"
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,5 +57,31 @@
     idempotent: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class SetValue:
+    """A session value that the caller sets."""
+
+    name: str
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class PrepareStatement:
+    """A statement that the caller prepares under a name of its own."""
+
+    name: str
+    shape: PreparedShape
+
+
+@dataclass(frozen=True, slots=True)
+class NamedStatement:
+    """The prepared statement that the caller executes or drops."""
+
+    name: str
+
+
+Detail = SetValue | PrepareStatement | NamedStatement
+
 NO_MARKS = Marks()
 WRITES = frozenset((StatementKind.WRITE, StatementKind.DEFINITION))
+BEGINS = frozenset((StatementKind.BEGIN, StatementKind.BEGIN_READ))
--- a/lovagewalk/routing/tests/fake_group.py
+++ b/lovagewalk/routing/tests/fake_group.py
@@ -223,7 +223,9 @@
             return
         self.conns[effect.conn] = (effect.endpoint, instance.incarnation)
         self.feed(
-            ConnectionOpened(self.now, effect.conn, effect.endpoint, instance.status())
+            ConnectionOpened(
+                self.now, effect.conn, effect.endpoint, str(instance.incarnation)
+            )
         )
 
     def _poll(self, effect, lost):
--- /dev/null
+++ b/lovagewalk/runtime/_decisions.py
@@ -0,0 +1,84 @@
+"""Log lines for decisions on requests, and for changed beliefs."""
+
+import logging
+from zlib import crc32
+
+from lovagewalk.core import performs
+from lovagewalk.node import NodeState, NoteBelief
+from lovagewalk.pools import OpenConnection, Refused
+from lovagewalk.routing import AnswerCaller, CloseCaller
+
+from ._ports import Ports
+
+# One answered request in so many is logged; the same ones on every VM.
+SAMPLE_EVERY = 64
+
+log = logging.getLogger("lovagewalk.decisions")
+
+
+class Decisions:
+    """Writes a line for each decision that is worth one.
+
+    No line holds a key, a token or the text of a statement.
+    """
+
+    def __init__(self, ports: Ports) -> None:
+        self._ports = ports
+
+    @property
+    def _state(self) -> NodeState:
+        return self._ports.state
+
+    def note_answer(self, effect: AnswerCaller, elapsed_s: float) -> None:
+        """Log an answer: each refusal, and a sample of the rest."""
+        trace = effect.trace
+        sampled = crc32(trace.request_id.encode()) % SAMPLE_EVERY == 0
+        if effect.refusal is None and not sampled:
+            return
+        outcome, detail = "ok", ""
+        if effect.refusal is not None:
+            outcome, detail = effect.refusal.code.label, str(effect.refusal)
+        fields = {
+            "request": trace.request_id,
+            "customer": effect.customer,
+            "route": trace.route,
+            "kind": trace.kind.value,
+            "phase": trace.phase.value,
+            "endpoint": trace.endpoint,
+            "attempts": trace.attempts,
+            "elapsed_ms": round(elapsed_s * 1000, 1),
+            "term": trace.term,
+            "revision": trace.revision,
+            "version": self._state.catalogue.version,
+            "fresh_ms": round((self._state.fresh_until - self._ports.now()) * 1000),
+            "outcome": outcome,
+            "detail": detail,
+        }
+        log.info("request answered", extra=fields)
+
+    def note_close(self, effect: CloseCaller) -> None:
+        """Log that a caller was turned away or closed."""
+        fields = {
+            "caller": effect.caller,
+            "outcome": effect.refusal.code.label,
+            "revision": self._state.catalogue.revision,
+        }
+        log.info("caller closed", extra=fields)
+
+    def note_refused_connection(
+        self, effect: OpenConnection, reason: Refused, detail: str
+    ) -> None:
+        """Log that an endpoint could not be connected to."""
+        fields = {
+            "endpoint": effect.endpoint,
+            "group": effect.group,
+            "outcome": reason.value,
+            "detail": detail,
+        }
+        log.info("endpoint refused a connection", extra=fields)
+
+
+@performs(NoteBelief)
+def _note_belief(ports: Ports, effect: NoteBelief) -> None:
+    part = logging.getLogger(f"lovagewalk.{effect.part}")
+    part.info(effect.belief, extra=dict(effect.inputs))
--- /dev/null
+++ b/lovagewalk/runtime/_logs.py
@@ -0,0 +1,115 @@
+"""Structured logs on standard output: bounded, and never waited for.
+
+A line that does not fit the budget or the buffer is dropped; how many were is
+said with the next line that goes out.
+"""
+
+import json
+import logging
+import os
+import sys
+import time
+
+# Lines a second and at once: a request in ten of an entry daemon's share of the
+# load may be refused and still be logged.
+LINES_PER_S = 40.0
+BURST_LINES = 200.0
+MAX_BUFFERED_BYTES = 256 * 1024
+_STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+
+
+class JsonFormatter(logging.Formatter):
+    """Writes one JSON object a line, with the extra fields of the record."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of a record."""
+        fields = {
+            "time": self.formatTime(record),
+            "level": record.levelname,
+            "part": record.name.removeprefix("lovagewalk."),
+            "message": record.getMessage(),
+        }
+        for name, value in vars(record).items():
+            if name not in _STANDARD:
+                fields[name] = value
+        if record.exc_info:
+            fields["error"] = self.formatException(record.exc_info)
+        return json.dumps(fields, default=str)
+
+
+class BoundedHandler(logging.Handler):
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Parameters
+    ----------
+    descriptor : int
+        Made non-blocking.
+    lines_per_s, burst : float
+        Budget of lines.
+    """
+
+    def __init__(
+        self,
+        descriptor: int,
+        lines_per_s: float = LINES_PER_S,
+        burst: float = BURST_LINES,
+    ) -> None:
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._lines_per_s = lines_per_s
+        self._burst = burst
+        self._budget = burst
+        self._refilled_at = time.monotonic()
+        self._buffer = b""
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record, or drop it."""
+        if not self._has_budget(record):
+            self.dropped += 1
+            return
+        if self.dropped:
+            record.dropped_before = self.dropped
+        line = (self.format(record) + "\n").encode()
+        if len(self._buffer) + len(line) > MAX_BUFFERED_BYTES:
+            self.dropped += 1
+            return
+        self.dropped = 0
+        self._buffer += line
+        self.flush()
+
+    def _has_budget(self, record: logging.LogRecord) -> bool:
+        """Take a line off the budget; errors are written in any case."""
+        now = time.monotonic()
+        gained = (now - self._refilled_at) * self._lines_per_s
+        self._refilled_at = now
+        self._budget = min(self._burst, self._budget + gained)
+        if self._budget < 1 and record.levelno < logging.ERROR:
+            return False
+        self._budget = max(self._budget - 1, 0.0)
+        return True
+
+    def flush(self) -> None:
+        """Write as much of the buffer as the reader takes."""
+        while self._buffer:
+            try:
+                written = os.write(self._descriptor, self._buffer)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more, so there is nobody to tell.
+                self._buffer = b""
+                return
+            self._buffer = self._buffer[written:]
+
+
+def set_up_structured_logs(level: str) -> BoundedHandler:
+    """Send this project's logs to standard output as JSON lines."""
+    handler = BoundedHandler(sys.stdout.fileno())
+    handler.setFormatter(JsonFormatter())
+    root = logging.getLogger("lovagewalk")
+    root.setLevel(level)
+    root.handlers = [handler]
+    root.propagate = False
+    return handler
--- a/lovagewalk/runtime/_metrics.py
+++ b/lovagewalk/runtime/_metrics.py
@@ -6,6 +6,7 @@
 from aioprometheus import Gauge, Histogram, Registry
 
 from lovagewalk.core import Refusal
+from lovagewalk.node import NodeState
 
 BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0)
 
@@ -17,6 +18,7 @@
         self.registry = Registry()
         self._answers: Counter[tuple[str, str]] = Counter()
         self._runs: Counter[str] = Counter()
+        self._openings: Counter[str] = Counter()
         self.statements = aioprometheus.Counter(
             "lovagewalk_statements_total",
             "Answered statements by customer and code.",
@@ -27,6 +29,31 @@
             "Statements sent to endpoints by endpoint.",
             registry=self.registry,
         )
+        self.openings = aioprometheus.Counter(
+            "lovagewalk_endpoint_connections_total",
+            "Connections opened to endpoints by endpoint.",
+            registry=self.registry,
+        )
+        self.pool_connections = Gauge(
+            "lovagewalk_pool_connections",
+            "Connections open by endpoint.",
+            registry=self.registry,
+        )
+        self.pool_waiting = Gauge(
+            "lovagewalk_pool_waiting",
+            "Requests waiting for a connection by endpoint.",
+            registry=self.registry,
+        )
+        self.sample_age = Gauge(
+            "lovagewalk_group_sample_age_seconds",
+            "Age of the last proof of a primary by group.",
+            registry=self.registry,
+        )
+        self.leads = Gauge(
+            "lovagewalk_control_leads",
+            "Whether this daemon leads control.",
+            registry=self.registry,
+        )
         self.latency = Histogram(
             "lovagewalk_statement_seconds",
             "Time from a statement's arrival to its answer by customer.",
@@ -59,6 +86,10 @@
             registry=self.registry,
         )
 
+    def note_opening(self, endpoint: str) -> None:
+        """Count a connection that is opened to an endpoint."""
+        self._openings[endpoint] += 1
+
     def note_answer(
         self, customer: str, refusal: Refusal | None, elapsed_s: float
     ) -> None:
@@ -79,6 +110,26 @@
             self.statements.set({"customer": customer, "code": code}, count)
         for endpoint, count in self._runs.items():
             self.reads.set({"endpoint": endpoint}, count)
+        for endpoint, count in self._openings.items():
+            self.openings.set({"endpoint": endpoint}, count)
+
+    def collect_state(self, state: NodeState, now: float, sent_bytes: int) -> None:
+        """Write what the state says into the registry, before it is read."""
+        self.collect()
+        self.revision.set({}, state.catalogue.revision)
+        self.fresh_seconds.set({}, max(state.fresh_until - now, 0.0))
+        self.peer_bytes.set({}, sent_bytes)
+        raft = state.consensus
+        self.leads.set({}, int(raft is not None and raft.is_leader))
+        for name, config in state.catalogue.groups.items():
+            self.group_term.set({"group": name}, config.term)
+        for name, view in state.groups.items():
+            if view.samples:
+                age_s = now - view.samples[-1].sent_at
+                self.sample_age.set({"group": name}, age_s)
+        for name, pool in state.pools.items():
+            self.pool_connections.set({"endpoint": name}, len(pool.connections))
+            self.pool_waiting.set({"endpoint": name}, pool.waiting)
 
     def note_region_bytes(self, route: str, count: int) -> None:
         """Count bytes that crossed between regions."""
--- a/lovagewalk/runtime/_peers.py
+++ b/lovagewalk/runtime/_peers.py
@@ -9,7 +9,7 @@
 import logging
 import secrets
 import struct
-from collections.abc import Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 from hashlib import sha256
 from typing import Any
@@ -23,6 +23,7 @@
 
 from ._network import Network
 from ._ports import Ports
+from ._sockets import limit_silence
 
 HANDSHAKE_LIMIT_S = 3.0
 MAX_HELLO_BYTES = 1024
@@ -30,6 +31,8 @@
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 MAX_QUEUED_MESSAGES = 256
 REDIAL_DELAY_S = 0.1
+# Shorter than the lease, so that a link that went dark is replaced within it.
+PEER_SILENT_S = 1.0
 _LENGTH = struct.Struct("<I")
 
 log = logging.getLogger("lovagewalk.peers")
@@ -94,8 +97,9 @@
 
     Parameters
     ----------
-    addresses : mapping
-        Control VMs by name, which are dialled when needed.
+    resolve : callable
+        Returns the address of a control VM, which is dialled when needed, or
+        None for other daemons, which dial themselves.
     """
 
     def __init__(
@@ -103,14 +107,14 @@
         ports: Ports,
         name: str,
         secret: bytes,
-        addresses: Mapping[str, PeerAddress],
-        network: Network,
+        resolve: Callable[[str], PeerAddress | None],
+        network: Network | None = None,
     ) -> None:
         self._ports = ports
         self._name = name
         self._secret = secret
-        self._addresses = addresses
-        self._network = network
+        self._resolve = resolve
+        self._network = network or Network()
         self._links: dict[str, Link] = {}
         self._dialling: dict[str, list[bytes]] = {}
         self._server: asyncio.Server | None = None
@@ -156,14 +160,14 @@
             link.send(payload)
             return
         queue = self._dialling.get(peer)
-        if queue is None and peer in self._addresses:
+        if queue is None and self._resolve(peer) is not None:
             queue = self._dialling[peer] = []
             self._ports.spawn(self._dial(peer))
         if queue is not None and len(queue) < MAX_QUEUED_MESSAGES:
             queue.append(payload)
 
     async def _dial(self, peer: str) -> None:
-        address = self._addresses[peer]
+        address = self._resolve(peer)
         try:
             async with asyncio.timeout(HANDSHAKE_LIMIT_S):
                 reader, writer = await asyncio.open_connection(
@@ -233,6 +237,7 @@
         return name
 
     def _adopt(self, name: str, writer: asyncio.StreamWriter) -> Link:
+        limit_silence(writer.get_extra_info("socket"), PEER_SILENT_S)
         link = Link(name, writer)
         self._links[name] = link
         return link
--- a/lovagewalk/runtime/_ports.py
+++ b/lovagewalk/runtime/_ports.py
@@ -22,8 +22,10 @@
     ----------
     results : dict
         Results of statements by request number, until their caller is answered.
-    endpoints, callers, peers, operators, journal, steering, audit
+    endpoints, callers, peers, operators, journal, steering, audit, provider
         Adapters; set by whoever builds the daemon.
+    decisions : Decisions
+        Writes decisions to the log.
     """
 
     def __init__(self, timer: TimerService) -> None:
@@ -37,6 +39,8 @@
         self.journal: Any = None
         self.steering: Any = None
         self.audit: Any = None
+        self.provider: Any = None
+        self.decisions: Any = None
         self.metrics = Metrics()
         self.numbers = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
--- a/lovagewalk/sessions/_state.py
+++ b/lovagewalk/sessions/_state.py
@@ -1,7 +1,10 @@
 """Callers' sessions."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
+from hashlib import sha256
+
+from immutables import Map
 
 from lovagewalk.groups import Position
 
@@ -15,6 +18,27 @@
     LOST = "lost"
 
 
+@dataclass(frozen=True, slots=True)
+class PreparedShape:
+    """A prepared statement, by content.
+
+    Attributes
+    ----------
+    writes : bool
+    shape : str
+        Opaque to the decisions.
+    """
+
+    writes: bool
+    shape: str
+
+    @property
+    def name(self) -> str:
+        """A name that every session with this content shares."""
+        content = f"{'w' if self.writes else 'r'} {self.shape}"
+        return f"s{sha256(content.encode()).hexdigest()[:16]}"
+
+
 @dataclass(frozen=True, slots=True)
 class Session:
     """One caller's connection.
@@ -36,6 +60,20 @@
         The request in progress; 0 for none.
     closing : bool
         Whether the caller is to be closed once no request is in progress.
+    values : Map of str to str
+        Values that the caller has set.
+    prepared : Map of str to PreparedShape
+        Statements that the caller has prepared, by its own names.
+    position_term : int
+        Term that was installed when `position` was learned.
+    read_only : bool
+        Whether the transaction was begun for reading only.
+    wrote : bool
+        Whether the transaction has run a write.
+    operation_at : float
+        When the operation in progress began, in monotonic seconds.
+    idle_since : float
+        When its last request was answered.
     """
 
     caller: int
@@ -50,3 +88,15 @@
     req: int = 0
     last_insert_id: int = 0
     closing: bool = False
+    values: Map = field(default_factory=Map)
+    prepared: Map = field(default_factory=Map)
+    position_term: int = 0
+    read_only: bool = False
+    wrote: bool = False
+    operation_at: float = 0.0
+    idle_since: float = 0.0
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self.transaction in (TransactionState.BEGUN, TransactionState.PINNED)
