Give daemons a surplus of connections, narrowed when an endpoint has too many

Cause: even parts of 21 connections over 7 daemons left none for the watch and none for uneven load; 326 openings were refused and 36 tries waited to their end. Ruled out: slots (busiest/mean 1.5, no statement refused for want of one).

--- a/lovagewalk/daemon/_changes.py
+++ b/lovagewalk/daemon/_changes.py
@@ -68,9 +68,10 @@
     """Return the state with each pool's limit as it should be now."""
     pools = state.pools
     for name, pool in state.pools.items():
-        limit = _place.pool_of(replace(state, pools=pools.delete(name)), name).limit
-        if pool.limit != limit:
-            pools = pools.set(name, replace(pool, limit=limit))
+        fresh = _place.pool_of(replace(state, pools=pools.delete(name)), name)
+        if (pool.limit, pool.fair_limit) != (fresh.limit, fresh.fair_limit):
+            resized = replace(pool, limit=fresh.limit, fair_limit=fresh.fair_limit)
+            pools = pools.set(name, resized)
     return replace(state, pools=pools)
 
 
--- a/lovagewalk/pools/__init__.py
+++ b/lovagewalk/pools/__init__.py
@@ -10,11 +10,13 @@
     discard,
     enqueue,
     grant,
+    narrow,
     open_failed,
     opened,
     plan_openings,
     release,
     remove_waiting,
+    surplus,
     take_idle,
 )
 from ._state import CustomerQueue, Pool, PoolConnection
@@ -36,10 +38,12 @@
     "discard",
     "enqueue",
     "grant",
+    "narrow",
     "open_failed",
     "opened",
     "plan_openings",
     "release",
     "remove_waiting",
+    "surplus",
     "take_idle",
 ]
--- a/lovagewalk/pools/_policy.py
+++ b/lovagewalk/pools/_policy.py
@@ -16,6 +16,11 @@
 MAX_WAITING = 2000
 OPEN_RETRY_S = 0.1
 SPARE_CONNECTIONS = 1
+# Two round trips to the other region, in which connections of others may close.
+TOO_MANY_RETRY_S = 0.03
+NARROWED_S = 1.0
+# A session's next statement comes within about this time, if at all.
+SURPLUS_IDLE_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,6 +204,32 @@
     return max(0, min(wanted, pool.limit - pool.size))
 
 
+def narrow(pool: Pool, now: float) -> Pool:
+    """Take an endpoint's word that it has too many connections.
+
+    For a while no more are held than now, so that idle ones make room.
+    """
+    return replace(
+        pool,
+        limit=max(1, min(pool.limit, pool.size)),
+        narrowed_until=now + NARROWED_S,
+        retry_at=now + TOO_MANY_RETRY_S,
+    )
+
+
+def surplus(pool: Pool, now: float) -> tuple[int, ...]:
+    """Return idle connections beyond the fair limit that nobody has used lately."""
+    count = len(pool.connections) - pool.fair_limit
+    if not pool.dedicated or count <= 0:
+        return ()
+    unused = [
+        conn
+        for conn in pool.idle
+        if now - pool.connections[conn].held_since >= SURPLUS_IDLE_S
+    ]
+    return tuple(unused[:count])
+
+
 @dataclass(frozen=True, slots=True)
 class Openings:
     """What a dedicated pool needs.
--- a/lovagewalk/pools/_state.py
+++ b/lovagewalk/pools/_state.py
@@ -82,6 +82,11 @@
         Until then other endpoints are preferred, in monotonic seconds.
     heard_at : float
         When the endpoint last answered anything.
+    fair_limit : int
+        This daemon's even part of the endpoint's connections. More may be held,
+        as long as the endpoint takes them and they are in use.
+    narrowed_until : float
+        Until then `limit` is narrowed, since the endpoint had too many.
     """
 
     endpoint: str
@@ -97,6 +102,8 @@
     opening_for: Map = field(default_factory=Map)
     shunned_until: float = 0.0
     heard_at: float = 0.0
+    fair_limit: int = 0
+    narrowed_until: float = 0.0
 
     @property
     def busy(self) -> int:
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -32,6 +32,8 @@
 TOKEN_WAIT_S = 1.0
 # Part of a route's objective: leaves the rest for the statement itself.
 TOKEN_WAIT_PART = 0.4
+# Requests that wait ahead; bounds the time that a caller is told to stay away.
+MAX_RETRY_TOKENS = 10
 
 KindHandler = Callable[[NodeState, Request, float], Step[NodeState]]
 _kinds: dict[StatementKind, KindHandler] = {}
@@ -317,14 +319,28 @@
 ) -> Step[NodeState]:
     if len(share.waiting) >= max_waiting(state, share):
         state = replace(state, shares=state.shares.set(request.customer, share))
-        refusal = Refusal(Code.RATE_EXCEEDED, retry_after_s=TOKEN_WAIT_S)
-        return answer(state, request, refusal)
+        return answer(state, request, rate_refusal(state, request))
     request = replace(request, phase=Phase.TOKENS)
     share = replace(share, waiting=share.waiting + (request.req,))
     state = replace(state, shares=state.shares.set(request.customer, share))
     return Step(_place.put_request(state, request))
 
 
+def rate_refusal(state: NodeState, request: Request) -> Refusal:
+    """Return the refusal of a request beyond its customer's rate.
+
+    A share gains its next token after the inverse of its rate.
+    """
+    share = state.shares.get(request.customer) or Share(request.customer)
+    entry = state.catalogue.customer(request.customer)
+    limit = entry.rate if entry else 0.0
+    detail = f"share {share.rate:.1f} of {limit:.1f} a second"
+    retry_after_s = TOKEN_WAIT_S
+    if share.rate > 0:
+        retry_after_s = min(len(share.waiting) + 1, MAX_RETRY_TOKENS) / share.rate
+    return Refusal(Code.RATE_EXCEEDED, detail, retry_after_s=retry_after_s)
+
+
 def max_waiting(state: NodeState, share: Share) -> float:
     """Return how many requests of a customer may wait for tokens here.
 
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -26,6 +26,10 @@
 AWAIT_REPLICA_S = 0.06
 AWAIT_AT_INSTANCE_S = 0.5
 AGE_MARGIN_S = 0.005
+# Held by the control leader on each primary.
+WATCH_CONNECTIONS = 1
+# The busiest daemon of the sheets' balancers has about so much more than the mean.
+UNEVEN_SHARE = 1.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,13 +108,22 @@
         return pool
     announced = state.catalogue.endpoints.get(endpoint)
     group = state.catalogue.group(announced.group) if announced else None
-    dedicated = group is not None and group.management is Management.PROVIDER
+    if group is not None and group.management is Management.PROVIDER:
+        return _dedicated_pool(state, endpoint, group)
     connections = announced.connections if announced else 1
-    if dedicated:
-        connections = group.connections
-    daemons = state.entry_daemons or state.me.fleet_size
-    limit = max(1, connections // daemons)
-    return Pool(endpoint, limit=limit, dedicated=dedicated)
+    return Pool(endpoint, limit=max(1, connections // state.me.fleet_size))
+
+
+def _dedicated_pool(state: NodeState, endpoint: str, group: GroupConfig) -> Pool:
+    """Return an empty pool whose connections are opened for one customer each.
+
+    Callers are spread unevenly, so a daemon may go beyond its even part.
+    """
+    daemons = max(state.entry_daemons, 1)
+    connections = max(group.connections - WATCH_CONNECTIONS, 1)
+    fair = max(1, connections // daemons)
+    limit = max(1, int(connections * UNEVEN_SHARE / daemons))
+    return Pool(endpoint, limit=limit, fair_limit=fair, dedicated=True)
 
 
 def choose(state: NodeState, request: Request, session: Session, now: float) -> Target:
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -4,11 +4,11 @@
 
 from lovagewalk.core import Code, Event, Refusal, Step, every, reduces, replace
 from lovagewalk.node import NodeState
+from lovagewalk.pools import Pool, surplus
 from lovagewalk.sessions import TransactionState
 from lovagewalk.shares import take
 
 from . import _admit, _callers, _dispatch, _outcome, _place, _recovery
-from ._admit import TOKEN_WAIT_S
 from ._answer import answer
 from ._state import Phase, Request
 from ._types import StatementKind
@@ -41,6 +41,7 @@
         if view.waiters:
             step = step.then(_place.await_positions(step.state, name, event.at, True))
     for endpoint, pool in step.state.pools.items():
+        step = step.then(_trim(step.state, endpoint, pool, event.at))
         if pool.waiting:
             step = step.then(_dispatch.dispatch(step.state, endpoint, event.at))
     if _admit.is_closed(step.state, event.at) and step.state.me.drain_s:
@@ -48,6 +49,19 @@
     return step.then(_end_idle_transactions(step.state, event.at))
 
 
+def _trim(state: NodeState, endpoint: str, pool: Pool, now: float) -> Step[NodeState]:
+    """Give back connections beyond the daemon's part; widen a narrowed pool."""
+    step = Step(state)
+    for conn in surplus(pool, now):
+        step = step.then(_dispatch.close(step.state, conn, now))
+    if not 0 < pool.narrowed_until <= now:
+        return step
+    fresh = _place.pool_of(replace(state, pools=state.pools.delete(endpoint)), endpoint)
+    pool = replace(step.state.pools[endpoint], limit=fresh.limit, narrowed_until=0.0)
+    state = replace(step.state, pools=step.state.pools.set(endpoint, pool))
+    return Step(state, step.effects)
+
+
 def _end_idle_transactions(state: NodeState, now: float) -> Step[NodeState]:
     """Roll back transactions that their callers have left alone too long.
 
@@ -101,7 +115,7 @@
         moved = replace(request, phase=Phase.CONNECTION)
         return _place.place(_place.put_request(state, moved), moved, now)
     if request.phase is Phase.TOKENS and waited >= _admit.token_wait_s(request):
-        refusal = Refusal(Code.RATE_EXCEEDED, retry_after_s=TOKEN_WAIT_S)
+        refusal = _admit.rate_refusal(state, request)
         return answer(_callers.unqueue(state, request), request, refusal)
     if request.is_stated:
         return _sweep_stated(state, request, now)
