--- a/lovagewalk/audit/_trail.py
+++ b/lovagewalk/audit/_trail.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import logging
 import os
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -15,6 +16,8 @@
 
 from lovagewalk.core import Code, LovageError
 
+log = logging.getLogger("lovagewalk.audit")
+
 FIRST_HASH = "0" * 64
 FILE_NAME = "audit"
 
@@ -132,35 +135,62 @@
 class AuditTrail:
     """The trail in a data folder; appends skip what is recorded already.
 
+    The file is synced before the log behind it is dropped, and not otherwise. A
+    loss of power may tear records that the log still holds; they are cut off
+    and come again from there.
+
+    Parameters
+    ----------
+    folder : Path
+    covered : int
+        Log index up to which the log has been dropped.
+
+    Raises
+    ------
+    LovageError
+        ``DISK_CORRUPT`` if a record is damaged that the log does not hold.
+
     Attributes
     ----------
     path : Path
         The file of the trail.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, covered: int = 0) -> None:
         self.path = folder / FILE_NAME
         self._before = FIRST_HASH
         self._last = 0
-        self._load()
+        if self.path.exists():
+            self._load(covered)
         self._file = open(self.path, "a")
 
-    def _load(self) -> None:
-        if not self.path.exists():
-            return
+    def _load(self, covered: int) -> None:
         kept = 0
         with open(self.path, "rb") as file:
             for raw in file:
-                if not raw.endswith(b"\n"):
+                if not self._take(raw):
                     break
-                try:
-                    record = parse_line(raw.decode())
-                except ValueError as exc:
-                    raise LovageError(Code.DISK_CORRUPT, "audit trail") from exc
-                self._before, self._last = record.digest, record.index
                 kept += len(raw)
+        torn = self.path.stat().st_size - kept
+        if not torn:
+            return
+        if self._last < covered:
+            raise LovageError(Code.DISK_CORRUPT, "audit trail")
+        log.warning("audit: cut off %d torn bytes", torn)
         os.truncate(self.path, kept)
 
+    def _take(self, raw: bytes) -> bool:
+        """Take a line as the next record, if it is whole and follows the last."""
+        try:
+            record = parse_line(raw.decode())
+        except ValueError:
+            return False
+        follows = record.before == self._before and record.index > self._last
+        if not raw.endswith(b"\n") or not follows:
+            return False
+        self._before, self._last = record.digest, record.index
+        return True
+
     def append(
         self, index: int, at: float, operator: str, kind: str, detail: Any, result: str
     ) -> None:
--- /dev/null
+++ b/lovagewalk/control/tests/control_fleet.py
@@ -0,0 +1,260 @@
+"""Control VMs' whole reducers over an in-memory link, with disks that remember."""
+
+from dataclasses import dataclass, field, replace
+
+from lovagewalk import catalogue as cat
+from lovagewalk.consensus import (
+    PersistEntries,
+    PersistSnapshot,
+    PersistVote,
+    PersistVoters,
+    SendPeer,
+)
+from lovagewalk.control import (
+    AnswerOperator,
+    ChangeRequested,
+    ConsensusTick,
+    ControlState,
+    ControlTick,
+    EndpointBeat,
+    FollowState,
+    InstancePromoted,
+    Ordered,
+    PeerMessage,
+    PromoteInstance,
+    RepairTick,
+)
+from lovagewalk.core import reduce
+from lovagewalk.daemon import install_catalogue
+from lovagewalk.groups import (
+    InstanceFailed,
+    InstanceSeen,
+    InstanceStatus,
+    PollInstance,
+    Role,
+)
+from lovagewalk.journal import StoredState
+from lovagewalk.node import Identity, NodeState
+
+STEP_S = 0.02
+REPAIR_EVERY = 12
+
+
+@dataclass
+class Disk:
+    """What survives a restart."""
+
+    name: str
+    stored: StoredState = None
+    entries: dict = field(default_factory=dict)
+
+    def __post_init__(self):
+        self.stored = StoredState(self.name)
+
+    def write(self, effect):
+        if isinstance(effect, PersistVote):
+            self.stored = replace(
+                self.stored, term=effect.term, voted_for=effect.voted_for
+            )
+        elif isinstance(effect, PersistVoters):
+            self.stored = replace(self.stored, founders=effect.voters)
+        elif isinstance(effect, PersistEntries):
+            first = effect.entries[0].index
+            self.entries = {i: e for i, e in self.entries.items() if i < first}
+            self.entries.update((entry.index, entry) for entry in effect.entries)
+        elif isinstance(effect, PersistSnapshot):
+            self.stored = replace(self.stored, snapshot=effect)
+            self.entries = {entry.index: entry for entry in effect.keep}
+
+    def load(self):
+        entries = tuple(self.entries[index] for index in sorted(self.entries))
+        return replace(self.stored, entries=entries)
+
+
+@dataclass
+class Database:
+    """One instance of a provider's group."""
+
+    name: str
+    group: str
+    role: Role = Role.REPLICA
+    term: int = 1
+    received: int = 100
+    up: bool = True
+
+
+class ControlFleet:
+    """Control VMs, the databases they watch, and the provider."""
+
+    def __init__(self, names, seeds):
+        self.now = 10.0
+        self.seeds = tuple(seeds)
+        self.boots = 0
+        self.disks = {}
+        self.states = {}
+        self.cut = set()
+        self.wire = []
+        self.answers = {}
+        self.numbers = 0
+        self.databases = {}
+        self.orders = []
+        self.provider_mute = False
+        self.promote_s = 1.0
+        self.due = []
+        self.followers = {}
+        for name in names:
+            self.disks[name] = Disk(f"disk-{name}")
+            self.start(name, may_found=True)
+
+    def start(self, name, may_found=False):
+        """Start a VM, or start it again from its disk."""
+        self.boots += 1
+        stored = self.disks[name].load()
+        peers = tuple(seed for seed in self.seeds if seed != name)
+        founders = self.seeds if may_found else ()
+        state = NodeState(
+            Identity(name, "z", "r", b"secret", control=True, entry=False),
+            consensus=stored.build_raft(name, peers, self.boots, founders),
+            control=ControlState(),
+            follow=FollowState(self.seeds, name, str(self.boots)),
+        )
+        self.states[name] = install_catalogue(state, stored.catalogue, self.now).state
+
+    def wipe(self, name):
+        """Let a VM lose its disk and start again with an empty one."""
+        self.boots += 1
+        self.disks[name] = Disk(f"disk-{name}-{self.boots}")
+        self.start(name)
+
+    def remove(self, name):
+        del self.states[name]
+
+    def add(self, name):
+        self.disks[name] = Disk(f"disk-{name}")
+        self.start(name)
+
+    def feed(self, name, event):
+        step = reduce(self.states[name], event)
+        self.states[name] = step.state
+        for effect in step.effects:
+            self._perform(name, effect)
+
+    def _perform(self, name, effect):
+        if isinstance(effect, SendPeer):
+            self.wire.append((name, effect.peer, effect.message))
+        elif isinstance(effect, PollInstance):
+            self._poll(name, effect)
+        elif isinstance(effect, PromoteInstance):
+            self._promote(name, effect)
+        elif isinstance(effect, AnswerOperator):
+            self.answers[effect.ticket] = effect.result
+        else:
+            self.disks[name].write(effect)
+
+    def _poll(self, name, effect):
+        database = self.databases.get(effect.endpoint)
+        if database is None or not database.up:
+            event = InstanceFailed(self.now, effect.endpoint, False, False)
+        else:
+            status = InstanceStatus(
+                "born", database.role, database.term, database.received, 1
+            )
+            event = InstanceSeen(self.now, effect.endpoint, status, self.now, False)
+        self.feed(name, event)
+
+    def _promote(self, name, effect):
+        self.orders.append(effect)
+        if self.provider_mute:
+            return
+        self.due.append((self.now + self.promote_s, effect.endpoint))
+        self.feed(
+            name,
+            InstancePromoted(
+                self.now, effect.group, effect.endpoint, effect.fence, Ordered.ACCEPTED
+            ),
+        )
+
+    def lead(self, name):
+        """Make a database the primary of the next term, as the provider does."""
+        chosen = self.databases[name]
+        group = [d for d in self.databases.values() if d.group == chosen.group]
+        term = max(database.term for database in group) + 1
+        for database in group:
+            database.role, database.term = Role.REPLICA, term
+        chosen.role = Role.PRIMARY
+
+    def run(self, seconds):
+        """Let time pass with every message delivered in order."""
+        end = self.now + seconds
+        rounds = 0
+        while self.now < end:
+            self.now += STEP_S
+            rounds += 1
+            for at, name in [item for item in self.due if item[0] <= self.now]:
+                self.due.remove((at, name))
+                self.lead(name)
+            for name in list(self.states):
+                self.feed(name, ConsensusTick(self.now))
+                self.feed(name, ControlTick(self.now))
+                if rounds % REPAIR_EVERY == 0:
+                    self.feed(name, RepairTick(self.now))
+            self._deliver()
+
+    def _deliver(self):
+        while self.wire:
+            source, target, message = self.wire.pop(0)
+            separated = (source in self.cut) != (target in self.cut)
+            if target in self.states and source in self.states and not separated:
+                self.feed(target, PeerMessage(self.now, source, message))
+
+    def leader(self):
+        found = [
+            state
+            for name, state in self.states.items()
+            if state.consensus.is_leader and name not in self.cut
+        ]
+        return max(found, key=lambda s: s.consensus.term, default=None)
+
+    def voters(self):
+        return {voter.name for voter in self.leader().consensus.voters}
+
+    def change(self, command, name=""):
+        """Propose a change at a VM, by default the leader, and return its ticket."""
+        self.numbers += 1
+        proposal = cat.Proposal("", "op", 0.0, command)
+        event = ChangeRequested(self.now, self.numbers, proposal)
+        self.feed(name or self.leader().me.name, event)
+        return self.numbers
+
+    def beat(self, name, group, sequence=1, leaving=False, up=True):
+        """Let a database announce itself, at the leader."""
+        self.databases.setdefault(name, Database(name, group)).up = up
+        port = 1000 + sum(name.encode())
+        endpoint = cat.Endpoint(
+            name, group, "host", port, "z", "r", 0, leaving, sequence, 5
+        )
+        self.numbers += 1
+        event = EndpointBeat(self.now, self.numbers, endpoint)
+        self.feed(self.leader().me.name, event)
+        return self.numbers
+
+
+def configuration(version, groups=("g",), customers=()):
+    """Return a configuration with a route to each group."""
+    return cat.ReplaceConfiguration(
+        version,
+        tuple(
+            cat.RouteEntry(
+                f"route-{group}",
+                "op",
+                group,
+                consistency=cat.Consistency.PRIMARY,
+                statement_timeout_s=1.0,
+            )
+            for group in groups
+        ),
+        tuple(customers),
+        (),
+        tuple(cat.GroupLimits(group, 20) for group in groups),
+        document=f"document {version}".encode(),
+    )
--- /dev/null
+++ b/lovagewalk/control/tests/test_members.py
@@ -0,0 +1,179 @@
+"""Control VMs that find each other from seeds, and replace lost ones."""
+
+import pytest
+
+from lovagewalk.catalogue import ReplaceConfiguration
+
+from .control_fleet import ControlFleet, configuration
+
+NAMES = tuple(f"10.0.0.{number}:7560" for number in range(1, 6))
+SEEDS = NAMES[:3]
+NEW = "10.0.0.9:7560"
+
+
+@pytest.fixture
+def fleet():
+    running = ControlFleet(NAMES, SEEDS)
+    running.run(4.0)
+    return running
+
+
+def _held(fleet, name):
+    return fleet.states[name].catalogue.version
+
+
+def test_all_vms_vote_soon_though_only_three_are_named(fleet):
+    assert fleet.voters() == set(NAMES)
+    terms = {state.consensus.term for state in fleet.states.values()}
+    assert len(terms) == 1, "taking VMs in forces no election"
+
+
+def test_a_vm_that_is_no_seed_founds_nothing():
+    fleet = ControlFleet(NAMES[3:], SEEDS)
+    fleet.run(3.0)
+    assert fleet.leader() is None
+
+
+def test_a_vm_that_starts_later_founds_nothing():
+    fleet = ControlFleet((), SEEDS)
+    for name in SEEDS:
+        fleet.add(name)
+    fleet.run(3.0)
+    assert fleet.leader() is None
+
+
+def test_founding_waits_for_every_seed():
+    fleet = ControlFleet(SEEDS[:2], SEEDS)
+    fleet.run(3.0)
+    assert fleet.leader() is None
+
+
+def test_a_new_vm_takes_the_place_of_one_that_is_gone(fleet):
+    fleet.change(configuration(3))
+    fleet.run(0.5)
+    gone = next(n for n in NAMES if n != fleet.leader().me.name)
+    fleet.remove(gone)
+    fleet.run(1.0)
+    assert gone in fleet.voters(), "it may come back"
+    fleet.seeds = tuple(n for n in NAMES if n != gone)[:3]
+    fleet.add(NEW)
+    fleet.run(6.0)
+    assert fleet.voters() == (set(NAMES) - {gone}) | {NEW}
+    assert _held(fleet, NEW) == 3
+
+
+def test_a_vm_that_was_replaced_returns_as_a_learner(fleet):
+    leader = fleet.leader().me.name
+    away = next(n for n in NAMES if n != leader)
+    fleet.cut = {away}
+    fleet.add(NEW)
+    fleet.run(7.0)
+    assert away not in fleet.voters() and NEW in fleet.voters()
+    term = fleet.leader().consensus.term
+    fleet.change(configuration(4))
+    fleet.cut = set()
+    fleet.run(3.0)
+    assert _held(fleet, away) == 4
+    assert away not in fleet.voters()
+    assert fleet.leader().consensus.term == term, "its return forces no election"
+
+
+def test_a_vm_that_lost_its_disk_votes_again_only_once_it_was_taken_in(fleet):
+    leader = fleet.leader().me.name
+    lost = next(n for n in NAMES if n != leader)
+    old = {v.disk for v in fleet.leader().consensus.voters}
+    fleet.wipe(lost)
+    fleet.run(4.0)
+    assert fleet.voters() == set(NAMES)
+    assert {v.disk for v in fleet.leader().consensus.voters} != old
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_two_lost_disks_and_a_loss_of_power_lose_nothing_acknowledged(seed):
+    """Right after an acknowledgement, when just a majority of five has the entry."""
+    fleet = ControlFleet(NAMES, SEEDS)
+    fleet.boots = seed * 100
+    fleet.run(4.0)
+    leader = fleet.leader().me.name
+    others = [name for name in NAMES if name != leader]
+    late = {others[seed % 4], others[(seed + 1) % 4]}
+    for name in late:
+        fleet.cut.add(name)
+    ticket = fleet.change(configuration(7))
+    fleet.run(0.3)
+    assert fleet.answers[ticket].refusal is None
+    holders = [name for name in NAMES if name not in late]
+    fleet.cut = set()
+    fleet.wire.clear()
+    wiped = (holders[seed % 3], holders[(seed + 1) % 3])
+    for name in NAMES:
+        fleet.start(name)
+    for name in wiped:
+        fleet.wipe(name)
+    fleet.run(8.0)
+    assert fleet.leader() is not None
+    assert all(_held(fleet, name) == 7 for name in NAMES)
+    assert fleet.voters() == set(NAMES)
+
+
+def test_all_vms_killed_at_once_come_back(fleet):
+    fleet.change(configuration(5))
+    fleet.run(0.5)
+    for name in NAMES:
+        fleet.start(name)
+    fleet.run(4.0)
+    assert all(_held(fleet, name) == 5 for name in NAMES)
+    assert fleet.voters() == set(NAMES)
+
+
+def test_a_restarted_vm_with_other_seeds_finds_the_fleet(fleet):
+    follower = next(n for n in SEEDS if n != fleet.leader().me.name)
+    fleet.seeds = NAMES[2:]
+    fleet.wipe(follower)
+    fleet.run(4.0)
+    assert follower in fleet.voters()
+
+
+def test_versions_only_rise_and_equal_ones_change_nothing(fleet):
+    first = fleet.change(configuration(9))
+    fleet.run(0.3)
+    other = configuration(9, groups=("other",))
+    second = fleet.change(other)
+    third = fleet.change(configuration(4))
+    fleet.run(0.3)
+    for ticket in (first, second, third):
+        assert fleet.answers[ticket].refusal is None
+    catalogue = fleet.leader().catalogue
+    assert catalogue.version == 9 and catalogue.route("route-g")
+    assert catalogue.document == b"document 9"
+
+
+def test_an_invalid_configuration_is_refused_whatever_its_version(fleet):
+    fleet.change(configuration(9))
+    fleet.run(0.3)
+    valid = configuration(3)
+    bad = ReplaceConfiguration(3, valid.routes, (), (), ())
+    ticket = fleet.change(bad)
+    fleet.run(0.3)
+    assert fleet.answers[ticket].refusal is not None
+
+
+def test_any_vm_takes_a_change_and_forwards_it(fleet):
+    follower = next(n for n in NAMES if n != fleet.leader().me.name)
+    ticket = fleet.change(configuration(2), follower)
+    fleet.run(0.5)
+    assert fleet.answers[ticket].refusal is None
+    assert _held(fleet, follower) == 2
+
+
+def test_a_vm_that_is_cut_off_knows_that_it_may_be_behind(fleet):
+    away = next(n for n in NAMES if n != fleet.leader().me.name)
+    fleet.cut = {away}
+    fleet.change(configuration(6))
+    fleet.run(3.5)
+    state = fleet.states[away]
+    assert fleet.now >= state.fresh_until and state.catalogue.version == 0
+    fleet.cut = set()
+    fleet.run(2.0)
+    assert fleet.now < fleet.states[away].fresh_until
+    assert _held(fleet, away) == 6
--- /dev/null
+++ b/lovagewalk/control/tests/test_provider.py
@@ -0,0 +1,175 @@
+"""Promotions through the provider: who is promoted, when, and under which fence."""
+
+import pytest
+
+from lovagewalk.control import ControlTick, PeerMessage
+from lovagewalk.control._messages import FollowRequest, SuspectReport
+from lovagewalk.groups import Role
+
+from .control_fleet import ControlFleet, configuration
+
+NAMES = tuple(f"10.0.0.{number}:7560" for number in range(1, 4))
+DATABASES = ("a", "b", "c")
+
+
+class Site(ControlFleet):
+    """Three control VMs, a group of three, and a daemon that may complain."""
+
+    def __init__(self):
+        super().__init__(NAMES, NAMES)
+        self.run(2.0)
+        self.change(configuration(1))
+        self.run(0.2)
+        for name in DATABASES:
+            self.beat(name, "g")
+        self.databases["a"].role = Role.PRIMARY
+        self.run(1.0)
+        self.seq = 0
+
+    @property
+    def group(self):
+        return self.leader().catalogue.group("g")
+
+    def complain(self, suspects=True, daemon="edge"):
+        """Let a daemon report, with or without trouble at the primary."""
+        self.seq += 1
+        found = (SuspectReport("g", self.group.term),) if suspects else ()
+        request = FollowRequest("boot", self.seq, 0, False, found, ())
+        name = self.leader().me.name
+        self.feed(name, PeerMessage(self.now, daemon, request))
+        self.wire = [item for item in self.wire if item[1] != daemon]
+
+    def suffer(self, seconds, suspects=True):
+        """Let time pass while a daemon reports what it meets."""
+        for _ in range(round(seconds / 0.2)):
+            primary = self.databases[self.group.primary]
+            self.complain(suspects and not primary.up)
+            self.run(0.2)
+
+
+@pytest.fixture
+def site():
+    return Site()
+
+
+def test_the_primary_that_leads_is_installed(site):
+    assert (site.group.primary, site.group.term) == ("a", 1)
+    assert not site.orders
+
+
+def test_a_dead_primary_is_replaced_by_who_received_most(site):
+    site.databases["a"].up = False
+    site.databases["b"].received = 90
+    site.suffer(3.0)
+    assert (site.group.primary, site.group.term) == ("c", 2)
+    assert [order.endpoint for order in site.orders] == ["c"]
+
+
+def test_the_leaders_own_silence_replaces_nobody(site):
+    site.databases["a"].up = False
+    site.suffer(3.0, suspects=False)
+    assert not site.orders and site.group.primary == "a"
+
+
+def test_one_daemons_trouble_replaces_nobody(site):
+    for _ in range(10):
+        site.complain(True, "edge-1")
+        site.complain(False, "edge-2")
+        site.complain(False, "edge-3")
+        site.run(0.2)
+    assert not site.orders
+
+
+def test_most_daemons_trouble_replaces_the_primary(site):
+    for _ in range(12):
+        site.complain(True, "edge-1")
+        site.complain(True, "edge-2")
+        site.complain(False, "edge-3")
+        site.run(0.2)
+    assert site.group.primary != "a"
+
+
+def test_a_primary_that_leaves_is_relieved_before_it_goes(site):
+    site.beat("a", "g", sequence=2, leaving=True)
+    site.run(2.5)
+    assert site.group.primary in ("b", "c")
+    assert len(site.orders) == 1
+
+
+def test_a_leaving_replica_is_not_promoted(site):
+    site.beat("c", "g", sequence=2, leaving=True)
+    site.databases["a"].up = False
+    site.suffer(3.0)
+    assert site.group.primary == "b"
+
+
+def test_a_call_without_an_answer_is_given_again_under_its_fence(site):
+    site.provider_mute = True
+    site.databases["a"].up = False
+    site.suffer(2.4)
+    assert len(site.orders) >= 2
+    assert len({(o.endpoint, o.fence) for o in site.orders}) == 1
+
+
+def test_another_target_is_named_only_under_a_new_fence(site):
+    site.provider_mute = True
+    site.databases["a"].up = False
+    site.suffer(1.6)
+    first = site.orders[0]
+    site.databases[first.endpoint].up = False
+    site.provider_mute = False
+    site.suffer(4.0)
+    later = [order for order in site.orders if order.endpoint != first.endpoint]
+    assert later and min(order.fence for order in later) > first.fence
+    fences = [order.fence for order in site.orders]
+    assert fences == sorted(fences)
+
+
+def test_a_new_leader_takes_a_new_fence(site):
+    site.provider_mute = True
+    site.databases["a"].up = False
+    site.suffer(1.6)
+    old = site.orders[-1]
+    site.cut = {site.leader().me.name}
+    site.run(3.0)
+    site.provider_mute = False
+    site.suffer(4.0)
+    new = site.orders[-1]
+    assert new.holder != old.holder and new.fence > old.fence
+
+
+def test_a_leader_without_a_quorum_orders_nothing(site):
+    leader = site.leader().me.name
+    site.databases["a"].up = False
+    site.cut = {leader}
+    site.run(1.5)
+    site.orders.clear()
+    for _ in range(50):
+        site.now += 0.05
+        site.feed(leader, ControlTick(site.now))
+    assert not site.orders
+
+
+def test_a_promotion_that_came_late_is_followed(site):
+    """A call without an answer may be carried out seconds later."""
+    site.lead("b")
+    site.run(1.0)
+    assert (site.group.primary, site.group.term) == ("b", 2)
+    assert not site.orders
+
+
+def test_heartbeats_without_news_write_nothing(site):
+    before = site.leader().catalogue.revision
+    for sequence in range(2, 6):
+        ticket = site.beat("b", "g", sequence=sequence)
+        assert site.answers[ticket].refusal is None
+    site.run(0.2)
+    assert site.leader().catalogue.revision == before
+
+
+def test_a_late_heartbeat_does_not_bring_an_endpoint_back(site):
+    site.beat("c", "g", sequence=7, leaving=True)
+    site.run(0.2)
+    site.beat("c", "g", sequence=3, leaving=False)
+    site.run(0.2)
+    assert site.leader().catalogue.endpoints["c"].leaving
--- a/lovagewalk/edge/_callers.py
+++ b/lovagewalk/edge/_callers.py
@@ -15,9 +15,8 @@
     User,
 )
 
-from lovagewalk.core import Code, LovageError, Refusal, performs
+from lovagewalk.core import Code, LovageError, Refusal
 from lovagewalk.routing import (
-    AcceptCaller,
     AnswerCaller,
     CallerConnected,
     CallerLeft,
@@ -208,18 +207,3 @@
             return
         loop = asyncio.get_running_loop()
         loop.call_soon(session.connection.stream.writer.close)
-
-
-@performs(AcceptCaller)
-def _accept_caller(ports: Ports, effect: AcceptCaller) -> None:
-    ports.callers.accept(effect.caller)
-
-
-@performs(AnswerCaller)
-def _answer_caller(ports: Ports, effect: AnswerCaller) -> None:
-    ports.callers.answer(effect)
-
-
-@performs(CloseCaller)
-def _close_caller(ports: Ports, effect: CloseCaller) -> None:
-    ports.callers.close(effect)
--- a/lovagewalk/edge/_daemon.py
+++ b/lovagewalk/edge/_daemon.py
@@ -5,22 +5,13 @@
 import secrets
 from pathlib import Path
 
-from lovagewalk.audit import AuditTrail
-from lovagewalk.control import (
-    ConsensusTick,
-    ControlState,
-    ControlTick,
-    DrainRequested,
-    FollowState,
-    RepairTick,
-)
-from lovagewalk.core import LovageError, Shell, TimerService, replace
-from lovagewalk.daemon import SweepTick, install_catalogue
+from lovagewalk.control import ConsensusTick, ControlTick, FollowState, RepairTick
+from lovagewalk.core import Shell, TimerService
+from lovagewalk.daemon import SweepTick
 from lovagewalk.groups import PollTick
-from lovagewalk.journal import Journal
 from lovagewalk.node import Identity, NodeState
-from lovagewalk.runtime import Decisions, Network, PeerAddress, Peers, Ports, _storage
-from lovagewalk.settings import DaemonSettings, parse_address
+from lovagewalk.runtime import DaemonProcess, Network, Peers, Ports
+from lovagewalk.settings import Address, DaemonSettings, parse_address
 
 from ._callers import CallerFront
 from ._endpoints import EndpointClient
@@ -34,7 +25,7 @@
 log = logging.getLogger("lovagewalk.daemon")
 
 
-class Daemon:
+class Daemon(DaemonProcess):
     """One daemon: state, shell and all adapters.
 
     Parameters
@@ -50,20 +41,18 @@
         timer: TimerService,
         network: Network | None = None,
     ) -> None:
+        super().__init__(Ports(timer), cfg.daemon.name, DRAIN_LIMIT_S)
         self.cfg = cfg
-        self.fault: LovageError | None = None
         self.callers_port = cfg.listen.callers_port
         self.peers_port = cfg.listen.peers_port
         self.operators_port = cfg.listen.operators_port
-        self.ports = Ports(timer)
-        self.ports.decisions = Decisions(self.ports)
         network = network or Network()
         credentials = Credentials(
             cfg.endpoints.user, cfg.endpoints.password, cfg.endpoints.monitor
         )
         fleet_secret = cfg.secrets.fleet.encode()
         addresses = {
-            name: PeerAddress(*parse_address(address))
+            name: Address(*parse_address(address))
             for name, address in cfg.control.items()
         }
         self.ports.endpoints = EndpointClient(self.ports, credentials, network)
@@ -90,7 +79,7 @@
             If the data folder is damaged.
         """
         state = self._first_state()
-        self.ports.shell = Shell(state, self.ports, self.ports.timer, self._on_fatal)
+        self.ports.shell = Shell(state, self.ports, self.ports.timer, self.on_fatal)
         host = self.cfg.listen.host
         self.peers_port = await self.ports.peers.listen(host, self.peers_port)
         self.operators_port = await self.ports.operators.listen(
@@ -120,58 +109,18 @@
         if not me.control:
             return state
         folder = Path(self.cfg.data.folder)
-        self.ports.journal = Journal(folder)
-        stored = self.ports.journal.load()
-        self.ports.audit = AuditTrail(folder)
-        peers = tuple(name for name in controls if name != me.name)
-        raft = stored.build_raft(me.name, peers, secrets.randbits(62), controls)
-        state = replace(state, consensus=raft, control=ControlState())
-        now = self.ports.timer.now()
-        return install_catalogue(state, stored.catalogue, now).state
-
-    def _on_fatal(self, exc: LovageError) -> None:
-        self.fault = exc
-        self.ports.operators.stopped.set()
-
-    async def run(self) -> None:
-        """Run until the daemon has drained or can't go on.
-
-        Raises
-        ------
-        LovageError
-            The fault that ended it.
-        """
-        await self.ports.operators.stopped.wait()
-        await self.close()
-        if self.fault is not None:
-            raise self.fault
-
-    def drain(self) -> None:
-        """Begin a graceful stop; `run` ends when nothing is left to finish."""
-        log.info("daemon: %s is draining", self.cfg.daemon.name)
-        self.ports.feed(DrainRequested(self.ports.now()))
-        self.ports.timer.after(DRAIN_LIMIT_S, self.ports.operators.stopped.set)
+        return self.load_control(state, folder, controls, controls)
 
     async def stop(self) -> None:
         """Drain, wait, and close."""
         self.drain()
-        await self.ports.operators.stopped.wait()
+        await self.ports.stopped.wait()
         await self.close()
 
     async def close(self) -> None:
         """Close everything at once, as a crash would."""
-        self.ports.close()
-        self.ports.shell.close()
+        await super().close()
         self.ports.callers.listener.close()
-        self.ports.endpoints.close_all()
         self.ports.steering.close()
-        self.ports.peers.close()
         await self.ports.operators.close()
-        if self.ports.journal is not None:
-            self.ports.journal.close()
-        if self.ports.audit is not None:
-            self.ports.audit.close()
         await asyncio.sleep(0)
-
-
-_PERFORMERS = (_storage,)
--- a/lovagewalk/edge/_endpoints.py
+++ b/lovagewalk/edge/_endpoints.py
@@ -9,23 +9,19 @@
 import asyncmy
 from asyncmy.cursors import Cursor, SSCursor
 
-from lovagewalk.core import performs
 from lovagewalk.groups import (
     AwaitPosition,
-    ForgetInstance,
     InstanceFailed,
     InstanceSeen,
     PollInstance,
     Position,
 )
 from lovagewalk.pools import (
-    CloseConnection,
     ConnectionOpened,
     ConnectionRefused,
     OpenConnection,
 )
 from lovagewalk.routing import (
-    DropResult,
     Failure,
     RunStatement,
     StatementDone,
@@ -349,38 +345,3 @@
     if exc.args and isinstance(exc.args[0], int):
         return exc.args[0]
     return 0
-
-
-@performs(OpenConnection)
-def _open_connection(ports: Ports, effect: OpenConnection) -> None:
-    ports.spawn(ports.endpoints.open(effect))
-
-
-@performs(CloseConnection)
-def _close_connection(ports: Ports, effect: CloseConnection) -> None:
-    ports.endpoints.close(effect.conn)
-
-
-@performs(RunStatement)
-def _run_statement(ports: Ports, effect: RunStatement) -> None:
-    ports.endpoints.run(effect)
-
-
-@performs(PollInstance)
-def _poll_instance(ports: Ports, effect: PollInstance) -> None:
-    ports.spawn(ports.endpoints.poll(effect))
-
-
-@performs(AwaitPosition)
-def _await_position(ports: Ports, effect: AwaitPosition) -> None:
-    ports.spawn(ports.endpoints.wait(effect))
-
-
-@performs(ForgetInstance)
-def _forget_instance(ports: Ports, effect: ForgetInstance) -> None:
-    ports.endpoints.forget(effect.endpoint)
-
-
-@performs(DropResult)
-def _drop_result(ports: Ports, effect: DropResult) -> None:
-    ports.results.pop(effect.req, None)
--- a/lovagewalk/edge/_operators.py
+++ b/lovagewalk/edge/_operators.py
@@ -1,6 +1,5 @@
 """HTTP for operators, endpoints, the platform's balancer and metrics."""
 
-import asyncio
 import hmac
 import json
 import uuid
@@ -14,14 +13,12 @@
 from lovagewalk.catalogue import AnnounceEndpoint, ChangeResult, Endpoint, Proposal
 from lovagewalk.codec import command_from_plain, to_plain
 from lovagewalk.control import (
-    AnswerOperator,
     ChangeRequested,
     DrainRequested,
-    StopDaemon,
     SwitchRequested,
     is_ready,
 )
-from lovagewalk.core import Code, LovageError, Refusal, performs
+from lovagewalk.core import Code, LovageError, Refusal
 from lovagewalk.runtime import Ports
 
 CHANGE_TIMEOUT_S = 5.0
@@ -53,9 +50,7 @@
         self._ports = ports
         self._token = operator_token
         self._announce_secret = announce_secret
-        self._waiting: dict[int, asyncio.Future] = {}
         self._runner: web.AppRunner | None = None
-        self.stopped = asyncio.Event()
 
     async def listen(self, host: str, port: int) -> int:
         """Serve HTTP, and return the port."""
@@ -86,12 +81,6 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    def answer(self, effect: AnswerOperator) -> None:
-        """Answer a waiting request."""
-        fut = self._waiting.get(effect.ticket)
-        if fut is not None and not fut.done():
-            fut.set_result(effect.result)
-
     @web.middleware
     async def _answer_errors(
         self, req: web.Request, handler: Callable[[web.Request], Awaitable[Any]]
@@ -157,30 +146,19 @@
         return _result(result, request_id)
 
     async def _propose(self, proposal: Proposal) -> ChangeResult:
-        return await self._ask(
-            lambda ticket: ChangeRequested(self._ports.now(), ticket, proposal)
+        return await self._ports.tickets.ask(
+            lambda ticket: ChangeRequested(self._ports.now(), ticket, proposal),
+            CHANGE_TIMEOUT_S,
         )
 
-    async def _ask(self, build: Callable[[int], Any]) -> ChangeResult:
-        ticket = next(self._ports.numbers)
-        fut = asyncio.get_running_loop().create_future()
-        self._waiting[ticket] = fut
-        try:
-            self._ports.feed(build(ticket))
-            async with asyncio.timeout(CHANGE_TIMEOUT_S):
-                return await fut
-        except TimeoutError as exc:
-            raise LovageError(Code.CHANGE_UNKNOWN, "send it again") from exc
-        finally:
-            del self._waiting[ticket]
-
     async def _switch(self, req: web.Request) -> web.Response:
         self._authorise(req)
         body = json.loads(await req.read())
-        result = await self._ask(
+        result = await self._ports.tickets.ask(
             lambda ticket: SwitchRequested(
                 self._ports.now(), ticket, str(body["group"]), str(body["endpoint"])
-            )
+            ),
+            CHANGE_TIMEOUT_S,
         )
         return _result(result, "")
 
@@ -279,13 +257,3 @@
             for s in state.shares.values()
         ],
     }
-
-
-@performs(AnswerOperator)
-def _answer_operator(ports: Ports, effect: AnswerOperator) -> None:
-    ports.operators.answer(effect)
-
-
-@performs(StopDaemon)
-def _stop_daemon(ports: Ports, effect: StopDaemon) -> None:
-    ports.operators.stopped.set()
--- a/lovagewalk/edge/_steering.py
+++ b/lovagewalk/edge/_steering.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 from lovagewalk.control import InstanceSteered, Order, SteerInstance
-from lovagewalk.core import performs
 from lovagewalk.groups import InstanceStatus, Position
 from lovagewalk.runtime import Network, Ports
 
@@ -83,8 +82,3 @@
         """Close all connections."""
         for channel in self._channels.values():
             channel.close()
-
-
-@performs(SteerInstance)
-def _steer_instance(ports: Ports, effect: SteerInstance) -> None:
-    ports.spawn(ports.steering.order(effect))
--- a/lovagewalk/platform/_callers.py
+++ b/lovagewalk/platform/_callers.py
@@ -5,23 +5,21 @@
 from collections import deque
 from hashlib import sha256
 
-from lovagewalk.core import Code, LovageError, Refusal, performs
+from lovagewalk.core import Code, LovageError, Refusal
 from lovagewalk.routing import (
-    AcceptCaller,
     AnswerCaller,
     CallerConnected,
     CallerLeft,
-    CloseCaller,
     Marks,
     StatementArrived,
     StatementRejected,
 )
-from lovagewalk.runtime import Ports, limit_silence
+from lovagewalk.runtime import CallerFront, LineSplitter, Ports, limit_silence
 
 from ._endpoints import StatementResult
 from ._lines import (
+    MAX_LINE_BYTES,
     NOTHING,
-    LineSplitter,
     Query,
     Startup,
     Terminate,
@@ -48,13 +46,13 @@
     return sha256(key.encode()).hexdigest() if key else ""
 
 
-class CallerConnection(asyncio.Protocol):
+class LineCaller(asyncio.Protocol):
     """One caller's connection; messages are taken one at a time."""
 
     def __init__(self, ports: Ports) -> None:
         self._ports = ports
         self._front: CallerFront = ports.callers
-        self._splitter = LineSplitter()
+        self._splitter = LineSplitter(MAX_LINE_BYTES)
         self._pending: deque[str] = deque()
         self._transport: asyncio.Transport | None = None
         self._accepted = False
@@ -187,55 +185,3 @@
 
     def _send_ready(self, state: str) -> None:
         self._send("READY", state, NOTHING)
-
-
-class CallerFront:
-    """The listener for callers of one daemon."""
-
-    def __init__(self, ports: Ports) -> None:
-        self._ports = ports
-        self.sessions: dict[int, CallerConnection] = {}
-        self.open_connections: set[CallerConnection] = set()
-        self._server: asyncio.Server | None = None
-
-    async def listen(self, host: str, port: int) -> int:
-        """Accept callers, and return the port."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self._ports), host, port, backlog=1024
-        )
-        return self._server.sockets[0].getsockname()[1]
-
-    def close(self) -> None:
-        """Stop listening and drop every connection."""
-        if self._server is not None:
-            self._server.close()
-        for connection in list(self.open_connections):
-            connection.abort()
-
-
-@performs(AcceptCaller)
-def _accept_caller(ports: Ports, effect: AcceptCaller) -> None:
-    connection = ports.callers.sessions.get(effect.caller)
-    if connection is not None:
-        connection.accept()
-
-
-@performs(AnswerCaller)
-def _answer_caller(ports: Ports, effect: AnswerCaller) -> None:
-    result = ports.results.pop(effect.req, None)
-    connection = ports.callers.sessions.get(effect.caller)
-    if effect.trace is not None:
-        elapsed_s = ports.now() - effect.trace.arrived_at
-        ports.metrics.note_answer(effect.customer, effect.refusal, elapsed_s)
-        ports.decisions.note_answer(effect, elapsed_s)
-    if connection is not None:
-        connection.answer(effect, result)
-
-
-@performs(CloseCaller)
-def _close_caller(ports: Ports, effect: CloseCaller) -> None:
-    connection = ports.callers.sessions.get(effect.caller)
-    ports.decisions.note_close(effect)
-    if connection is not None:
-        connection.close(effect.refusal)
--- a/lovagewalk/platform/_configuration.py
+++ b/lovagewalk/platform/_configuration.py
@@ -1,4 +1,4 @@
-"""The platform's configuration, decoded into the product's entries."""
+"""The platform's configuration and heartbeats, decoded into the product's words."""
 
 import json
 from collections.abc import Mapping
@@ -7,6 +7,7 @@
 from lovagewalk.catalogue import (
     Consistency,
     CustomerEntry,
+    Endpoint,
     GroupLimits,
     KeyEntry,
     RateUnit,
@@ -16,16 +17,26 @@
     configuration_refusal,
 )
 from lovagewalk.core import Code, LovageError
+from lovagewalk.settings import TableReader, parse_address
 
 from ._callers import hash_key
 
 OPERATOR = "operator"
-_MS_PER_S = 1000.0
+MS_PER_S = 1000.0
 _KINDS = {
     "primary": Consistency.PRIMARY,
     "bounded_staleness": Consistency.BOUNDED,
     "read_your_writes": Consistency.OWN_WRITES,
 }
+_LEAVING = {"ready": False, "draining": True}
+
+
+def _load(body: bytes) -> TableReader:
+    try:
+        raw: Any = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        raise LovageError(Code.CHANGE_BAD, "cannot be read in full") from exc
+    return TableReader(raw, Code.CHANGE_BAD)
 
 
 def decode_configuration(body: bytes) -> ReplaceConfiguration:
@@ -36,88 +47,87 @@
     LovageError
         ``CHANGE_BAD`` if it cannot be read in full or is not valid.
     """
-    try:
-        raw = json.loads(body)
-        command = _decode(raw, body)
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as exc:
-        reason = f"cannot be read in full: {type(exc).__name__}"
-        raise LovageError(Code.CHANGE_BAD, reason) from exc
-    refusal = configuration_refusal(command)
-    if refusal is not None:
-        raise LovageError(refusal.code, refusal.detail)
-    return command
-
-
-def _decode(raw: Mapping[str, Any], body: bytes) -> ReplaceConfiguration:
-    tenants = _list(raw.get("tenants", []))
-    return ReplaceConfiguration(
-        version=_integer(raw["version"]),
-        routes=tuple(_route(route) for route in _list(raw["routes"])),
+    reader = _load(body)
+    tenants = reader.tables("tenants") if reader.get("tenants", list, []) else []
+    command = ReplaceConfiguration(
+        version=reader.get("version", int),
+        routes=tuple(_route(route) for route in reader.tables("routes")),
         customers=tuple(_customer(tenant) for tenant in tenants),
         keys=tuple(
-            KeyEntry(hash_key(_text(key)), _text(tenant["name"]), "")
+            KeyEntry(hash_key(key), tenant.get("name", str), "")
             for tenant in tenants
-            for key in _list(tenant["apiKeys"])
+            for key in tenant.texts("apiKeys")
         ),
         groups=tuple(
-            GroupLimits(_text(service["name"]), _integer(service["maxConns"]))
-            for service in _list(raw["services"])
+            GroupLimits(service.get("name", str), service.get("maxConns", int))
+            for service in reader.tables("services")
         ),
-        idle_transaction_s=_number(raw.get("limits", {}).get("txIdleMs", 0))
-        / _MS_PER_S,
+        idle_transaction_s=reader.table("limits").get("txIdleMs", float, 0.0)
+        / MS_PER_S,
         document=body,
     )
+    refusal = configuration_refusal(command)
+    if refusal is not None:
+        raise LovageError(refusal.code, refusal.detail)
+    return command
 
 
-def _route(raw: Mapping[str, Any]) -> RouteEntry:
-    kind = _KINDS[_text(raw["kind"])]
-    public = raw.get("public", False)
-    if not isinstance(public, bool):
-        raise TypeError("public")
+def _route(reader: TableReader) -> RouteEntry:
+    kind = reader.get("kind", str)
+    if kind not in _KINDS:
+        raise LovageError(Code.CHANGE_BAD, f"unknown kind of route {kind}")
+    is_open = reader.get("public", bool, False)
     return RouteEntry(
-        name=_text(raw["host"]),
+        name=reader.get("host", str),
         owner=OPERATOR,
-        group=_text(raw["service"]),
-        route_class=RouteClass.OPEN if public else RouteClass.KEYED,
-        consistency=kind,
-        max_staleness_s=_number(raw.get("maxStalenessMs", 0)) / _MS_PER_S,
-        statement_timeout_s=_number(raw["timeoutMs"]) / _MS_PER_S,
-        objective_s=_number(raw.get("targetLatencyMs", 0)) / _MS_PER_S,
-        priority=_integer(raw.get("priority", 0)),
-        prefix=_text(raw.get("pathPrefix", "/")),
+        group=reader.get("service", str),
+        route_class=RouteClass.OPEN if is_open else RouteClass.KEYED,
+        consistency=_KINDS[kind],
+        max_staleness_s=reader.get("maxStalenessMs", float, 0.0) / MS_PER_S,
+        statement_timeout_s=reader.get("timeoutMs", float) / MS_PER_S,
+        objective_s=reader.get("targetLatencyMs", float, 0.0) / MS_PER_S,
+        priority=reader.get("priority", int, 0),
+        prefix=reader.get("pathPrefix", str, "/"),
     )
 
 
-def _customer(raw: Mapping[str, Any]) -> CustomerEntry:
+def _customer(reader: TableReader) -> CustomerEntry:
     """Return a tenant as a customer; its rate counts operations."""
     return CustomerEntry(
-        name=_text(raw["name"]),
+        name=reader.get("name", str),
         owner=OPERATOR,
-        rate=_number(raw["ratePerS"]),
-        burst=_number(raw["burst"]),
+        rate=reader.get("ratePerS", float),
+        burst=reader.get("burst", float),
         unit=RateUnit.OPERATIONS,
     )
 
 
-def _list(value: Any) -> list[Any]:
-    if not isinstance(value, list):
-        raise TypeError("not a list")
-    return value
-
-
-def _text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError("not text")
-    return value
-
-
-def _integer(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError("not an integer")
-    return value
-
+def decode_beat(name: str, body: bytes, regions: Mapping[str, str]) -> Endpoint:
+    """Return the endpoint that a heartbeat tells of.
 
-def _number(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise TypeError("not a number")
-    return float(value)
+    Raises
+    ------
+    LovageError
+        ``CHANGE_BAD`` if fields are missing, of another type, or unknown.
+    """
+    reader = _load(body)
+    state, zone = reader.get("state", str), reader.get("zone", str)
+    group = reader.get("service", str)
+    if not name or not group or state not in _LEAVING:
+        raise LovageError(Code.CHANGE_BAD, "heartbeat: name, service or state")
+    try:
+        host, port = parse_address(reader.get("addr", str))
+    except ValueError as exc:
+        raise LovageError(Code.CHANGE_BAD, "heartbeat: addr") from exc
+    return Endpoint(
+        name=name,
+        group=group,
+        host=host,
+        port=port,
+        zone=zone,
+        region=regions.get(zone, zone),
+        connections=0,
+        leaving=_LEAVING[state],
+        sequence=reader.get("seq", int),
+        born=reader.get("born", int, 0),
+    )
--- a/lovagewalk/platform/_endpoints.py
+++ b/lovagewalk/platform/_endpoints.py
@@ -6,24 +6,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from lovagewalk.core import LovageError, performs
-from lovagewalk.groups import (
-    ForgetInstance,
-    InstanceFailed,
-    InstanceSeen,
-    PollInstance,
-)
+from lovagewalk.core import LovageError
+from lovagewalk.groups import InstanceStatus, PollInstance
 from lovagewalk.pools import (
-    CloseConnection,
-    ConnectionBroken,
-    ConnectionOpened,
-    ConnectionRefused,
     OpenConnection,
     Refused,
 )
 from lovagewalk.routing import (
     DiscardSettings,
-    DropResult,
     Failure,
     PrepareShape,
     RunStatement,
@@ -31,7 +21,14 @@
     StatementDone,
     StatementFailed,
 )
-from lovagewalk.runtime import Ports, limit_silence
+from lovagewalk.runtime import (
+    NoStatusError,
+    OpenRefusedError,
+    PoolClient,
+    Ports,
+    Watcher,
+    limit_silence,
+)
 
 from ._lines import (
     FAILURES,
@@ -74,7 +71,7 @@
 
     def __init__(self, on_lost: Callable[[], None]) -> None:
         self._on_lost = on_lost
-        self._starting: asyncio.Future | None = None
+        self._waiting: asyncio.Future | None = None
         self._parser = AnswerParser()
         self._handlers: deque[AnswerHandler] = deque()
         self._transport: asyncio.Transport | None = None
@@ -110,24 +107,45 @@
         if self._closed:
             return
         self._closed = True
-        if self._starting is None or self._starting.done():
+        if self._waiting is None or self._waiting.done():
             self._on_lost()
         elif self._parser.open_error:
-            self._starting.set_result(refused_start(self._parser.open_error))
+            self._waiting.set_result(refused_start(self._parser.open_error))
         else:
-            self._starting.set_exception(ConnectionResetError("endpoint closed"))
+            self._waiting.set_exception(ConnectionResetError("endpoint closed"))
+
+    async def open(self, effect: OpenConnection | PollInstance, customer: str) -> str:
+        """Connect to an instance, by its name, and open a customer's session.
+
+        Returns the code by which the instance refused it, or an empty text.
+
+        Raises
+        ------
+        OSError
+            If the connection fails.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_connection(lambda: self, effect.host, effect.port)
+            answer = await self.ask("STARTUP", effect.group, customer, effect.endpoint)
+        except BaseException:
+            self.close()
+            raise
+        if answer.error:
+            self.close()
+        return answer.error
 
-    async def start_up(self, group: str, customer: str, instance: str) -> Answer:
-        """Open a session for a customer at an instance, by its name.
+    async def ask(self, *fields: str) -> Answer:
+        """Send a message and return its answer.
 
         Raises
         ------
         OSError
             If the connection fails.
         """
-        starting = self._starting = asyncio.get_running_loop().create_future()
-        self.send(lambda a: _resolve(starting, a), "STARTUP", group, customer, instance)
-        return await starting
+        waiting = self._waiting = asyncio.get_running_loop().create_future()
+        self.send(lambda answer: _resolve(waiting, answer), *fields)
+        return await waiting
 
     def send(self, handler: AnswerHandler, *fields: str) -> None:
         """Send a message whose answer goes to `handler`."""
@@ -288,215 +306,82 @@
 _REFUSALS = {"TOOMANY": Refused.TOO_MANY, "MISROUTED": Refused.MISPLACED}
 
 
-class EndpointClient:
+class EndpointClient(PoolClient):
     """Connections of one daemon to endpoints."""
 
     def __init__(self, ports: Ports) -> None:
-        self._ports = ports
-        self._conns: dict[int, EndpointConnection] = {}
-        self._runs: dict[int, Run] = {}
-        self._watches: dict[str, Watch] = {}
-
-    async def open(self, effect: OpenConnection) -> None:
-        """Open a pool connection."""
-        endpoint = self._ports.state.catalogue.endpoints.get(effect.endpoint)
-        incarnation = str(endpoint.born) if endpoint else ""
-        conn = EndpointConnection(lambda: self._lost(effect))
-        self._conns[effect.conn] = conn
-        try:
-            async with asyncio.timeout(CONNECT_LIMIT_S):
-                await _connect(conn, effect.host, effect.port)
-                customer = effect.customer or OWN_ID
-                answer = await conn.start_up(effect.group, customer, effect.endpoint)
-        except (OSError, TimeoutError) as exc:
-            if self._conns.pop(effect.conn, None) is conn:
-                self._refuse(effect, Refused.UNREACHABLE, repr(exc))
-            conn.close()
-            return
-        if self._conns.get(effect.conn) is not conn:
-            conn.close()
-            return
-        if answer.error:
-            self._conns.pop(effect.conn)
-            conn.close()
-            reason = _REFUSALS.get(answer.error, Refused.UNREACHABLE)
-            self._refuse(effect, reason, answer.error)
-            return
-        now = self._ports.now()
-        self._ports.feed(
-            ConnectionOpened(now, effect.conn, effect.endpoint, incarnation)
-        )
+        super().__init__(ports, CONNECT_LIMIT_S)
+        self._watcher = StatusWatcher(ports, POLL_LIMIT_S)
+        self.poll = self._watcher.poll
+        self.forget = self._watcher.forget
+
+    async def connect(self, effect: OpenConnection) -> EndpointConnection:
+        """Open a connection for a customer."""
+        conn = EndpointConnection(lambda: self.lost(effect))
+        customer = effect.customer or OWN_ID
+        error = await conn.open(effect, customer)
+        if not error:
+            return conn
+        raise OpenRefusedError(_REFUSALS.get(error, Refused.UNREACHABLE), error)
+
+    def start(self, conn: EndpointConnection, effect: RunStatement) -> Run:
+        """Start a statement on its connection."""
+        run = Run(self._ports, conn, effect)
+        run.start()
+        return run
 
-    def _refuse(self, effect: OpenConnection, reason: Refused, detail: str) -> None:
-        self._ports.decisions.note_refused_connection(effect, reason, detail)
-        now = self._ports.now()
-        self._ports.feed(ConnectionRefused(now, effect.conn, effect.endpoint, reason))
+    def close_all(self) -> None:
+        """Close every connection."""
+        super().close_all()
+        self._watcher.close()
 
-    def _lost(self, effect: OpenConnection) -> None:
-        if self._conns.pop(effect.conn, None) is None:
-            return
-        run = self._runs.pop(effect.conn, None)
-        if run is not None:
-            run.lose()
-        now = self._ports.now()
-        self._ports.feed(ConnectionBroken(now, effect.conn, effect.endpoint))
 
-    def close(self, conn_id: int) -> None:
-        """Close a pool connection and drop what runs on it."""
-        self._runs.pop(conn_id, None)
-        conn = self._conns.pop(conn_id, None)
-        if conn is not None:
-            conn.close()
+class StatusWatcher(Watcher):
+    """Watches instances, each by a connection that is opened when needed."""
 
-    def run(self, effect: RunStatement) -> None:
-        """Start a statement on its connection."""
-        conn = self._conns.get(effect.conn)
-        if conn is None:
-            now = self._ports.now()
-            self._ports.feed(
-                StatementFailed(now, effect.req, effect.conn, Failure.NOT_SENT)
-            )
-            return
-        run = Run(self._ports, conn, effect)
-        self._runs[effect.conn] = run
-        run.start()
+    def __init__(self, ports: Ports, limit_s: float) -> None:
+        super().__init__(ports, limit_s)
+        self._conns: dict[str, EndpointConnection] = {}
+        self._effects: dict[str, PollInstance] = {}
 
-    async def poll(self, effect: PollInstance) -> None:
-        """Ask for an instance's status."""
-        watch = self._watches.get(effect.endpoint)
-        if watch is None or not watch.is_for(effect):
-            self.forget(effect.endpoint)
-            watch = self._watches[effect.endpoint] = Watch(effect)
-        sent_at = self._ports.now()
-        try:
-            async with asyncio.timeout(POLL_LIMIT_S):
-                answer = await watch.ask()
-        except (OSError, TimeoutError) as exc:
-            watch.close()
-            broken = not isinstance(exc, TimeoutError)
-            self._poll_failed(effect, broken)
-            return
+    async def ask(self, effect: PollInstance) -> InstanceStatus:
+        """Return an instance's status."""
+        conn = self._conns.get(effect.endpoint)
+        moved = self._effects.get(effect.endpoint) != effect
+        if conn is None or moved or not conn.is_open:
+            conn = await self._connect(effect)
+        answer = await conn.ask("QUERY", OWN_ID, "STATUS")
         if answer.error or not answer.rows:
-            if answer.error != "BUSY":
-                watch.close()
-            alive = answer.error in ("BUSY", "TOOMANY")
-            self._poll_failed(effect, False, alive)
-            return
-        self._note_status(effect, answer, sent_at)
-
-    def _note_status(
-        self, effect: PollInstance, answer: Answer, sent_at: float
-    ) -> None:
+            raise NoStatusError(answer.error == "BUSY", answer.error)
         endpoint = self._ports.state.catalogue.endpoints.get(effect.endpoint)
-        incarnation = str(endpoint.born) if endpoint else ""
         try:
-            status = parse_status(answer.rows[0], incarnation)
+            return parse_status(answer.rows[0], str(endpoint.born) if endpoint else "")
         except LovageError as exc:
             log.warning("endpoints: %s sent a bad status: %s", effect.endpoint, exc)
-            self._poll_failed(effect, False)
-            return
-        now = self._ports.now()
-        self._ports.feed(InstanceSeen(now, effect.endpoint, status, sent_at, False))
-
-    def _poll_failed(
-        self, effect: PollInstance, broken: bool, alive: bool = False
-    ) -> None:
-        now = self._ports.now()
-        self._ports.feed(InstanceFailed(now, effect.endpoint, False, broken, alive))
+            raise NoStatusError(False, "malformed") from exc
+
+    async def _connect(self, effect: PollInstance) -> EndpointConnection:
+        self.forget(effect.endpoint)
+        conn = EndpointConnection(lambda: None)
+        error = await conn.open(effect, WATCHER)
+        if error:
+            raise NoStatusError(error == "TOOMANY", error)
+        self._conns[effect.endpoint] = conn
+        self._effects[effect.endpoint] = effect
+        return conn
 
     def forget(self, endpoint: str) -> None:
         """Close the connection by which an instance is watched."""
-        watch = self._watches.pop(endpoint, None)
-        if watch is not None:
-            watch.close()
-
-    def close_all(self) -> None:
-        """Close every connection."""
-        for conn_id in list(self._conns):
-            self.close(conn_id)
-        for endpoint in list(self._watches):
-            self.forget(endpoint)
-
-
-class Watch:
-    """The connection by which one instance is watched, opened when needed."""
-
-    def __init__(self, effect: PollInstance) -> None:
-        self._effect = effect
-        self._conn: EndpointConnection | None = None
-        self._waiting: asyncio.Future | None = None
-
-    def is_for(self, effect: PollInstance) -> bool:
-        """Whether the instance is still at the same place."""
-        return self._effect == effect
-
-    async def ask(self) -> Answer:
-        """Ask for the status.
-
-        Raises
-        ------
-        OSError
-            If the connection fails.
-        """
-        if self._conn is None or not self._conn.is_open:
-            effect = self._effect
-            self._conn = EndpointConnection(self._lost)
-            await _connect(self._conn, effect.host, effect.port)
-            answer = await self._conn.start_up(effect.group, WATCHER, effect.endpoint)
-            if answer.error:
-                return answer
-        waiting = self._waiting = asyncio.get_running_loop().create_future()
-        self._conn.query(lambda answer: _resolve(waiting, answer), OWN_ID, "STATUS")
-        return await waiting
-
-    def _lost(self) -> None:
-        waiting = self._waiting
-        if waiting is not None and not waiting.done():
-            waiting.set_exception(ConnectionResetError("endpoint closed"))
-
-    def close(self) -> None:
-        """Close the connection."""
-        conn, self._conn = self._conn, None
+        conn = self._conns.pop(endpoint, None)
         if conn is not None:
             conn.close()
 
+    def close(self) -> None:
+        """Close all connections."""
+        for endpoint in list(self._conns):
+            self.forget(endpoint)
+
 
 def _resolve(waiting: asyncio.Future, answer: Answer) -> None:
     if not waiting.done():
         waiting.set_result(answer)
-
-
-async def _connect(conn: EndpointConnection, host: str, port: int) -> None:
-    loop = asyncio.get_running_loop()
-    await loop.create_connection(lambda: conn, host, port)
-
-
-@performs(OpenConnection)
-def _open_connection(ports: Ports, effect: OpenConnection) -> None:
-    ports.metrics.note_opening(effect.endpoint)
-    ports.spawn(ports.endpoints.open(effect))
-
-
-@performs(CloseConnection)
-def _close_connection(ports: Ports, effect: CloseConnection) -> None:
-    ports.endpoints.close(effect.conn)
-
-
-@performs(RunStatement)
-def _run_statement(ports: Ports, effect: RunStatement) -> None:
-    ports.endpoints.run(effect)
-
-
-@performs(PollInstance)
-def _poll_instance(ports: Ports, effect: PollInstance) -> None:
-    ports.spawn(ports.endpoints.poll(effect))
-
-
-@performs(ForgetInstance)
-def _forget_instance(ports: Ports, effect: ForgetInstance) -> None:
-    ports.endpoints.forget(effect.endpoint)
-
-
-@performs(DropResult)
-def _drop_result(ports: Ports, effect: DropResult) -> None:
-    ports.results.pop(effect.req, None)
--- a/lovagewalk/platform/_lines.py
+++ b/lovagewalk/platform/_lines.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from lovagewalk.core import Code, LovageError
+from lovagewalk.core import Code, LovageError, Outcome
 from lovagewalk.groups import InstanceStatus, Position, Role
 from lovagewalk.routing import (
     Failure,
@@ -17,43 +17,17 @@
     StatementKind,
 )
 from lovagewalk.routing._types import Detail
+from lovagewalk.runtime import LINE_END, LineSplitter
 from lovagewalk.sessions import PreparedShape
 
 # The protocol's own limit of a message.
 MAX_LINE_BYTES = 1024 * 1024
-LINE_END = b"\r\n"
 # Id of statements that are not a caller's.
 OWN_ID = "-"
 # Stands for a position or a signature that there is none of.
 NOTHING = "-"
 
 
-class LineSplitter:
-    """Splits a stream of bytes into lines."""
-
-    def __init__(self) -> None:
-        self._rest = b""
-
-    def feed(self, data: bytes) -> list[str]:
-        """Take in bytes and return the lines that are whole now.
-
-        Raises
-        ------
-        LovageError
-            ``STATEMENT_LARGE`` if a line is longer than `MAX_LINE_BYTES`;
-            ``PACKET_BAD`` if it is not UTF-8.
-        """
-        *lines, self._rest = (self._rest + data).split(LINE_END)
-        if max(map(len, lines), default=0) > MAX_LINE_BYTES:
-            raise LovageError(Code.STATEMENT_LARGE)
-        if len(self._rest) > MAX_LINE_BYTES:
-            raise LovageError(Code.STATEMENT_LARGE)
-        try:
-            return [line.decode() for line in lines]
-        except UnicodeDecodeError as exc:
-            raise LovageError(Code.PACKET_BAD, "not UTF-8") from exc
-
-
 def join_line(*fields: str) -> bytes:
     """Return a message as bytes."""
     return " ".join(fields).encode() + LINE_END
@@ -209,7 +183,7 @@
     """Puts an endpoint's lines together to answers."""
 
     def __init__(self) -> None:
-        self._splitter = LineSplitter()
+        self._splitter = LineSplitter(MAX_LINE_BYTES)
         self._rows: tuple[str, ...] = ()
         self._signature = ""
         self._error = ""
@@ -337,9 +311,15 @@
     Code.CONNECTION_LOST: "INDOUBT",
     Code.UNCONFIRMED: "INDOUBT",
 }
-_NOT_RUN = "BUSY"
+# For all other codes; only the first promises that nothing is kept.
+_WORDS_BY_OUTCOME = {
+    Outcome.NOT_RUN: "BUSY",
+    Outcome.UNKNOWN: "INDOUBT",
+    Outcome.FAILED: "FAILED",
+    Outcome.RUN_BEFORE: "INDOUBT",
+}
 
 
 def word_of(code: Code) -> str:
     """Return the platform's word for a code of the product."""
-    return _WORDS.get(code, _NOT_RUN)
+    return _WORDS.get(code) or _WORDS_BY_OUTCOME[code.outcome]
--- a/lovagewalk/platform/_provider.py
+++ b/lovagewalk/platform/_provider.py
@@ -3,10 +3,8 @@
 import logging
 
 from lovagewalk.control import InstancePromoted, Ordered, PromoteInstance
-from lovagewalk.core import performs
-from lovagewalk.runtime import PeerAddress, Ports
-
-from ._http import call
+from lovagewalk.runtime import Ports, call
+from lovagewalk.settings import Address
 
 # The provider answers in about 12 ms; a call that hangs is given again.
 CALL_LIMIT_S = 1.0
@@ -19,7 +17,7 @@
 class Provider:
     """Orders promotions."""
 
-    def __init__(self, ports: Ports, address: PeerAddress | None) -> None:
+    def __init__(self, ports: Ports, address: Address | None) -> None:
         self._ports = ports
         self._address = address
 
@@ -57,8 +55,3 @@
         if status == 200:
             return Ordered.ACCEPTED
         return Ordered.REFUSED if status == 409 else Ordered.UNKNOWN
-
-
-@performs(PromoteInstance)
-def _promote_instance(ports: Ports, effect: PromoteInstance) -> None:
-    ports.spawn(ports.provider.promote(effect))
--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -8,8 +8,7 @@
 from typing import Any
 
 from lovagewalk.core import Code, LovageError
-from lovagewalk.runtime import PeerAddress
-from lovagewalk.settings import parse_address
+from lovagewalk.settings import Address, TableReader, parse_address
 
 SETTINGS_VARIABLE = "LOVAGEWALK_SETTINGS"
 SECRET_VARIABLE = "LOVAGEWALK_FLEET_SECRET"
@@ -27,7 +26,7 @@
     ----------
     name : str
         Name of the VM.
-    callers, health, operators : PeerAddress or None
+    callers, health, operators : Address or None
         Where it listens for callers, for the balancer's questions, and for
         operators and endpoints; None where it does not serve them.
     peers_port, metrics_port : int
@@ -40,7 +39,7 @@
         Empty on VMs without a disk.
     regions : mapping of str to str
         Region of each availability zone.
-    provider : PeerAddress or None
+    provider : Address or None
         Where promotions are ordered.
     grace_s : float
         Time between a request to stop and the end by force, in seconds.
@@ -50,52 +49,20 @@
     host: str
     zone: str
     region: str
-    callers: PeerAddress | None
-    health: PeerAddress | None
-    operators: PeerAddress | None
+    callers: Address | None
+    health: Address | None
+    operators: Address | None
     peers_port: int
     metrics_port: int
     seeds: tuple[str, ...]
     may_found: bool
     data_folder: str
     regions: Mapping[str, str]
-    provider: PeerAddress | None
+    provider: Address | None
     grace_s: float
     secret: str = field(repr=False)
 
 
-class _Reader:
-    """Reads typed values and says which one is wrong."""
-
-    def __init__(self, raw: Mapping[str, Any], path: str = "") -> None:
-        self._raw = raw
-        self._path = path
-
-    def get(self, key: str, kind: type, default: Any = None) -> Any:
-        value = self._raw.get(key, default)
-        if kind is float and isinstance(value, int):
-            value = float(value)
-        if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
-            raise LovageError(
-                Code.SETTINGS_BAD, f"{self._path}{key}: not of type {kind.__name__}"
-            )
-        return value
-
-    def table(self, key: str) -> "_Reader":
-        return _Reader(self.get(key, dict, {}), f"{self._path}{key}.")
-
-    def address(self, key: str) -> PeerAddress | None:
-        text = self.get(key, str, "")
-        if not text:
-            return None
-        try:
-            return PeerAddress(*parse_address(text))
-        except ValueError as exc:
-            raise LovageError(
-                Code.SETTINGS_BAD, f"{self._path}{key}: not IP:PORT"
-            ) from exc
-
-
 def load_platform_settings(
     environ: Mapping[str, str] = os.environ,
 ) -> PlatformSettings:
@@ -130,7 +97,7 @@
     LovageError
         ``SETTINGS_BAD`` with the first setting that is wrong.
     """
-    reader = _Reader(raw)
+    reader = TableReader(raw, Code.SETTINGS_BAD)
     listen = reader.table("listenAddrs")
     first_port = _first_port(reader)
     return PlatformSettings(
@@ -153,7 +120,7 @@
     )
 
 
-def _first_port(reader: _Reader) -> int:
+def _first_port(reader: TableReader) -> int:
     ports = reader.get("internalPorts", list)
     if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
         raise LovageError(Code.SETTINGS_BAD, "internalPorts: not two numbers")
@@ -162,7 +129,7 @@
     return ports[0]
 
 
-def _seed_hosts(reader: _Reader) -> tuple[str, ...]:
+def _seed_hosts(reader: TableReader) -> tuple[str, ...]:
     """Return the hosts of the seeds; their ports are those of all VMs."""
     hosts = []
     for text in reader.get("seedNodes", list, []):
--- /dev/null
+++ b/lovagewalk/platform/tests/test_boundary.py
@@ -0,0 +1,39 @@
+"""The platform's names stay in this package."""
+
+import re
+from pathlib import Path
+
+import lovagewalk
+
+ROOT = Path(lovagewalk.__file__).parent
+NAMES = re.compile(
+    r"Lovagewalk-(Tenant|Expected|Instance|Lease|Fencing)|providerApi|seedNodes|"
+    r"heartbeatAddr|maxStalenessMs|fencingEnforced|WAITLSN|NODB|NOAUTH|INDOUBT|"
+    r"configApplyMs|strictRevoke|listenAddrs|dutyPerS|coldLeftMs|DATAROW|TOOMANY|"
+    r"MISROUTED|apiKeys|ratePerS|read_your_writes|bounded_staleness|txIdleMs"
+)
+MAX_LINES = 1500
+
+
+def _sources(folder):
+    return [p for p in sorted(folder.rglob("*.py")) if "tests" not in p.parts]
+
+
+def test_no_other_package_knows_them():
+    platform = ROOT / "platform"
+    for path in _sources(ROOT):
+        if platform not in path.parents:
+            found = NAMES.search(path.read_text())
+            assert found is None, f"{path.relative_to(ROOT)}: {found}"
+
+
+def test_the_adapter_stays_small():
+    lines = sum(len(p.read_text().splitlines()) for p in _sources(ROOT / "platform"))
+    assert lines <= MAX_LINES
+
+
+def test_the_adapter_decides_nothing():
+    """No reducer, and no state of the product, is made or changed here."""
+    for path in _sources(ROOT / "platform"):
+        text = path.read_text()
+        assert "@reduces" not in text and "shell.adopt" not in text, path
--- /dev/null
+++ b/lovagewalk/platform/tests/test_settings.py
@@ -0,0 +1,72 @@
+"""The platform's settings file."""
+
+import pytest
+
+from lovagewalk.core import Code, LovageError
+from lovagewalk.platform._settings import (
+    SECRET_VARIABLE,
+    SETTINGS_VARIABLE,
+    decode_settings,
+    load_platform_settings,
+)
+from lovagewalk.settings import Address
+
+RAW = {
+    "nodeName": "core-celaya-1",
+    "ip": "10.1.0.29",
+    "zone": "celaya",
+    "region": "bajio",
+    "internalPorts": [7560, 7575],
+    "seedNodes": ["10.1.0.29:8462", "10.2.0.25:8462"],
+    "bootstrap": True,
+    "dataDir": "/data/x",
+    "zones": {"celaya": "bajio"},
+    "listenAddrs": {"controlPlane": "10.1.0.29:8462"},
+    "bounds": {"graceS": 6, "newBound": 1},
+    "providerApi": {"addr": "10.200.0.2:8466"},
+    "fieldsToCome": {"a": [1]},
+}
+
+
+def test_settings_in_the_products_words():
+    cfg = decode_settings(RAW, "long-enough")
+    assert cfg.operators == Address("10.1.0.29", 8462)
+    assert (cfg.callers, cfg.health) == (None, None)
+    assert cfg.seeds == ("10.1.0.29", "10.2.0.25")
+    assert (cfg.peers_port, cfg.metrics_port) == (7560, 7561)
+    assert (cfg.may_found, cfg.grace_s) == (True, 6.0)
+    assert "long-enough" not in repr(cfg)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"nodeName": 7},
+        {"ip": None},
+        {"internalPorts": [7560]},
+        {"internalPorts": [7560, 7560]},
+        {"seedNodes": ["somewhere"]},
+        {"bootstrap": "yes"},
+        {"listenAddrs": {"controlPlane": "10.1.0.29"}},
+        {"bounds": {"graceS": "six"}},
+    ],
+)
+def test_a_wrong_setting_is_named(change):
+    with pytest.raises(LovageError) as caught:
+        decode_settings({**RAW, **change}, "long-enough")
+    assert caught.value.code is Code.SETTINGS_BAD
+    assert next(iter(change)) in str(caught.value)
+
+
+def test_a_file_that_cannot_be_read_stops_the_daemon(tmp_path):
+    path = tmp_path / "settings.toml"
+    for content in (None, b"\xff", b"nodeName = "):
+        if content is not None:
+            path.write_bytes(content)
+        environ = {SETTINGS_VARIABLE: str(path), SECRET_VARIABLE: "long-enough"}
+        with pytest.raises(LovageError) as caught:
+            load_platform_settings(environ)
+        assert caught.value.code is Code.SETTINGS_BAD
+    for environ in ({}, {SETTINGS_VARIABLE: str(path)}):
+        with pytest.raises(LovageError):
+            load_platform_settings(environ)
--- /dev/null
+++ b/lovagewalk/routing/tests/stated_site.py
@@ -0,0 +1,218 @@
+"""A daemon's reducer before a group that a provider promotes, without a network.
+
+Connections open at once; statements wait until a test says how they end.
+"""
+
+from dataclasses import replace
+
+from lovagewalk import catalogue as cat
+from lovagewalk.core import reduce
+from lovagewalk.daemon import SweepTick, install_catalogue
+from lovagewalk.groups import Position, note_proof
+from lovagewalk.node import Identity, NodeState
+from lovagewalk.pools import ConnectionOpened, ConnectionRefused, OpenConnection
+from lovagewalk.routing import (
+    AnswerCaller,
+    CallerConnected,
+    CloseCaller,
+    Failure,
+    Marks,
+    NamedStatement,
+    PrepareStatement,
+    RunStatement,
+    SetValue,
+    StatementArrived,
+    StatementDone,
+    StatementFailed,
+    StatementKind,
+)
+from lovagewalk.shares import Share
+
+GROUP = "ledger"
+CUSTOMER, KEY = "kiosk", "key-digest"
+PRIMARY, NEAR, FAR = "i-primary", "i-near", "i-far"
+REGION, OTHER_REGION = "west", "east"
+TIMEOUT_S = 1.0
+STALENESS_S = 1.5
+
+
+def route(name, consistency, **fields):
+    return cat.RouteEntry(
+        name,
+        "op",
+        GROUP,
+        consistency=consistency,
+        max_staleness_s=STALENESS_S,
+        statement_timeout_s=TIMEOUT_S,
+        objective_s=0.6,
+        **fields,
+    )
+
+
+ROUTES = (
+    route("till", cat.Consistency.PRIMARY),
+    route("board", cat.Consistency.BOUNDED),
+    route("alloc", cat.Consistency.OWN_WRITES),
+)
+
+
+class Site:
+    """A daemon in the west, with primary and one replica there, one in the east."""
+
+    def __init__(self, connections=46):
+        self.now = 100.0
+        self.numbers = 0
+        self.revision = 0
+        self.runs = []
+        self.opened = []
+        self.answers = {}
+        self.closed = {}
+        self.refusing = {}
+        self.state = NodeState(
+            Identity("edge", "zone-a", REGION, b"secret", drain_s=2.0),
+            fresh_until=1e9,
+            entry_daemons=1,
+        )
+        share = Share(CUSTOMER, 1e6, 1e6, 1e6, 0.0, 1e9)
+        self.state = replace(self.state, shares=self.state.shares.set(CUSTOMER, share))
+        self.configure(1, connections=connections)
+        for name, zone, region in (
+            (PRIMARY, "zone-b", REGION),
+            (NEAR, "zone-a", REGION),
+            (FAR, "zone-c", OTHER_REGION),
+        ):
+            self.announce(name, zone, region)
+        self.install(1, PRIMARY)
+        self.prove(Position(1, 10))
+
+    def configure(self, version, routes=ROUTES, keys=(KEY,), connections=46):
+        self.change(
+            cat.ReplaceConfiguration(
+                version,
+                routes,
+                (cat.CustomerEntry(CUSTOMER, "op", 1e6, 1e6),),
+                tuple(cat.KeyEntry(key, CUSTOMER, "") for key in keys),
+                (cat.GroupLimits(GROUP, connections),),
+                idle_transaction_s=3.0,
+            )
+        )
+
+    def announce(self, name, zone="zone-a", region=REGION, sequence=1, leaving=False):
+        port = 1000 + sum(name.encode())
+        endpoint = cat.Endpoint(
+            name, GROUP, "host", port, zone, region, 0, leaving, sequence, 77
+        )
+        self.change(cat.AnnounceEndpoint(endpoint))
+
+    def install(self, term, primary):
+        start = cat.TermStart(term, 0)
+        self.change(cat.InstallTerm(GROUP, term, primary, (), start))
+
+    def change(self, command):
+        self.revision += 1
+        proposal = cat.Proposal("", "test", 0.0, command)
+        applied = cat.apply_proposal(self.state.catalogue, self.revision, proposal)
+        assert applied.result.refusal is None, applied.result
+        self.adopt(install_catalogue(self.state, applied.catalogue, self.now))
+
+    def prove(self, position, age_s=0.0):
+        """Let the daemon know what the primary held a while ago."""
+        term = self.state.catalogue.group(GROUP).term
+        sent_at = self.now - age_s
+        self.state = note_proof(self.state, GROUP, term, sent_at, position)
+
+    def feed(self, event):
+        self.adopt(reduce(self.state, event))
+
+    def adopt(self, step):
+        self.state = step.state
+        for effect in step.effects:
+            if isinstance(effect, AnswerCaller):
+                assert effect.req not in self.answers, "answered twice"
+                self.answers[effect.req] = effect
+            elif isinstance(effect, CloseCaller):
+                self.closed[effect.caller] = effect.refusal
+            elif isinstance(effect, RunStatement):
+                self.runs.append(effect)
+            elif isinstance(effect, OpenConnection):
+                self.open(effect)
+
+    def open(self, effect):
+        self.opened.append(effect)
+        reason = self.refusing.get(effect.endpoint)
+        if reason is not None:
+            self.feed(ConnectionRefused(self.now, effect.conn, effect.endpoint, reason))
+        else:
+            born = str(self.state.catalogue.endpoints[effect.endpoint].born)
+            self.feed(ConnectionOpened(self.now, effect.conn, effect.endpoint, born))
+
+    def connect(self, name, key=KEY):
+        self.numbers += 1
+        self.feed(CallerConnected(self.now, self.numbers, key, name))
+        return self.numbers
+
+    def ask(self, caller, kind, text="x", detail=None):
+        self.numbers += 1
+        marks = Marks(request_id=f"r{self.numbers}")
+        self.feed(
+            StatementArrived(self.now, self.numbers, caller, kind, text, marks, detail)
+        )
+        return self.numbers
+
+    def read(self, caller):
+        return self.ask(caller, StatementKind.READ)
+
+    def write(self, caller):
+        return self.ask(caller, StatementKind.WRITE)
+
+    def set(self, caller, name, value):
+        return self.ask(caller, StatementKind.SET_VALUE, detail=SetValue(name, value))
+
+    def prepare(self, caller, name, shape):
+        detail = PrepareStatement(name, shape)
+        return self.ask(caller, StatementKind.PREPARE, detail=detail)
+
+    def execute(self, caller, name, text="item"):
+        detail = NamedStatement(name)
+        return self.ask(caller, StatementKind.EXECUTE, text, detail)
+
+    def where(self, run):
+        """Return the endpoint that a statement was sent to."""
+        return self.state.conn_endpoints[run.conn]
+
+    def take(self):
+        """Return the statement that was sent last, and forget it."""
+        return self.runs.pop()
+
+    def done(self, run, position=None, open_transaction=False):
+        self.feed(
+            StatementDone(
+                self.now,
+                run.req,
+                run.conn,
+                position,
+                in_transaction=open_transaction,
+            )
+        )
+
+    def fail(self, run, failure, usable=True, open_transaction=False):
+        self.feed(
+            StatementFailed(
+                self.now,
+                run.req,
+                run.conn,
+                failure,
+                usable=usable,
+                in_transaction=open_transaction,
+            )
+        )
+
+    def lose(self, run):
+        self.fail(run, Failure.LOST, usable=False)
+
+    def sweep(self, passed=0.02):
+        self.now += passed
+        self.feed(SweepTick(self.now))
+
+    def refusal(self, req):
+        return self.answers[req].refusal.code
--- a/lovagewalk/runtime/__init__.py
+++ b/lovagewalk/runtime/__init__.py
@@ -4,24 +4,60 @@
 daemon.
 """
 
+from . import _performers, _storage
+from ._caller_front import CallerFront
 from ._decisions import Decisions
+from ._http import (
+    UNDECIDED,
+    Handler,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    call,
+    json_response,
+)
+from ._lines import LINE_END, LineSplitter
 from ._logs import BoundedHandler, JsonFormatter, set_up_structured_logs
 from ._metrics import Metrics
+from ._metrics_page import MetricsPage
 from ._network import Network
-from ._peers import PeerAddress, Peers
+from ._peers import Peers
+from ._pool_client import OpenRefusedError, PoolClient
 from ._ports import Ports
+from ._process import DaemonProcess
 from ._signals import on_stop_signals
 from ._sockets import limit_silence
+from ._tickets import Tickets
+from ._watcher import NoStatusError, Watcher
+
+PERFORMERS = (_performers, _storage)
 
 __all__ = [
+    "PERFORMERS",
+    "UNDECIDED",
     "BoundedHandler",
+    "CallerFront",
+    "DaemonProcess",
     "Decisions",
+    "Handler",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
     "JsonFormatter",
+    "LINE_END",
+    "LineSplitter",
     "Metrics",
+    "MetricsPage",
     "Network",
-    "PeerAddress",
+    "NoStatusError",
+    "OpenRefusedError",
     "Peers",
+    "PoolClient",
     "Ports",
+    "Tickets",
+    "Watcher",
+    "call",
+    "json_response",
     "limit_silence",
     "on_stop_signals",
     "set_up_structured_logs",
--- a/lovagewalk/runtime/_decisions.py
+++ b/lovagewalk/runtime/_decisions.py
@@ -1,6 +1,7 @@
 """Log lines for decisions on requests, and for changed beliefs."""
 
 import logging
+from typing import TYPE_CHECKING
 from zlib import crc32
 
 from lovagewalk.core import performs
@@ -8,7 +9,8 @@
 from lovagewalk.pools import OpenConnection, Refused
 from lovagewalk.routing import AnswerCaller, CloseCaller
 
-from ._ports import Ports
+if TYPE_CHECKING:
+    from ._ports import Ports
 
 # One answered request in so many is logged; the same ones on every VM.
 SAMPLE_EVERY = 64
@@ -22,7 +24,7 @@
     No line holds a key, a token or the text of a statement.
     """
 
-    def __init__(self, ports: Ports) -> None:
+    def __init__(self, ports: "Ports") -> None:
         self._ports = ports
 
     @property
@@ -79,6 +81,6 @@
 
 
 @performs(NoteBelief)
-def _note_belief(ports: Ports, effect: NoteBelief) -> None:
+def _note_belief(ports: "Ports", effect: NoteBelief) -> None:
     part = logging.getLogger(f"lovagewalk.{effect.part}")
     part.info(effect.belief, extra=dict(effect.inputs))
--- a/lovagewalk/platform/_http.py
+++ b/lovagewalk/runtime/_http.py
@@ -10,7 +10,9 @@
 import h11
 
 from lovagewalk.core import Code, LovageError
-from lovagewalk.runtime import PeerAddress, limit_silence
+from lovagewalk.settings import Address
+
+from ._sockets import limit_silence
 
 # Larger than the longest configuration, whose own limit is 256 KiB.
 MAX_BODY_BYTES = 1024 * 1024
@@ -19,6 +21,8 @@
 IDLE_LIMIT_S = 30.0
 SILENT_S = 5.0
 JSON = "application/json"
+# Codes that leave open whether a change has been made.
+UNDECIDED = frozenset((Code.NOT_LEADER, Code.CHANGE_UNKNOWN))
 
 log = logging.getLogger("lovagewalk.http")
 
@@ -107,7 +111,10 @@
 
 
 def _refused(exc: LovageError) -> HttpResponse:
-    status = 413 if exc.code is Code.STATEMENT_LARGE else 400
+    """Return what a refused caller is told; 5xx means: send it again."""
+    status = 503 if exc.code in UNDECIDED else 400
+    if exc.code is Code.STATEMENT_LARGE:
+        status = 413
     return json_response(status, {"error": str(exc)})
 
 
@@ -152,7 +159,7 @@
 
 
 async def call(
-    address: PeerAddress,
+    address: Address,
     method: str,
     path: str,
     headers: Mapping[str, str],
@@ -179,7 +186,7 @@
 async def _call(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
-    address: PeerAddress,
+    address: Address,
     method: str,
     path: str,
     headers: Mapping[str, str],
--- a/lovagewalk/runtime/_peers.py
+++ b/lovagewalk/runtime/_peers.py
@@ -10,7 +10,6 @@
 import secrets
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass
 from hashlib import sha256
 from typing import Any
 
@@ -20,6 +19,7 @@
 from lovagewalk.consensus import SendPeer, is_consensus_message
 from lovagewalk.control import PeerMessage
 from lovagewalk.core import Code, LovageError, performs
+from lovagewalk.settings import Address
 
 from ._network import Network
 from ._ports import Ports
@@ -38,14 +38,6 @@
 log = logging.getLogger("lovagewalk.peers")
 
 
-@dataclass(frozen=True, slots=True)
-class PeerAddress:
-    """Where a daemon listens for its peers."""
-
-    host: str
-    port: int
-
-
 async def read_frame(reader: asyncio.StreamReader, limit: int) -> bytes:
     """Read one frame.
 
@@ -107,7 +99,7 @@
         ports: Ports,
         name: str,
         secret: bytes,
-        resolve: Callable[[str], PeerAddress | None],
+        resolve: Callable[[str], Address | None],
         network: Network | None = None,
     ) -> None:
         self._ports = ports
--- /dev/null
+++ b/lovagewalk/runtime/_performers.py
@@ -0,0 +1,81 @@
+"""Hands effects to the adapters of whatever daemon performs them."""
+
+from lovagewalk.control import PromoteInstance, SteerInstance, StopDaemon
+from lovagewalk.core import performs
+from lovagewalk.groups import AwaitPosition, ForgetInstance, PollInstance
+from lovagewalk.pools import CloseConnection, OpenConnection
+from lovagewalk.routing import (
+    AcceptCaller,
+    AnswerCaller,
+    CloseCaller,
+    DropResult,
+    RunStatement,
+)
+
+from ._ports import Ports
+
+
+@performs(AcceptCaller)
+def _accept_caller(ports: Ports, effect: AcceptCaller) -> None:
+    ports.callers.accept(effect.caller)
+
+
+@performs(AnswerCaller)
+def _answer_caller(ports: Ports, effect: AnswerCaller) -> None:
+    ports.callers.answer(effect)
+
+
+@performs(CloseCaller)
+def _close_caller(ports: Ports, effect: CloseCaller) -> None:
+    ports.callers.close(effect)
+
+
+@performs(DropResult)
+def _drop_result(ports: Ports, effect: DropResult) -> None:
+    ports.results.pop(effect.req, None)
+
+
+@performs(OpenConnection)
+def _open_connection(ports: Ports, effect: OpenConnection) -> None:
+    ports.metrics.note_opening(effect.endpoint)
+    ports.spawn(ports.endpoints.open(effect))
+
+
+@performs(CloseConnection)
+def _close_connection(ports: Ports, effect: CloseConnection) -> None:
+    ports.endpoints.close(effect.conn)
+
+
+@performs(RunStatement)
+def _run_statement(ports: Ports, effect: RunStatement) -> None:
+    ports.endpoints.run(effect)
+
+
+@performs(PollInstance)
+def _poll_instance(ports: Ports, effect: PollInstance) -> None:
+    ports.spawn(ports.endpoints.poll(effect))
+
+
+@performs(AwaitPosition)
+def _await_position(ports: Ports, effect: AwaitPosition) -> None:
+    ports.spawn(ports.endpoints.wait(effect))
+
+
+@performs(ForgetInstance)
+def _forget_instance(ports: Ports, effect: ForgetInstance) -> None:
+    ports.endpoints.forget(effect.endpoint)
+
+
+@performs(SteerInstance)
+def _steer_instance(ports: Ports, effect: SteerInstance) -> None:
+    ports.spawn(ports.steering.order(effect))
+
+
+@performs(PromoteInstance)
+def _promote_instance(ports: Ports, effect: PromoteInstance) -> None:
+    ports.spawn(ports.provider.promote(effect))
+
+
+@performs(StopDaemon)
+def _stop_daemon(ports: Ports, effect: StopDaemon) -> None:
+    ports.stopped.set()
--- a/lovagewalk/runtime/_ports.py
+++ b/lovagewalk/runtime/_ports.py
@@ -10,7 +10,9 @@
 from lovagewalk.core import Event, Shell, TimerService
 from lovagewalk.node import NodeState
 
+from ._decisions import Decisions
 from ._metrics import Metrics
+from ._tickets import Tickets
 
 log = logging.getLogger("lovagewalk.daemon")
 
@@ -26,6 +28,10 @@
         Adapters; set by whoever builds the daemon.
     decisions : Decisions
         Writes decisions to the log.
+    tickets : Tickets
+        Requests that wait for an answer.
+    stopped : asyncio.Event
+        Set once the daemon is to end.
     """
 
     def __init__(self, timer: TimerService) -> None:
@@ -40,8 +46,10 @@
         self.steering: Any = None
         self.audit: Any = None
         self.provider: Any = None
-        self.decisions: Any = None
+        self.decisions = Decisions(self)
+        self.tickets = Tickets(self)
         self.metrics = Metrics()
+        self.stopped = asyncio.Event()
         self.numbers = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
         self._closed = False
--- a/lovagewalk/runtime/_storage.py
+++ b/lovagewalk/runtime/_storage.py
@@ -1,8 +1,10 @@
 """Performs persisting effects: journal, snapshots, audit trail."""
 
 import logging
+from hashlib import sha256
+from typing import Any
 
-from lovagewalk.catalogue import IssueKey
+from lovagewalk.catalogue import Command, IssueKey, ReplaceConfiguration
 from lovagewalk.codec import to_plain
 from lovagewalk.consensus import (
     PersistEntries,
@@ -50,12 +52,26 @@
     ports.journal.snapshot(effect)
 
 
+def _detail(command: Command) -> dict[str, Any]:
+    """Return a command's fields for the trail, without keys."""
+    if isinstance(command, ReplaceConfiguration):
+        return {
+            "version": command.version,
+            "routes": len(command.routes),
+            "customers": sorted(customer.name for customer in command.customers),
+            "keys": len(command.keys),
+            "document_sha256": sha256(command.document).hexdigest(),
+        }
+    detail = to_plain(command)
+    if isinstance(command, IssueKey):
+        detail["digest"] = "left out"
+    return detail
+
+
 @performs(RecordAudit)
 def _record_audit(ports: Ports, effect: RecordAudit) -> None:
     proposal = effect.entry.proposal
-    detail = to_plain(proposal.command)
-    if isinstance(proposal.command, IssueKey):
-        detail["digest"] = "left out"
+    detail = _detail(proposal.command)
     refusal = effect.result.refusal
     ports.audit.append(
         effect.entry.index,
--- a/lovagewalk/settings/__init__.py
+++ b/lovagewalk/settings/__init__.py
@@ -1,6 +1,8 @@
 """Settings in INI files, checked as a whole."""
 
-from ._load import Problem, SettingsError, load_settings, parse_address
+from ._address import Address, parse_address
+from ._load import Problem, SettingsError, load_settings
+from ._reader import TableReader
 from ._schema import (
     AnnounceSection,
     DaemonSection,
@@ -15,6 +17,7 @@
 )
 
 __all__ = [
+    "Address",
     "AnnounceSection",
     "DaemonSection",
     "DaemonSettings",
@@ -27,6 +30,7 @@
     "SecretsSection",
     "SettingsError",
     "StandinFileSettings",
+    "TableReader",
     "load_settings",
     "parse_address",
 ]
--- a/lovagewalk/settings/_load.py
+++ b/lovagewalk/settings/_load.py
@@ -11,6 +11,7 @@
 
 from lovagewalk.core import Code, LovageError
 
+from ._address import parse_address
 from ._schema import DaemonSettings, StandinFileSettings
 
 MIN_SECRET_LENGTH = 8
@@ -152,22 +153,6 @@
     return decorate
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    """Return host and port of ``IP:PORT``.
-
-    Raises
-    ------
-    ValueError
-        If the host is no IP number or the port is out of range.
-    """
-    host, _, port = text.rpartition(":")
-    ipaddress.ip_address(host)
-    number = int(port)
-    if not 0 < number < 65536:
-        raise ValueError("port out of range")
-    return host, number
-
-
 def _check_ip(section: str, key: str, host: str) -> list[Problem]:
     try:
         ipaddress.ip_address(host)
