Shares at once after a restart, compressed frames, and no refusal from ignorance

- Without a lease nothing is said to be unknown; callers are told when to come back.
- Runs of daemons that may hold shares stand in the log.
A new leader grants as soon as each of them has told it what it holds.
- Long messages between daemons and records on disk are compressed.

--- a/lovagewalk/catalogue/_apply.py
+++ b/lovagewalk/catalogue/_apply.py
@@ -240,6 +240,14 @@
     return Applied(replace(catalogue, groups=groups), ChangeResult(index))
 
 
+@applies(commands.NoteHolder)
+def _note_holder(
+    catalogue: Catalogue, index: int, command: commands.NoteHolder
+) -> Applied:
+    holders = catalogue.holders.set(command.daemon, command.boot)
+    return Applied(replace(catalogue, holders=holders), ChangeResult(index))
+
+
 @applies(commands.RecordAccess)
 def _record_access(
     catalogue: Catalogue, index: int, command: commands.RecordAccess
--- a/lovagewalk/catalogue/_commands.py
+++ b/lovagewalk/catalogue/_commands.py
@@ -128,6 +128,18 @@
     voters: tuple[ControlVoter, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class NoteHolder:
+    """Note the run of a daemon that may hold shares of customers' rates.
+
+    A new control leader need not wait for old shares to run out, once every
+    holder has told it what it holds.
+    """
+
+    daemon: str
+    boot: str
+
+
 @dataclass(frozen=True, slots=True)
 class ReplaceConfiguration:
     """Replace routes, customers, keys and group limits as a whole.
@@ -152,6 +164,7 @@
 Command = (
     NoChange
     | ReplaceConfiguration
+    | NoteHolder
     | ChangeControlVoters
     | PutCustomer
     | PutRoute
--- a/lovagewalk/catalogue/_state.py
+++ b/lovagewalk/catalogue/_state.py
@@ -321,6 +321,8 @@
         That configuration as the operator sent it, to be read back.
     idle_transaction_s : float
         How long a transaction may stay idle, in seconds; 0 for no limit.
+    holders : Map of str to str
+        By daemon, the run of it that may hold shares.
     """
 
     revision: int = 0
@@ -337,6 +339,7 @@
     version: int = 0
     document: bytes = field(default=b"", repr=False)
     idle_transaction_s: float = 0.0
+    holders: Map = field(default_factory=Map)
 
     def customer(self, name: str) -> CustomerEntry | None:
         """Return a customer's entry, or None."""
--- a/lovagewalk/codec/_codec.py
+++ b/lovagewalk/codec/_codec.py
@@ -1,5 +1,6 @@
 """msgpack form of messages, log entries and snapshots, with typed decoding."""
 
+import zlib
 from enum import Enum
 from typing import Any
 
@@ -13,8 +14,12 @@
 from lovagewalk.control import _messages as control
 from lovagewalk.core import Code, LovageError
 
-CODEC_VERSION = 1
+CODEC_VERSION = 2
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+# Shorter messages, as heartbeats are, gain less than the time is worth.
+COMPRESS_FROM_BYTES = 512
+ZLIB_LEVEL = 3
+COMPRESSED = "zlib"
 
 _TYPES: dict[str, type] = {
     kind.__name__: kind
@@ -69,6 +74,7 @@
         "access_batches": dict(catalogue.access_batches),
         "version": catalogue.version,
         "document": catalogue.document,
+        "holders": dict(catalogue.holders),
         "idle_transaction_s": catalogue.idle_transaction_s,
         "results": [
             (request_id, pack(catalogue.results[request_id]))
@@ -98,6 +104,7 @@
         access_batches=Map(raw["access_batches"]),
         version=int(raw["version"]),
         document=bytes(raw["document"]),
+        holders=Map(raw["holders"]),
         idle_transaction_s=float(raw["idle_transaction_s"]),
         results=Map(results),
         result_order=tuple(request_id for request_id, _ in results),
@@ -111,9 +118,12 @@
 
 
 def encode(message: Any) -> bytes:
-    """Return the msgpack form of a message."""
+    """Return the msgpack form of a message; a long one is compressed."""
     body = _converter.unstructure(message)
-    return msgpack.packb((CODEC_VERSION, type(message).__name__, body))
+    data = msgpack.packb((CODEC_VERSION, type(message).__name__, body))
+    if len(data) < COMPRESS_FROM_BYTES:
+        return data
+    return msgpack.packb((CODEC_VERSION, COMPRESSED, zlib.compress(data, ZLIB_LEVEL)))
 
 
 def decode(data: bytes) -> Any:
@@ -128,6 +138,8 @@
         version, name, body = msgpack.unpackb(data)
         if version != CODEC_VERSION:
             raise LovageError(Code.FRAME_BAD, "version")
+        if name == COMPRESSED:
+            version, name, body = msgpack.unpackb(_inflate(body))
         return _converter.structure(body, _TYPES[name])
     except LovageError:
         raise
@@ -135,6 +147,15 @@
         raise LovageError(Code.FRAME_BAD, type(exc).__name__) from exc
 
 
+def _inflate(data: bytes) -> bytes:
+    """Return what was compressed, if it is no longer than a frame may be."""
+    inflater = zlib.decompressobj()
+    plain = inflater.decompress(data, MAX_FRAME_BYTES)
+    if not inflater.eof:
+        raise LovageError(Code.FRAME_BAD, "too long")
+    return plain
+
+
 def to_plain(message: Any) -> dict[str, Any]:
     """Return a message as plain dictionaries, lists and numbers."""
     return _converter.unstructure(message)
--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -1,11 +1,11 @@
 """The leader's side of following: reports in; leases, entries and grants out."""
 
-from lovagewalk.catalogue import Management
+from lovagewalk.catalogue import Management, NoteHolder, Proposal
 from lovagewalk.consensus import LogEntry, RaftState, SendPeer, confirmed_round
 from lovagewalk.core import Effect, Step, replace
 from lovagewalk.node import NodeState
 
-from . import _ledger
+from . import _ledger, _proposals
 from ._messages import (
     CatalogueUpdate,
     FollowReply,
@@ -46,7 +46,24 @@
         ledgers=_ledger.take_reports(state, control, peer, request, now),
     )
     raft = replace(raft, heartbeat_at=min(raft.heartbeat_at, now + CONFIRM_DELAY_S))
-    return serve_followers(replace(state, control=control, consensus=raft), now)
+    state = replace(state, control=control, consensus=raft)
+    step = _note_holder(state, peer, request, now)
+    return step.then(serve_followers(step.state, now))
+
+
+def _note_holder(
+    state: NodeState, peer: str, request: FollowRequest, now: float
+) -> Step[NodeState]:
+    """Write a daemon's run into the log before it is given shares."""
+    control: ControlState = state.control
+    noting = control.noting.get(peer) == request.boot
+    if not request.shares or noting or _ledger.may_hold(state, peer, request):
+        return Step(state)
+    noting = control.noting.set(peer, request.boot)
+    state = replace(state, control=replace(control, noting=noting))
+    command = NoteHolder(peer, request.boot)
+    proposal = Proposal("", "control", 0.0, command)
+    return _proposals.propose(state, proposal, None, now)
 
 
 def on_suspect_notice(
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -163,6 +163,7 @@
         ledger = _refresh(ledgers[report.customer], entry, now)
         target = compute_target(ledger, entry, peer)
         may_grow = _may_grow(state, control, now) and not request.draining
+        may_grow = may_grow and may_hold(state, peer, request)
         grant = _decide(ledger, entry, report, target, may_grow)
         ledger = _book(ledger, holder_key(peer, request), grant)
         if _needs_recall(grant, report, ledger, now, may_grow):
@@ -175,8 +176,22 @@
 
 def _may_grow(state: NodeState, control: ControlState, now: float) -> bool:
     raft = state.consensus
-    has_committed = raft.log.term_at(raft.commit) == raft.term
-    return has_committed and now >= control.ready_at
+    if raft.log.term_at(raft.commit) != raft.term:
+        return False
+    return now >= control.ready_at or _has_heard_holders(state, control)
+
+
+def _has_heard_holders(state: NodeState, control: ControlState) -> bool:
+    """Whether every daemon that may hold shares has said what it holds.
+
+    One that reports with another run holds nothing of the run before.
+    """
+    return all(name in control.followers for name in state.catalogue.holders)
+
+
+def may_hold(state: NodeState, peer: str, request: FollowRequest) -> bool:
+    """Whether the log knows of this run, so that it may be given shares."""
+    return state.catalogue.holders.get(peer) == request.boot
 
 
 def compute_target(ledger: Ledger, entry: CustomerEntry, peer: str) -> Target:
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -248,6 +248,8 @@
         When each silent voter was first missed.
     promotions : Map of str to Promotion
         By group, those through the provider.
+    noting : Map of str to str
+        By daemon, the run that is being written into the log as a holder.
     """
 
     led_term: int = 0
@@ -259,3 +261,4 @@
     ledgers: Map = field(default_factory=Map)
     lost_since: Map = field(default_factory=Map)
     promotions: Map = field(default_factory=Map)
+    noting: Map = field(default_factory=Map)
--- a/lovagewalk/control/tests/test_fleet_machine.py
+++ b/lovagewalk/control/tests/test_fleet_machine.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from lovagewalk import catalogue as cat
-from lovagewalk.consensus import RaftState, SendPeer
+from lovagewalk.consensus import RaftState, SendPeer, Standing
 from lovagewalk.control import (
     ChangeRequested,
     ConsensusTick,
@@ -306,3 +306,36 @@
         fleet.feed(target, PeerMessage(fleet.now, source, message))
         assert fleet.held("rate") <= RATE + EPSILON
         assert fleet.held("burst") <= BURST + EPSILON
+
+
+def _kill_all(fleet):
+    """Start every daemon again, from what its disk holds."""
+    for name in NAMES:
+        old = fleet.states[name]
+        raft = replace(old.consensus, standing=Standing.FOLLOWER, leader="")
+        fresh = fleet._new_state(name)
+        fleet.states[name] = replace(
+            fresh, consensus=raft, catalogue=old.catalogue, control=ControlState()
+        )
+    fleet.wire.clear()
+
+
+def test_shares_come_back_at_once_if_every_holder_is_heard():
+    fleet = Daemons()
+    fleet.run(2.0)
+    _kill_all(fleet)
+    fleet.run(2.0)
+    assert fleet.held("rate") > 0.99 * RATE
+
+
+def test_shares_wait_for_a_holder_that_is_not_heard():
+    fleet = Daemons()
+    fleet.run(2.0)
+    lost = _follower(fleet)
+    fleet.cut = {lost}
+    kept = fleet.states[lost]
+    _kill_all(fleet)
+    fleet.states[lost] = kept
+    fleet.run(2.0)
+    assert fleet.held("rate") <= RATE + EPSILON
+    assert sum(s.rate for s in fleet.states[_follower(fleet)].shares.values()) < RATE
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -30,6 +30,8 @@
 
 REQUEST_DEADLINE_S = 5.0
 TOKEN_WAIT_S = 1.0
+# An election of control takes about so long.
+STALE_RETRY_S = 1.0
 # Part of a route's objective: leaves the rest for the statement itself.
 TOKEN_WAIT_PART = 0.4
 # Requests that wait ahead; bounds the time that a caller is told to stay away.
@@ -210,14 +212,20 @@
 def authorise(state: NodeState, session: Session, now: float) -> Refusal | None:
     """Return why a session may not run statements now, or None.
 
-    A route open to all needs neither key nor a fresh catalogue.
+    A route open to all needs neither key nor a fresh catalogue. Without a fresh
+    one nothing is said to be unknown: it may be known elsewhere.
     """
     refusal = access_refusal(state, session)
-    if refusal is not None or not session.key_id:
-        return refusal
+    if refusal is None and not session.key_id:
+        return None
     if now >= state.fresh_until:
-        return Refusal(Code.CONFIG_STALE, retry_after_s=1.0)
-    return None
+        return stale_refusal()
+    return refusal
+
+
+def stale_refusal() -> Refusal:
+    """Return the refusal of a daemon that may not know the latest catalogue."""
+    return Refusal(Code.CONFIG_STALE, retry_after_s=STALE_RETRY_S)
 
 
 def access_refusal(state: NodeState, session: Session) -> Refusal | None:
--- a/lovagewalk/routing/_callers.py
+++ b/lovagewalk/routing/_callers.py
@@ -9,7 +9,7 @@
 from lovagewalk.sessions import Session, TransactionState
 
 from . import _dispatch, _place
-from ._admit import access_refusal, authorise, is_closed
+from ._admit import access_refusal, authorise, is_closed, stale_refusal
 from ._answer import answer
 from ._effects import AcceptCaller, CloseCaller, DropResult
 from ._events import CallerConnected, CallerLeft, CallerReset
@@ -25,11 +25,14 @@
 def _caller_connected(state: NodeState, event: CallerConnected) -> Step[NodeState]:
     route = state.catalogue.route(event.route)
     key = state.catalogue.key(event.key_id)
+    refusal = None
     if route is None:
         refusal = Refusal(Code.ROUTE_UNKNOWN)
-        return Step(state, (CloseCaller(event.caller, refusal),))
-    if route.route_class is RouteClass.KEYED and key is None:
+    elif route.route_class is RouteClass.KEYED and key is None:
         refusal = Refusal(Code.KEY_UNKNOWN)
+    if refusal is not None:
+        if event.at >= state.fresh_until:
+            refusal = stale_refusal()
         return Step(state, (CloseCaller(event.caller, refusal),))
     session = Session(
         caller=event.caller,
--- a/lovagewalk/routing/tests/test_stated.py
+++ b/lovagewalk/routing/tests/test_stated.py
@@ -447,3 +447,23 @@
     site.sweep(0.7)
     run = site.take()
     assert site.where(run) == PRIMARY and run.req == req
+
+
+def test_without_a_lease_nothing_is_said_to_be_unknown():
+    """A daemon that has just started knows no route and no key yet."""
+    site = Site()
+    _expire_lease(site)
+    for name, key in (("till", KEY), ("nowhere", KEY), ("till", "another")):
+        caller = site.connect(name, key)
+        assert site.closed[caller].code is Code.CONFIG_STALE
+        assert site.closed[caller].retry_after_s > 0
+
+
+def test_a_lapsed_lease_ends_no_session_for_good():
+    site = Site()
+    caller = site.connect("till")
+    routes = site.state.catalogue.routes.delete("till")
+    catalogue = replace(site.state.catalogue, routes=routes)
+    site.state = replace(site.state, catalogue=catalogue)
+    _expire_lease(site)
+    assert site.refusal(site.read(caller)) is Code.CONFIG_STALE
