--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from immutables import Map
+
 from lovagewalk.catalogue import (
     AccessCount,
     Catalogue,
@@ -53,10 +55,10 @@
     the answer to the latest counts.
     """
     follow: FollowState = state.follow
-    since = now - follow.sent_at
-    if since >= FOLLOW_PERIOD_S:
+    if now - follow.reported_at >= FOLLOW_PERIOD_S:
         return True
-    is_open = follow.answered_seq < follow.seq
+    since = now - follow.sent_at
+    is_open = follow.answered_seq < follow.seq and since < FOLLOW_PERIOD_S
     if is_open or since < URGENT_PERIOD_S:
         return False
     return follow.urgent or _has_waiting(state)
@@ -86,29 +88,33 @@
 
 
 def _send_report(state: NodeState, now: float) -> Step[NodeState]:
+    """Report all shares, or between two such reports those that cannot wait."""
     follow: FollowState = state.follow
-    elapsed = max(now - follow.sent_at, URGENT_PERIOD_S)
+    whole = follow.urgent or now - follow.reported_at >= FOLLOW_PERIOD_S
     target = _next_target(state)
-    state = replace(state, shares=_prepare_shares(state, elapsed, now))
+    state = replace(state, shares=_prepare_shares(state, whole, now))
+    reported = [s for s in state.shares.values() if whole or s.waiting]
     request = FollowRequest(
         boot=follow.boot,
         seq=follow.seq + 1,
         revision=state.catalogue.revision,
         draining=is_leaving(state),
         suspects=follow.suspects,
-        shares=tuple(_report(share) for share in state.shares.values()),
+        shares=tuple(_report(share) for share in reported),
         entry=state.me.entry and not is_leaving(state),
         observes=state.me.entry,
+        whole=whole,
     )
     cleared = state.shares
-    for customer, share in state.shares.items():
+    for share in reported:
         if share.returned:
-            cleared = cleared.set(customer, replace(share, returned=0.0))
+            cleared = cleared.set(share.customer, replace(share, returned=0.0))
     follow = replace(
         follow,
         target=target,
         seq=request.seq,
         sent_at=now,
+        reported_at=now if whole else follow.reported_at,
         urgent=False,
     )
     state = replace(state, shares=cleared, follow=follow)
@@ -132,14 +138,19 @@
     return (later or names)[0]
 
 
-def _prepare_shares(state: NodeState, elapsed_s: float, now: float):
+def _prepare_shares(state: NodeState, whole: bool, now: float) -> Map:
+    """Return the shares as they are to be reported."""
     shares = state.shares
     if state.me.entry and len(state.catalogue.customers) <= MAX_EAGER_CUSTOMERS:
         for customer in state.catalogue.customers:
             if customer not in shares:
                 shares = shares.set(customer, Share(customer, updated_at=now))
     for customer, share in shares.items():
+        if not whole and not share.waiting:
+            continue
+        elapsed_s = max(now - share.reported_at, URGENT_PERIOD_S)
         prepared = smooth_demand(expire(share, now), elapsed_s)
+        prepared = replace(prepared, reported_at=now)
         if is_leaving(state):
             prepared = shrink(prepared, 0.0, 0.0, now)
         shares = shares.set(customer, prepared)
--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -36,7 +36,9 @@
         and known.request.seq >= request.seq
     ):
         return Step(state)
-    follower = Follower(peer, request.revision, now, request)
+    same_run = known is not None and known.request.boot == request.boot
+    has_reported = request.whole or (same_run and known.has_reported)
+    follower = Follower(peer, request.revision, now, request, has_reported)
     pending = PendingFollow(peer, request.seq, raft.round + 1)
     kept = tuple(other for other in control.pending if other.peer != peer)
     control = replace(
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -186,7 +186,8 @@
 
     One that reports with another run holds nothing of the run before.
     """
-    return all(name in control.followers for name in state.catalogue.holders)
+    heard = (control.followers.get(name) for name in state.catalogue.holders)
+    return all(follower and follower.has_reported for follower in heard)
 
 
 def may_hold(state: NodeState, peer: str, request: FollowRequest) -> bool:
--- a/lovagewalk/control/_messages.py
+++ b/lovagewalk/control/_messages.py
@@ -73,6 +73,8 @@
         Whether it serves callers, and so shares rates and connections.
     observes : bool
         Whether it watches primaries itself.
+    whole : bool
+        Whether `shares` holds all of the daemon's shares.
     """
 
     boot: str
@@ -83,6 +85,7 @@
     shares: tuple[ShareReport, ...]
     entry: bool = True
     observes: bool = True
+    whole: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -34,6 +34,8 @@
         The latest request, and the latest one that anybody answered.
     sent_at : float
         When the latest request was sent, in monotonic seconds.
+    reported_at : float
+        When all shares were last reported.
     answered_at : float
         When a request was last answered by the leader.
     suspects : tuple
@@ -53,6 +55,7 @@
     seq: int = 0
     answered_seq: int = 0
     sent_at: float = 0.0
+    reported_at: float = 0.0
     answered_at: float = 0.0
     suspects: tuple = ()
     has_started: bool = False
@@ -73,12 +76,15 @@
         What it has, or has been sent.
     request : FollowRequest
         Its latest request.
+    has_reported : bool
+        Whether this run has told this leader all its shares.
     """
 
     name: str
     revision: int
     seen_at: float
     request: FollowRequest
+    has_reported: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/control/tests/test_fleet_machine.py
+++ b/lovagewalk/control/tests/test_fleet_machine.py
@@ -19,7 +19,7 @@
     FollowState,
     PeerMessage,
 )
-from lovagewalk.control._messages import FollowReply, ShareRecall
+from lovagewalk.control._messages import FollowReply, FollowRequest, ShareRecall
 from lovagewalk.core import reduce, replace
 from lovagewalk.daemon import SweepTick
 from lovagewalk.node import Identity, NodeState
@@ -339,3 +339,47 @@
     fleet.run(2.0)
     assert fleet.held("rate") <= RATE + EPSILON
     assert sum(s.rate for s in fleet.states[_follower(fleet)].shares.values()) < RATE
+
+
+def test_a_part_of_a_report_does_not_stand_for_the_whole():
+    """A daemon that asks for one customer may hold shares of others."""
+    fleet = Daemons()
+    fleet.run(2.0)
+    holder = _follower(fleet)
+    kept = fleet.states[holder]
+    _kill_all(fleet)
+    fleet.states[holder] = kept
+    deliver = fleet.deliver
+
+    def strip_reports(position):
+        message = fleet.wire[position % len(fleet.wire)]
+        if message[0] == holder and isinstance(message[2], FollowRequest):
+            part = replace(message[2], shares=(), whole=False)
+            fleet.wire[position % len(fleet.wire)] = (*message[:2], part)
+        deliver(position)
+
+    fleet.deliver = strip_reports
+    for _ in range(100):
+        fleet.run(0.02)
+        assert fleet.held("rate") <= RATE + EPSILON
+
+
+def test_clumps_of_a_small_customer_are_served_by_the_fleets_tokens():
+    """A morning rush of one kiosk: its few requests meet at any one daemon.
+
+    Its rate is small for the number of daemons, and it stays within its rate and
+    burst over the fleet.
+    """
+    fleet = Daemons()
+    entry = cat.CustomerEntry(CUSTOMER, "o", RATE / 4, 6.0)
+    revision = fleet.states[NAMES[0]].catalogue.customers[CUSTOMER].revision
+    fleet.change(cat.PutCustomer(entry, revision))
+    fleet.run(4.0)
+    for round_ in range(6):
+        name = NAMES[round_ % 3]
+        for _ in range(5):
+            fleet.ask(name)
+        fleet.run(0.25)
+        waiting = [s for s in fleet.states[name].shares.values() if s.waiting]
+        assert not waiting, "no request waits long while the fleet has tokens"
+        fleet.run(1.2)
--- a/lovagewalk/shares/_state.py
+++ b/lovagewalk/shares/_state.py
@@ -25,6 +25,8 @@
         Arrivals since `demand` was last updated.
     returned : float
         Tokens given up since the last report to the control leader.
+    reported_at : float
+        When it was last reported, in monotonic seconds.
     """
 
     customer: str
@@ -37,3 +39,4 @@
     demand: float = 0.0
     arrivals: int = 0
     returned: float = 0.0
+    reported_at: float = 0.0
