--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -98,10 +98,10 @@
         boot=follow.boot,
         seq=follow.seq + 1,
         revision=state.catalogue.revision,
-        draining=is_leaving(state),
+        draining=is_leaving(state, now),
         suspects=follow.suspects,
         shares=tuple(_report(share) for share in reported),
-        entry=state.me.entry and not is_leaving(state),
+        entry=state.me.entry and not is_leaving(state, now),
         observes=state.me.entry,
         whole=whole,
     )
@@ -151,7 +151,7 @@
         elapsed_s = max(now - share.reported_at, URGENT_PERIOD_S)
         prepared = smooth_demand(expire(share, now), elapsed_s)
         prepared = replace(prepared, reported_at=now)
-        if is_leaving(state):
+        if is_leaving(state, now):
             prepared = shrink(prepared, 0.0, 0.0, now)
         shares = shares.set(customer, prepared)
     return shares
--- a/lovagewalk/control/_readiness.py
+++ b/lovagewalk/control/_readiness.py
@@ -1,14 +1,18 @@
 """Whether a daemon may be sent callers, and whether it has none left."""
 
 from lovagewalk.node import NodeState
+from lovagewalk.routing import is_closed
 from lovagewalk.sessions import TransactionState
 
 MAX_EAGER_CUSTOMERS = 64
 
 
-def is_leaving(state: NodeState) -> bool:
-    """Whether this daemon drains and has no transaction left to serve."""
-    return state.draining and all(
+def is_leaving(state: NodeState, now: float) -> bool:
+    """Whether this daemon takes no operation any more and has none left.
+
+    Until then it needs its shares, though it drains already.
+    """
+    return is_closed(state, now) and all(
         session.transaction is TransactionState.NONE
         for session in state.sessions.values()
     )
--- a/lovagewalk/control/tests/test_fleet_machine.py
+++ b/lovagewalk/control/tests/test_fleet_machine.py
@@ -16,6 +16,7 @@
     ConsensusTick,
     ControlState,
     ControlTick,
+    DrainRequested,
     FollowState,
     PeerMessage,
 )
@@ -383,3 +384,21 @@
         waiting = [s for s in fleet.states[name].shares.values() if s.waiting]
         assert not waiting, "no request waits long while the fleet has tokens"
         fleet.run(1.2)
+
+
+def test_a_daemon_keeps_its_shares_while_it_still_serves():
+    """A rolling restart: the balancer goes on sending callers for two seconds."""
+    fleet = Daemons()
+    fleet.run(2.0)
+    leaving = _follower(fleet)
+    state = fleet.states[leaving]
+    fleet.states[leaving] = replace(state, me=replace(state.me, drain_s=2.0))
+    fleet.feed(leaving, DrainRequested(fleet.now))
+    fleet.run(1.0)
+    assert fleet.states[leaving].shares[CUSTOMER].rate > 0
+    before = len(fleet.admitted)
+    fleet.ask(leaving)
+    fleet.run(0.1)
+    assert len(fleet.admitted) == before + 1
+    fleet.run(2.0)
+    assert fleet.states[leaving].shares[CUSTOMER].rate == 0
--- a/lovagewalk/routing/__init__.py
+++ b/lovagewalk/routing/__init__.py
@@ -1,5 +1,6 @@
 """Routing of statements: where a request runs and what its caller is told."""
 
+from ._closing import is_closed
 from ._effects import (
     AcceptCaller,
     AnswerCaller,
@@ -59,4 +60,5 @@
     "StatementKind",
     "StatementRejected",
     "StreamEnded",
+    "is_closed",
 ]
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -16,6 +16,7 @@
 
 from . import _dispatch, _place
 from ._answer import answer, count_access, latest
+from ._closing import is_closed
 from ._events import StatementArrived, StatementRejected
 from ._recovery import lose_transaction
 from ._state import Phase, Request
@@ -204,11 +205,6 @@
     return _token_refusal(state, session, request)
 
 
-def is_closed(state: NodeState, now: float) -> bool:
-    """Whether this daemon drains and takes no new operations any more."""
-    return state.draining and now - state.draining_since >= state.me.drain_s
-
-
 def authorise(state: NodeState, session: Session, now: float) -> Refusal | None:
     """Return why a session may not run statements now, or None.
 
--- a/lovagewalk/routing/_callers.py
+++ b/lovagewalk/routing/_callers.py
@@ -9,8 +9,9 @@
 from lovagewalk.sessions import Session, TransactionState
 
 from . import _dispatch, _place
-from ._admit import access_refusal, authorise, is_closed, stale_refusal
+from ._admit import access_refusal, authorise, stale_refusal
 from ._answer import answer
+from ._closing import is_closed
 from ._effects import AcceptCaller, CloseCaller, DropResult
 from ._events import CallerConnected, CallerLeft, CallerReset
 from ._outcome import end_transaction
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -10,6 +10,7 @@
 
 from . import _admit, _callers, _dispatch, _outcome, _place, _recovery
 from ._answer import answer
+from ._closing import is_closed
 from ._state import Phase, Request
 from ._types import StatementKind
 
@@ -44,7 +45,7 @@
         step = step.then(_trim(step.state, endpoint, pool, event.at))
         if pool.waiting:
             step = step.then(_dispatch.dispatch(step.state, endpoint, event.at))
-    if _admit.is_closed(step.state, event.at) and step.state.me.drain_s:
+    if is_closed(step.state, event.at) and step.state.me.drain_s:
         step = step.then(_callers.close_idle(step.state, event.at))
     return step.then(_end_idle_transactions(step.state, event.at))
 
