--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -15,7 +15,7 @@
 from lovagewalk.core import Effect, Step, replace
 from lovagewalk.daemon._changes import install_catalogue, resize_pools
 from lovagewalk.groups import add_proof, is_primary_suspect, view_of
-from lovagewalk.node import NodeState
+from lovagewalk.node import NodeState, note
 from lovagewalk.routing import _sweep
 from lovagewalk.shares import Share, expire, grow, shrink, smooth_demand
 
@@ -41,13 +41,31 @@
 
 def tick(state: NodeState, now: float) -> Step[NodeState]:
     """Send a report where one is due, or where something cannot wait."""
-    step = _report_accesses(state, now)
+    step = _note_lease(state, now)
+    step = step.then(_report_accesses(step.state, now))
     step = step.then(_notify_suspects(step.state, now))
     if not _is_report_due(step.state, now):
         return step
     return step.then(_send_report(step.state, now))
 
 
+def _note_lease(state: NodeState, now: float) -> Step[NodeState]:
+    """Log that the lease was lost or regained."""
+    follow: FollowState = state.follow
+    holds = now < state.fresh_until
+    if holds == follow.holds_lease:
+        return Step(state)
+    noted = note(
+        "follow",
+        "lease regained" if holds else "lease lost",
+        target=follow.target,
+        answered_ms_ago=round((now - follow.answered_at) * 1000),
+        revision=state.catalogue.revision,
+    )
+    follow = replace(follow, holds_lease=holds)
+    return Step(replace(state, follow=follow), (noted,))
+
+
 def _is_report_due(state: NodeState, now: float) -> bool:
     """Whether to report now.
 
--- a/lovagewalk/control/_members.py
+++ b/lovagewalk/control/_members.py
@@ -9,7 +9,7 @@
 from lovagewalk.catalogue import ChangeControlVoters, ControlVoter, Proposal
 from lovagewalk.consensus import RaftState, forget_peers
 from lovagewalk.core import Step, replace
-from lovagewalk.node import NodeState
+from lovagewalk.node import NodeState, note
 
 from . import _proposals
 
@@ -35,8 +35,15 @@
     voters = wanted_voters(raft, now)
     if voters == raft.voters:
         return Step(state)
+    noted = note(
+        "control",
+        "voters change",
+        before=", ".join(voter.name for voter in raft.voters),
+        after=", ".join(voter.name for voter in voters),
+    )
     proposal = Proposal("", "control", 0.0, ChangeControlVoters(voters))
-    return _proposals.propose(state, proposal, None, now)
+    step = _proposals.propose(state, proposal, None, now)
+    return Step(step.state, (noted,) + step.effects)
 
 
 def _gone(raft: RaftState, now: float) -> list[str]:
--- a/lovagewalk/control/_provider.py
+++ b/lovagewalk/control/_provider.py
@@ -26,7 +26,7 @@
     Role,
     view_of,
 )
-from lovagewalk.node import NodeState
+from lovagewalk.node import NodeState, note
 
 from . import _proposals
 from ._effects import PromoteInstance
@@ -178,7 +178,26 @@
 def _begin(state: NodeState, config: GroupConfig, now: float) -> Step[NodeState]:
     """Start a promotion by allocating its fence through the log."""
     promotion = Promotion(config.name, PromotionStage.ALLOCATE, now, config.fence)
-    return _propose(_put(state, promotion), AllocateFence(config.name), now)
+    noted = _note_begin(state, config, now)
+    step = _propose(_put(state, promotion), AllocateFence(config.name), now)
+    return Step(step.state, step.effects + (noted,))
+
+
+def _note_begin(state: NodeState, config: GroupConfig, now: float) -> Effect:
+    """Return the log line that says why a promotion begins."""
+    primary = view_of(state, config.name).instances.get(config.primary)
+    endpoint = state.catalogue.endpoints.get(config.primary)
+    silent_s = now - primary.seen_at if primary else 0.0
+    return note(
+        "groups",
+        "promotion begins",
+        group=config.name,
+        primary=config.primary,
+        term=config.term,
+        silent_ms=round(silent_s * 1000),
+        leaving=endpoint is None or endpoint.leaving,
+        suspecting=collect_suspicions(state.control, now).count(config),
+    )
 
 
 Stage = Callable[[NodeState, Promotion, GroupConfig, float], Step[NodeState]]
@@ -267,7 +286,14 @@
     effect = PromoteInstance(
         promotion.group, promotion.target, state.me.name, promotion.fence
     )
-    return Step(state, (effect,))
+    noted = note(
+        "groups",
+        "promotion ordered",
+        group=promotion.group,
+        target=promotion.target,
+        fence=promotion.fence,
+    )
+    return Step(state, (noted, effect))
 
 
 @at_stage(PromotionStage.ORDER)
--- a/lovagewalk/control/_settle.py
+++ b/lovagewalk/control/_settle.py
@@ -12,7 +12,7 @@
 )
 from lovagewalk.core import Code, Effect, Refusal, Step, replace
 from lovagewalk.daemon._changes import install_catalogue
-from lovagewalk.node import NodeState
+from lovagewalk.node import NodeState, note
 
 from . import _leader
 from ._effects import AnswerOperator, RecordAudit
@@ -27,7 +27,8 @@
     it is on disk.
     """
     state = replace(state, consensus=raft_step.raft)
-    step = Step(_track_leadership(state, now), raft_step.effects)
+    step = _track_leadership(state, now)
+    step = Step(step.state, raft_step.effects + step.effects)
     step = step.then(_answer_orphans(step.state))
     step = step.then(_apply_committed(step.state, now))
     step = step.then(_compact(step.state))
@@ -37,7 +38,7 @@
     return step
 
 
-def _track_leadership(state: NodeState, now: float) -> NodeState:
+def _track_leadership(state: NodeState, now: float) -> Step[NodeState]:
     raft: RaftState = state.consensus
     control: ControlState = state.control
     if raft.is_leader and control.led_term != raft.term:
@@ -46,10 +47,26 @@
             ready_at=now if _is_first_leader(raft) else now + LEASE_S * LEASE_MARGIN,
             tickets=control.tickets,
         )
-        return replace(state, control=fresh)
+        voters = ", ".join(voter.name for voter in raft.voters)
+        noted = note(
+            "control",
+            "this VM leads",
+            term=raft.term,
+            last_index=raft.log.last_index,
+            voters=voters,
+        )
+        return Step(replace(state, control=fresh), (noted,))
     if not raft.is_leader and control.led_term:
-        return replace(state, control=ControlState(tickets=control.tickets))
-    return state
+        noted = note(
+            "control",
+            "this VM no longer leads",
+            led_term=control.led_term,
+            term=raft.term,
+            leader=raft.leader,
+        )
+        fresh = ControlState(tickets=control.tickets)
+        return Step(replace(state, control=fresh), (noted,))
+    return Step(state)
 
 
 def _is_first_leader(raft: RaftState) -> bool:
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -44,6 +44,8 @@
         Whether shares of all customers have once been held.
     urgent : bool
         Whether the next request must not wait for its period.
+    holds_lease : bool
+        Whether the lease was held at the last look.
     batch : Proposal or None
         Access counts that the leader has not yet confirmed.
     batch_sent_at, batch_built_at : float
@@ -60,6 +62,7 @@
     suspects: tuple = ()
     has_started: bool = False
     urgent: bool = False
+    holds_lease: bool = False
     batch: Proposal | None = None
     batch_number: int = 0
     batch_sent_at: float = 0.0
--- a/lovagewalk/daemon/_changes.py
+++ b/lovagewalk/daemon/_changes.py
@@ -3,7 +3,7 @@
 from lovagewalk.catalogue import Catalogue, Management
 from lovagewalk.core import Step, replace
 from lovagewalk.groups._reducer import reset_group
-from lovagewalk.node import NodeState
+from lovagewalk.node import NodeState, note
 from lovagewalk.routing import _callers, _dispatch, _outcome, _place, _sweep
 
 
@@ -24,7 +24,16 @@
         step = step.then(_change_groups(step.state, before, now))
     if _access_changed(before, catalogue):
         step = step.then(_callers.enforce_keys(step.state, now))
-    return step
+    if catalogue.version == before.version:
+        return step
+    noted = note(
+        "catalogue",
+        "configuration in force",
+        version=catalogue.version,
+        before=before.version,
+        revision=catalogue.revision,
+    )
+    return Step(step.state, step.effects + (noted,))
 
 
 def _access_changed(before: Catalogue, after: Catalogue) -> bool:
@@ -81,6 +90,15 @@
         if before.group(name).term == config.term:
             continue
         step = Step(reset_group(step.state, name, now), step.effects)
+        noted = note(
+            "groups",
+            "primary installed",
+            group=name,
+            primary=config.primary,
+            term=config.term,
+            revision=state.catalogue.revision,
+        )
+        step = Step(step.state, step.effects + (noted,))
         step = step.then(_outcome.release_confirmed(step.state, name, now))
         step = step.then(_sweep.replace_waiting(step.state, name, now))
     return step
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -6,9 +6,9 @@
 
 from collections.abc import Callable
 
-from lovagewalk.core import Code, Refusal, Step, replace
+from lovagewalk.core import Code, Effect, Refusal, Step, replace
 from lovagewalk.groups import note_lacking, note_trouble
-from lovagewalk.node import NodeState
+from lovagewalk.node import NodeState, note
 from lovagewalk.sessions import Session, TransactionState
 
 from . import _dispatch, _place
@@ -46,7 +46,31 @@
     state: NodeState, request: Request, event: StatementFailed
 ) -> Step[NodeState]:
     """Try a failed statement again where that is safe, or answer its caller."""
-    state = _note_endpoint(state, request, event)
+    step = Step(_note_endpoint(state, request, event), _log_failure(request, event))
+    return step.then(_recover(step.state, request, event))
+
+
+def _log_failure(request: Request, event: StatementFailed) -> tuple[Effect, ...]:
+    """Return the log line of a failure that is not part of ordinary load."""
+    if event.failure in (Failure.BUSY, Failure.BEHIND):
+        return ()
+    noted = note(
+        "routing",
+        "statement failed at an endpoint",
+        request=request.marks.request_id,
+        endpoint=request.endpoint,
+        failure=event.failure.value,
+        detail=event.detail,
+        attempts=request.attempts,
+        term=request.sent_term,
+        sent_ms_ago=round((event.at - request.sent_at) * 1000),
+    )
+    return (noted,)
+
+
+def _recover(
+    state: NodeState, request: Request, event: StatementFailed
+) -> Step[NodeState]:
     session = state.sessions[request.caller]
     if session.conn != event.conn:
         step = _settle(state, event)
