--- a/lovagewalk/runtime/_logs.py
+++ b/lovagewalk/runtime/_logs.py
@@ -72,6 +72,7 @@
         if self.dropped:
             record.dropped_before = self.dropped
         line = (self.format(record) + "\n").encode()
+        self.flush()
         if len(self._buffer) + len(line) > MAX_BUFFERED_BYTES:
             self.dropped += 1
             return
