Keep bursts whole that are too small to divide; hand out no part of a token

Cause: parts of a burst below one token admit nothing, yet they were spread over all daemons and capped what each of them gained.

The leader keeps the bucket of a customer whose burst is smaller than the number of daemons, and admits each request that a daemon asks for. Elsewhere, a daemon whose part would be below one token gets none and asks. Reports for waiting requests leave at once. Sums stay within rate and burst: the fleet machine and test_a_burst_too_small_to_divide_is_kept_whole.

--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -1,7 +1,5 @@
 """The daemon's side of following: reports out; catalogue, leases, shares in."""
 
-from collections.abc import Iterable
-
 from immutables import Map
 
 from lovagewalk.catalogue import (
@@ -33,7 +31,8 @@
 from ._readiness import MAX_EAGER_CUSTOMERS, holds_shares, is_leaving
 from ._state import FOLLOW_PERIOD_S, LEASE_S, FollowState
 
-URGENT_PERIOD_S = 0.05
+# Between two reports that cannot wait; callers that come together share one.
+URGENT_PERIOD_S = 0.02
 AUDIT_PERIOD_S = 5.0
 AUDIT_RESEND_S = 2.0
 AUDIT_TICKET = 0
@@ -111,7 +110,7 @@
     whole = follow.urgent or now - follow.reported_at >= FOLLOW_PERIOD_S
     target = _next_target(state)
     state = replace(state, shares=_prepare_shares(state, whole, now))
-    reported = [s for s in state.shares.values() if whole or s.waiting]
+    reported = [s for s in state.shares.values() if _has_news(s, whole)]
     request = FollowRequest(
         boot=follow.boot,
         seq=follow.seq + 1,
@@ -139,6 +138,17 @@
     return Step(state, (SendPeer(target, request),))
 
 
+def _has_news(share: Share, whole: bool) -> bool:
+    """Whether a report has to name a share.
+
+    Of a customer whose bucket the leader keeps, nothing is held here.
+    """
+    if share.waiting:
+        return True
+    holds = share.burst > 0 or share.returned > 0
+    return whole and (holds or not share.on_demand)
+
+
 def _next_target(state: NodeState) -> str:
     """Return whom to ask; another control VM if the last one kept silent."""
     follow: FollowState = state.follow
@@ -164,14 +174,15 @@
             if customer not in shares:
                 shares = shares.set(customer, Share(customer, updated_at=now))
     for customer, share in shares.items():
-        if not whole and not share.waiting:
-            continue
-        elapsed_s = max(now - share.reported_at, URGENT_PERIOD_S)
-        prepared = smooth_demand(expire(share, now), elapsed_s)
-        prepared = replace(prepared, reported_at=now)
+        if whole:
+            elapsed_s = max(now - share.reported_at, FOLLOW_PERIOD_S)
+            share = smooth_demand(share, elapsed_s)
+            share = replace(share, reported_at=now)
+        if whole or share.waiting:
+            share = expire(share, now)
         if is_leaving(state, now):
-            prepared = shrink(prepared, 0.0, 0.0, now)
-        shares = shares.set(customer, prepared)
+            share = shrink(share, 0.0, 0.0, now)
+        shares = shares.set(customer, share)
     return shares
 
 
@@ -216,7 +227,7 @@
     if state.catalogue.revision >= reply.revision:
         state = _note_start(state)
     step = Step(state, step.effects)
-    return step.then(_serve_all(step.state, (g.customer for g in reply.grants), now))
+    return step.then(_serve_all(step.state, reply.grants, now))
 
 
 def _take_samples(state: NodeState, reply: FollowReply) -> NodeState:
@@ -259,16 +270,19 @@
     more_rate = max(grant.rate - share.rate, 0.0)
     more_burst = max(grant.burst - share.burst, 0.0)
     share = grow(share, more_rate, more_burst, grant.tokens, now)
-    return replace(share, lease_until=lease_until)
+    return replace(share, lease_until=lease_until, on_demand=grant.on_demand)
 
 
 def _serve_all(
-    state: NodeState, customers: Iterable[str], now: float
+    state: NodeState, grants: tuple[ShareGrant, ...], now: float
 ) -> Step[NodeState]:
     step = Step(state)
-    for customer in customers:
-        if step.state.shares[customer].waiting:
-            step = step.then(_sweep.serve_customer(step.state, customer, now))
+    for grant in grants:
+        if step.state.shares[grant.customer].waiting:
+            served = _sweep.serve_customer(
+                step.state, grant.customer, now, grant.vouchers
+            )
+            step = step.then(served)
     return step
 
 
--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -14,7 +14,7 @@
     ShareRecall,
     SuspectNotice,
 )
-from ._state import FOLLOWER_LOST_S, ControlState, Follower, PendingFollow
+from ._state import ControlState, Follower, PendingFollow
 
 MAX_PUSHED_ENTRIES = 200
 FORGET_FOLLOWER_S = 30.0
@@ -133,7 +133,7 @@
         entries=entries,
         snapshot=state.catalogue if behind else None,
         grants=granted.grants,
-        entry_daemons=count_entry_daemons(control, now),
+        entry_daemons=_ledger.count_entry_daemons(control, now),
         samples=_samples(state, now),
     )
     revision = entries[-1].index if entries else known
@@ -150,14 +150,6 @@
     return Step(replace(state, control=control), effects)
 
 
-def count_entry_daemons(control: ControlState, now: float) -> int:
-    """Return how many daemons that serve callers have reported lately."""
-    return sum(
-        follower.request.entry and now - follower.seen_at < FOLLOWER_LOST_S
-        for follower in control.followers.values()
-    )
-
-
 def _samples(state: NodeState, now: float) -> tuple[GroupSample, ...]:
     """Return the latest proof of each primary that a provider promotes."""
     found: tuple[GroupSample, ...] = ()
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -15,6 +15,7 @@
 
 from ._messages import FollowRequest, ShareGrant, ShareReport
 from ._state import (
+    FOLLOWER_LOST_S,
     LEASE_MARGIN,
     LEASE_S,
     ControlState,
@@ -28,6 +29,8 @@
 RECALL_PERIOD_S = 0.05
 SWEEP_PERIOD_S = 0.25
 EPSILON = 1e-9
+# Tokens that each daemon's part of a burst has to hold to be of use.
+MIN_PART_TOKENS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,10 +164,14 @@
             grants += (ShareGrant(report.customer, 0.0, 0.0, 0.0),)
             continue
         ledger = _refresh(ledgers[report.customer], entry, now)
-        target = compute_target(ledger, entry, peer)
         may_grow = _may_grow(state, control, now) and not request.draining
         may_grow = may_grow and may_hold(state, peer, request)
-        grant = _decide(ledger, entry, report, target, may_grow)
+        target = compute_target(ledger, entry, peer)
+        on_demand = is_on_demand(control, entry, now) or not target.burst
+        if may_grow and on_demand:
+            grant = _admit_waiting(ledger, report)
+        else:
+            grant = _decide(ledger, entry, report, target, may_grow)
         ledger = _book(ledger, holder_key(peer, request), grant)
         if _needs_recall(grant, report, ledger, now, may_grow):
             recalls += _recall(control, ledger, entry, peer)
@@ -199,7 +206,8 @@
     """Return the part of a customer's limits that a daemon's demand entitles it to.
 
     Every daemon keeps a small base share, so that a first request does not
-    wait for a transfer.
+    wait for a transfer. A part of less than a token admits nothing, so none is
+    given; the daemon then asks for each request.
     """
     if peer not in ledger.demands:
         return Target(0.0, 0.0)
@@ -208,9 +216,28 @@
     if ledger.total_demand > EPSILON:
         part = ledger.demands[peer] / ledger.total_demand
     share = BASE_SHARE / count + (1 - BASE_SHARE) * part
+    if entry.burst * share < MIN_PART_TOKENS:
+        return Target(0.0, 0.0)
     return Target(entry.rate * share, entry.burst * share)
 
 
+def is_on_demand(control: ControlState, entry: CustomerEntry, now: float) -> bool:
+    """Whether a customer's burst is too small to be divided.
+
+    Parts of a token admit nothing. The leader then keeps the whole bucket and
+    admits each request that a daemon asks for.
+    """
+    return entry.burst < count_entry_daemons(control, now) * MIN_PART_TOKENS
+
+
+def count_entry_daemons(control: ControlState, now: float) -> int:
+    """Return how many daemons that serve callers have reported lately."""
+    return sum(
+        follower.request.entry and now - follower.seen_at < FOLLOWER_LOST_S
+        for follower in control.followers.values()
+    )
+
+
 def _decide(
     ledger: Ledger,
     entry: CustomerEntry,
@@ -229,6 +256,12 @@
     return ShareGrant(report.customer, rate, burst, tokens)
 
 
+def _admit_waiting(ledger: Ledger, report: ShareReport) -> ShareGrant:
+    """Give a voucher to each waiting request that the bucket has a token for."""
+    vouchers = int(min(ledger.tokens + EPSILON, report.waiting))
+    return ShareGrant(report.customer, 0.0, 0.0, 0.0, vouchers, True)
+
+
 def _move(held: float, target: float, free: float) -> float:
     if target >= held:
         return held + min(target - held, free)
@@ -244,13 +277,13 @@
         held, rate=max(held.rate, grant.rate), burst=max(held.burst, grant.burst)
     )
     ledger = _hold(ledger, key, booked)
-    return replace(ledger, tokens=ledger.tokens - grant.tokens)
+    return replace(ledger, tokens=ledger.tokens - grant.tokens - grant.vouchers)
 
 
 def _needs_recall(
     grant: ShareGrant, report: ShareReport, ledger: Ledger, now: float, may_grow: bool
 ) -> bool:
-    short = report.waiting - grant.tokens > EPSILON
+    short = report.waiting - grant.tokens - grant.vouchers > EPSILON
     return may_grow and short and now - ledger.recalled_at >= RECALL_PERIOD_S
 
 
--- a/lovagewalk/control/_messages.py
+++ b/lovagewalk/control/_messages.py
@@ -41,12 +41,18 @@
         The new share as a whole.
     tokens : float
         Tokens to add to its level.
+    vouchers : int
+        Waiting requests to admit at once, beside the share.
+    on_demand : bool
+        Whether no share is held, and each request has to be asked for.
     """
 
     customer: str
     rate: float
     burst: float
     tokens: float
+    vouchers: int = 0
+    on_demand: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/control/_readiness.py
+++ b/lovagewalk/control/_readiness.py
@@ -23,7 +23,7 @@
     if len(state.catalogue.customers) > MAX_EAGER_CUSTOMERS:
         return True
     shares = (state.shares.get(name) for name in state.catalogue.customers)
-    return all(share is not None and share.rate > 0 for share in shares)
+    return all(share and (share.rate > 0 or share.on_demand) for share in shares)
 
 
 def is_ready(state: NodeState, now: float) -> bool:
--- a/lovagewalk/control/tests/test_fleet_machine.py
+++ b/lovagewalk/control/tests/test_fleet_machine.py
@@ -402,3 +402,25 @@
     assert len(fleet.admitted) == before + 1
     fleet.run(2.0)
     assert fleet.states[leaving].shares[CUSTOMER].rate == 0
+
+
+def test_a_burst_too_small_to_divide_is_kept_whole():
+    """Many daemons, many small customers: parts of a token admit nothing."""
+    fleet = Daemons()
+    entry = cat.CustomerEntry(CUSTOMER, "o", 8.0, 2.0)
+    revision = fleet.states[NAMES[0]].catalogue.customers[CUSTOMER].revision
+    fleet.change(cat.PutCustomer(entry, revision))
+    fleet.run(4.0)
+    before, served = len(fleet.admitted), 0
+    for round_ in range(40):
+        fleet.ask(NAMES[round_ % 3])
+        served += 1
+        fleet.run(0.2)
+    assert len(fleet.admitted) - before == served
+    assert fleet.held("burst") == 0
+    before, started = len(fleet.admitted), fleet.now
+    for _ in range(30):
+        fleet.ask(NAMES[_ % 3])
+        fleet.run(0.04)
+    elapsed = fleet.now - started
+    assert len(fleet.admitted) - before <= 8.0 * elapsed + 2.0 + EPSILON
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -17,6 +17,7 @@
 from . import _dispatch, _place
 from ._answer import answer, count_access, latest
 from ._closing import is_closed
+from ._effects import HurryReport
 from ._events import StatementArrived, StatementRejected
 from ._recovery import lose_transaction
 from ._state import Phase, Request
@@ -327,7 +328,7 @@
     request = replace(request, phase=Phase.TOKENS)
     share = replace(share, waiting=share.waiting + (request.req,))
     state = replace(state, shares=state.shares.set(request.customer, share))
-    return Step(_place.put_request(state, request))
+    return Step(_place.put_request(state, request), (HurryReport(),))
 
 
 def rate_refusal(state: NodeState, request: Request) -> Refusal:
--- a/lovagewalk/routing/_effects.py
+++ b/lovagewalk/routing/_effects.py
@@ -154,6 +154,11 @@
     refusal: Refusal
 
 
+@dataclass(frozen=True, slots=True)
+class HurryReport(Effect):
+    """Look at once whether a report to control is due: a request waits for it."""
+
+
 @dataclass(frozen=True, slots=True)
 class DropResult(Effect):
     """Forget the result of a request that nobody waits for."""
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -6,7 +6,7 @@
 from lovagewalk.node import NodeState
 from lovagewalk.pools import Pool, surplus
 from lovagewalk.sessions import TransactionState
-from lovagewalk.shares import take
+from lovagewalk.shares import Taken, take
 
 from . import _admit, _callers, _dispatch, _outcome, _place, _recovery
 from ._answer import answer
@@ -88,14 +88,23 @@
     return step
 
 
-def serve_customer(state: NodeState, customer: str, now: float) -> Step[NodeState]:
-    """Admit a customer's waiting requests as far as its tokens reach."""
+def serve_customer(
+    state: NodeState, customer: str, now: float, vouchers: int = 0
+) -> Step[NodeState]:
+    """Admit a customer's waiting requests as far as its tokens reach.
+
+    Parameters
+    ----------
+    vouchers : int
+        Requests to admit without a token of the share.
+    """
     step = Step(state)
     while True:
         share = step.state.shares[customer]
         if not share.waiting:
             return step
-        taken = take(share, now)
+        taken = Taken(share, True) if vouchers > 0 else take(share, now)
+        vouchers -= 1
         if not taken.admitted:
             return step
         req = share.waiting[0]
--- a/lovagewalk/runtime/_performers.py
+++ b/lovagewalk/runtime/_performers.py
@@ -1,6 +1,11 @@
 """Hands effects to the adapters of whatever daemon performs them."""
 
-from lovagewalk.control import PromoteInstance, SteerInstance, StopDaemon
+from lovagewalk.control import (
+    ControlTick,
+    PromoteInstance,
+    SteerInstance,
+    StopDaemon,
+)
 from lovagewalk.core import performs
 from lovagewalk.groups import AwaitPosition, ForgetInstance, PollInstance
 from lovagewalk.pools import CloseConnection, OpenConnection
@@ -9,6 +14,7 @@
     AnswerCaller,
     CloseCaller,
     DropResult,
+    HurryReport,
     RunStatement,
 )
 
@@ -30,6 +36,11 @@
     ports.callers.close(effect)
 
 
+@performs(HurryReport)
+def _hurry_report(ports: Ports, effect: HurryReport) -> None:
+    ports.feed(ControlTick(ports.now()))
+
+
 @performs(DropResult)
 def _drop_result(ports: Ports, effect: DropResult) -> None:
     ports.results.pop(effect.req, None)
--- a/lovagewalk/shares/_state.py
+++ b/lovagewalk/shares/_state.py
@@ -26,7 +26,9 @@
     returned : float
         Tokens given up since the last report to the control leader.
     reported_at : float
-        When it was last reported, in monotonic seconds.
+        When `demand` was last updated, in monotonic seconds.
+    on_demand : bool
+        Whether the control leader keeps the customer's whole bucket.
     """
 
     customer: str
@@ -40,3 +42,4 @@
     arrivals: int = 0
     returned: float = 0.0
     reported_at: float = 0.0
+    on_demand: bool = False
