Explain a request from its id: lovagewalk explain REQUEST FILE...

Reads logs of several VMs, orders the lines of a request and the beliefs behind its answer, and says the cause in a sentence.

--- a/lovagewalk/cli/_commands.py
+++ b/lovagewalk/cli/_commands.py
@@ -250,6 +250,33 @@
         """Stop a daemon gracefully."""
         _print(_ask(address, token, lambda client: client.post("/drain", {})))
 
+    def explain(self, request: str, *files: str) -> None:
+        """Say what became of a request, from the logs of several VMs.
+
+        Parameters
+        ----------
+        request : str
+            The caller's id of the request.
+        files : str
+            Logs, one or more for each VM.
+        """
+        from lovagewalk.explain import explain, parse_log
+
+        records = []
+        for name in map(str, files):
+            try:
+                lines = Path(name).read_text(errors="replace").splitlines()
+            except OSError as exc:
+                raise UsageError(f"{name}: {exc.strerror}") from exc
+            records += parse_log(Path(name).stem, lines)
+        found = explain(str(request), records)
+        if found is None:
+            raise UsageError(f"no line names request {request}")
+        for record in sorted(found.lines + found.beliefs, key=lambda r: r.time):
+            fields = " ".join(f"{k}={v}" for k, v in record.fields.items() if v != "")
+            print(f"{record.time} {record.vm} {record.part}: {record.message} {fields}")
+        print(found.cause)
+
     def load(
         self,
         fleet: str,
--- /dev/null
+++ b/lovagewalk/explain/_causes.py
@@ -0,0 +1,175 @@
+"""Why a request ended as it did, by the code of its answer."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from lovagewalk.core import Code
+
+from ._records import LogRecord
+
+ANSWERED = "request answered"
+FAILED = "statement failed at an endpoint"
+# Beliefs of the same VM or group that may stand behind an answer.
+BELIEFS = frozenset(
+    (
+        "lease lost",
+        "lease regained",
+        "configuration in force",
+        "primary installed",
+        "promotion begins",
+        "promotion ordered",
+        "this VM leads",
+        "this VM no longer leads",
+        "daemon started",
+        "daemon drains",
+        "endpoint refused a connection",
+    )
+)
+MAX_BELIEFS = 12
+
+Cause = Callable[[LogRecord, Sequence[LogRecord]], str]
+_causes: dict[str, Cause] = {}
+
+
+def causes(*codes: Code) -> Callable[[Cause], Cause]:
+    """Register the decorated function for answers with some codes."""
+
+    def decorate(cause: Cause) -> Cause:
+        for code in codes:
+            _causes[code.label] = cause
+        return cause
+
+    return decorate
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """What became of a request.
+
+    Attributes
+    ----------
+    lines : tuple of LogRecord
+        The request's own lines, oldest first.
+    beliefs : tuple of LogRecord
+        What the daemon and the control VMs believed before its answer.
+    cause : str
+        One sentence.
+    """
+
+    lines: tuple[LogRecord, ...]
+    beliefs: tuple[LogRecord, ...]
+    cause: str
+
+
+def explain(request: str, records: Sequence[LogRecord]) -> Explanation | None:
+    """Return what became of a request, or None if no line names it."""
+    ordered = sorted(records, key=lambda record: record.time)
+    lines = tuple(r for r in ordered if r.get("request") == request)
+    if not lines:
+        return None
+    answers = [line for line in lines if line.message == ANSWERED]
+    last = answers[-1] if answers else lines[-1]
+    beliefs = _beliefs_before(last, ordered)
+    if not answers:
+        cause = "No answer was logged: the daemon ended first, or dropped the line."
+        return Explanation(lines, beliefs, cause)
+    cause = _causes.get(last.get("outcome"), _other)
+    return Explanation(lines, beliefs, cause(last, lines + beliefs))
+
+
+def _beliefs_before(
+    answer: LogRecord, ordered: Sequence[LogRecord]
+) -> tuple[LogRecord, ...]:
+    found = [
+        record
+        for record in ordered
+        if record.message in BELIEFS
+        and record.time <= answer.time
+        and (record.vm == answer.vm or record.part in ("groups", "control"))
+    ]
+    return tuple(found[-MAX_BELIEFS:])
+
+
+def _last(records: Sequence[LogRecord], message: str) -> LogRecord:
+    """Return the latest record with a message; an empty one if there is none."""
+    for record in reversed(records):
+        if record.message == message:
+            return record
+    return LogRecord("", "", "", "")
+
+
+def _other(answer: LogRecord, records: Sequence[LogRecord]) -> str:
+    if answer.get("outcome") == "ok":
+        return (
+            f"Answered in {answer.get('elapsed_ms')} ms by {answer.get('endpoint')} "
+            f"after {answer.get('attempts')} attempts."
+        )
+    return f"Refused: {answer.get('detail')}."
+
+
+@causes(Code.RATE_EXCEEDED)
+def _rate(answer: LogRecord, records: Sequence[LogRecord]) -> str:
+    return (
+        f"Customer {answer.get('customer')} had used up its rate and burst on "
+        f"{answer.vm} for {answer.get('elapsed_ms')} ms: {answer.get('detail')}."
+    )
+
+
+@causes(Code.CONFIG_STALE)
+def _stale(answer: LogRecord, records: Sequence[LogRecord]) -> str:
+    lost = _last([r for r in records if r.vm == answer.vm], "lease lost")
+    since = f"since {lost.time}" if lost.time else "since before its log begins"
+    return (
+        f"{answer.vm} had no lease {since}: control had not answered it for "
+        f"{lost.get('answered_ms_ago', 'an unknown number of')} ms, so it could not "
+        "know whether the key still holds."
+    )
+
+
+@causes(Code.KEY_UNKNOWN, Code.KEY_WITHDRAWN, Code.ROUTE_UNKNOWN, Code.ROUTE_FORBIDDEN)
+def _configured(answer: LogRecord, records: Sequence[LogRecord]) -> str:
+    return (
+        f"Configuration version {answer.get('version')} does not admit it: "
+        f"{answer.get('detail')}."
+    )
+
+
+@causes(Code.NO_ENDPOINT, Code.OVERLOADED)
+def _no_endpoint(answer: LogRecord, records: Sequence[LogRecord]) -> str:
+    begun = _last(records, "promotion begins")
+    installed = _last(records, "primary installed")
+    if begun.time and begun.time > installed.time:
+        return (
+            f"The primary {begun.get('primary')} of {begun.get('group')} was being "
+            f"replaced since {begun.time} (silent for {begun.get('silent_ms')} ms)."
+        )
+    where = answer.get("endpoint") or "any endpoint"
+    return (
+        f"It waited {answer.get('elapsed_ms')} ms in phase {answer.get('phase')} for "
+        f"{where} and was sent {answer.get('attempts')} times: all were busy or full."
+    )
+
+
+@causes(Code.CONNECTION_LOST, Code.TIMED_OUT, Code.UNCONFIRMED)
+def _in_doubt(answer: LogRecord, records: Sequence[LogRecord]) -> str:
+    failed = _last(records, FAILED)
+    how = failed.get("failure") or "no answer in time"
+    return (
+        f"{answer.get('endpoint')} may have run the {answer.get('kind')}: it was sent "
+        f"and then {how}. A write is never sent again."
+    )
+
+
+@causes(Code.TRANSACTION_LOST)
+def _lost(answer: LogRecord, records: Sequence[LogRecord]) -> str:
+    failed = _last(records, FAILED)
+    how = failed.get("failure") or answer.get("detail")
+    return (
+        f"Its transaction at {answer.get('endpoint') or failed.get('endpoint')} was "
+        f"rolled back: {how}."
+    )
+
+
+@causes(Code.DRAINING)
+def _draining(answer: LogRecord, records: Sequence[LogRecord]) -> str:
+    return f"{answer.vm} was being stopped and took no new operations any more."
--- /dev/null
+++ b/lovagewalk/explain/tests/test_explain.py
@@ -0,0 +1,80 @@
+"""From a request's id to its cause."""
+
+import json
+
+import pytest
+
+from lovagewalk.core import Code
+from lovagewalk.explain import explain, parse_log
+
+
+def _line(time, part, message, vm="", **fields):
+    prefix = f"  1.0 {vm} " if vm else ""
+    raw = {"time": time, "level": "INFO", "part": part, "message": message, **fields}
+    return prefix + json.dumps(raw)
+
+
+def _answer(code, vm="edge-1", time="12:00:09", **fields):
+    outcome = code.label if isinstance(code, Code) else code
+    return _line(
+        time,
+        "decisions",
+        "request answered",
+        vm,
+        request="5c0e",
+        outcome=outcome,
+        **fields,
+    )
+
+
+def _explain(*lines):
+    return explain("5c0e", parse_log("file", lines))
+
+
+def test_lines_of_several_vms_are_put_in_order():
+    found = _explain(
+        _answer(Code.NO_ENDPOINT, phase="primary", elapsed_ms=900),
+        _line("12:00:08", "groups", "promotion begins", "core-1", primary="i-1"),
+        _line("12:00:10", "groups", "primary installed", "core-1"),
+        _line("12:00:07", "follow", "lease lost", "edge-2"),
+        "no JSON at all",
+        '{"broken": ',
+    )
+    assert [line.vm for line in found.lines] == ["edge-1"]
+    assert [belief.message for belief in found.beliefs] == ["promotion begins"]
+    assert "i-1" in found.cause and "replaced" in found.cause
+
+
+@pytest.mark.parametrize(
+    ("code", "fields", "words"),
+    [
+        ("ok", {"elapsed_ms": 12, "endpoint": "i-1", "attempts": 2}, "12 ms by i-1"),
+        (Code.RATE_EXCEEDED, {"customer": "kiosk"}, "kiosk had used up its rate"),
+        (Code.CONFIG_STALE, {}, "had no lease"),
+        (Code.KEY_WITHDRAWN, {"version": 7}, "version 7 does not admit"),
+        (Code.OVERLOADED, {"phase": "backoff", "attempts": 9}, "sent 9 times"),
+        (
+            Code.CONNECTION_LOST,
+            {"endpoint": "i-1", "kind": "write"},
+            "i-1 may have run",
+        ),
+        (Code.TRANSACTION_LOST, {"endpoint": "i-1"}, "at i-1 was rolled back"),
+        (Code.DRAINING, {}, "being stopped"),
+        (Code.STATEMENT_BAD, {"detail": "LW1301"}, "Refused: LW1301"),
+    ],
+)
+def test_each_code_has_a_cause(code, fields, words):
+    assert words in _explain(_answer(code, **fields)).cause
+
+
+def test_a_request_that_no_line_names():
+    assert explain("other", parse_log("x", [_answer("ok")])) is None
+    failed = _line(
+        "12:00:01",
+        "routing",
+        "statement failed at an endpoint",
+        "edge-1",
+        request="5c0e",
+        failure="lost",
+    )
+    assert "No answer was logged" in _explain(failed).cause
