--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -72,7 +72,7 @@
         return _recovery.back_off(state, replace(request, tried=()), now)
     if not endpoint:
         return _await_primary(state, request)
-    request = replace(request, phase=Phase.CONNECTION, endpoint=endpoint)
+    request = replace(request, phase=Phase.CONNECTION, endpoint=endpoint, queued_at=now)
     return _queue(state, request, now)
 
 
--- a/lovagewalk/routing/_state.py
+++ b/lovagewalk/routing/_state.py
@@ -69,6 +69,8 @@
         When a request in backoff is tried again.
     sent_at : float
         When it was last sent.
+    queued_at : float
+        When it last began to wait for a connection.
     """
 
     req: int
@@ -99,6 +101,7 @@
     opens: bool = False
     retry_at: float = 0.0
     sent_at: float = 0.0
+    queued_at: float = 0.0
 
     @property
     def is_stated(self) -> bool:
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -18,6 +18,8 @@
 RUNNING_LIMIT_S = 60.0
 # Twice the longest undisturbed statement of the sheets.
 SILENT_S = 0.6
+# A connection to the other region opens within this time.
+QUEUE_PATIENCE_S = 0.1
 # The longest statement timeout that the sheets state for transactions.
 IDLE_MARGIN_S = 1.0
 _EXPIRED = {
@@ -142,6 +144,8 @@
     if request.phase is Phase.BACKOFF and now >= request.retry_at:
         moved = replace(request, phase=Phase.CONNECTION)
         return _place.place(_place.put_request(state, moved), moved, now)
+    if request.phase is Phase.CONNECTION and not request.at_primary:
+        return _leave_queue(state, request, now)
     if request.phase is Phase.RUNNING and _is_silent(state, request, now):
         event = _outcome.StatementFailed(
             now, request.req, request.conn, _outcome.Failure.LOST, detail="silent"
@@ -150,6 +154,14 @@
     return Step(state)
 
 
+def _leave_queue(state: NodeState, request: Request, now: float) -> Step[NodeState]:
+    """Send a read elsewhere that gets no connection in time."""
+    if now - request.queued_at < QUEUE_PATIENCE_S:
+        return Step(state)
+    unqueued = _callers.unqueue(state, request)
+    return _recovery.place_again(unqueued, _recovery.note_tried(request), now)
+
+
 def _is_silent(state: NodeState, request: Request, now: float) -> bool:
     """Whether a read runs where nothing has been heard since it was sent."""
     if not request.reads or request.at_primary:
--- a/lovagewalk/routing/tests/stated_site.py
+++ b/lovagewalk/routing/tests/stated_site.py
@@ -68,6 +68,7 @@
         self.answers = {}
         self.closed = {}
         self.refusing = {}
+        self.hanging = set()
         self.state = NodeState(
             Identity("edge", "zone-a", REGION, b"secret", drain_s=2.0),
             fresh_until=1e9,
@@ -139,6 +140,8 @@
 
     def open(self, effect):
         self.opened.append(effect)
+        if effect.endpoint in self.hanging:
+            return
         reason = self.refusing.get(effect.endpoint)
         if reason is not None:
             self.feed(ConnectionRefused(self.now, effect.conn, effect.endpoint, reason))
--- a/lovagewalk/routing/tests/test_stated.py
+++ b/lovagewalk/routing/tests/test_stated.py
@@ -467,3 +467,24 @@
     site.state = replace(site.state, catalogue=catalogue)
     _expire_lease(site)
     assert site.refusal(site.read(caller)) is Code.CONFIG_STALE
+
+
+def test_a_read_does_not_queue_for_one_endpoint_while_others_are_free():
+    """Connections of VMs that lost power fill an instance for seconds."""
+    site = Site()
+    site.hanging.add(NEAR)
+    req = site.read(site.connect("board"))
+    assert not site.runs and site.state.requests[req].endpoint == NEAR
+    for _ in range(10):
+        site.sweep()
+    run = site.take()
+    assert site.where(run) == PRIMARY and run.req == req
+
+
+def test_a_write_goes_on_waiting_for_a_connection_to_the_primary():
+    site = Site()
+    site.hanging.add(PRIMARY)
+    req = site.write(site.connect("till"))
+    for _ in range(10):
+        site.sweep()
+    assert not site.runs and site.state.requests[req].endpoint == PRIMARY
