--- a/lovagewalk/pools/__init__.py
+++ b/lovagewalk/pools/__init__.py
@@ -10,6 +10,7 @@
     discard,
     enqueue,
     grant,
+    is_slow,
     narrow,
     open_failed,
     opened,
@@ -18,6 +19,7 @@
     remove_waiting,
     surplus,
     take_idle,
+    time_read,
 )
 from ._state import CustomerQueue, Pool, PoolConnection
 
@@ -38,6 +40,7 @@
     "discard",
     "enqueue",
     "grant",
+    "is_slow",
     "narrow",
     "open_failed",
     "opened",
@@ -46,4 +49,5 @@
     "remove_waiting",
     "surplus",
     "take_idle",
+    "time_read",
 ]
--- a/lovagewalk/pools/_policy.py
+++ b/lovagewalk/pools/_policy.py
@@ -19,6 +19,12 @@
 # Two round trips to the other region, in which connections of others may close.
 TOO_MANY_RETRY_S = 0.03
 NARROWED_S = 1.0
+LATENCY_SMOOTHING = 0.25
+# Statements of the sheets take 6 to 40 ms on the mean and up to 300 ms; a slowed
+# instance takes four times as long and more.
+SLOW_FACTOR = 3.0
+SLOW_FROM_S = 0.1
+SLOW_FOR_S = 2.0
 # A session's next statement comes within about this time, if at all.
 SURPLUS_IDLE_S = 0.5
 
@@ -204,6 +210,27 @@
     return max(0, min(wanted, pool.limit - pool.size))
 
 
+def time_read(pool: Pool, elapsed_s: float, now: float) -> Pool:
+    """Fold the time of a read into the endpoint's latency.
+
+    What was measured long ago is forgotten.
+    """
+    latency_s = elapsed_s
+    if now - pool.timed_at < SLOW_FOR_S:
+        latency_s = pool.latency_s + LATENCY_SMOOTHING * (elapsed_s - pool.latency_s)
+    return replace(pool, latency_s=latency_s, timed_at=now)
+
+
+def is_slow(pool: Pool | None, best_s: float, now: float) -> bool:
+    """Whether an endpoint takes far longer than the best other of its group.
+
+    What was measured long ago does not count, so that it is tried again.
+    """
+    if pool is None or now - pool.timed_at >= SLOW_FOR_S:
+        return False
+    return pool.latency_s > max(best_s * SLOW_FACTOR, SLOW_FROM_S)
+
+
 def narrow(pool: Pool, now: float) -> Pool:
     """Take an endpoint's word that it has too many connections.
 
--- a/lovagewalk/pools/_state.py
+++ b/lovagewalk/pools/_state.py
@@ -82,6 +82,11 @@
         Until then other endpoints are preferred, in monotonic seconds.
     heard_at : float
         When the endpoint last answered anything.
+    latency_s : float
+        Smoothed time that the endpoint takes for a read, in seconds; 0 if no
+        read has been timed.
+    timed_at : float
+        When a read was last timed.
     fair_limit : int
         This daemon's even part of the endpoint's connections. More may be held,
         as long as the endpoint takes them and they are in use.
@@ -102,6 +107,8 @@
     opening_for: Map = field(default_factory=Map)
     shunned_until: float = 0.0
     heard_at: float = 0.0
+    latency_s: float = 0.0
+    timed_at: float = 0.0
     fair_limit: int = 0
     narrowed_until: float = 0.0
 
--- a/lovagewalk/routing/_consistency.py
+++ b/lovagewalk/routing/_consistency.py
@@ -11,6 +11,7 @@
 from lovagewalk.core import replace
 from lovagewalk.groups import GroupView, Position, sample_since
 from lovagewalk.node import NodeState
+from lovagewalk.pools import is_slow
 from lovagewalk.sessions import Session, TransactionState
 
 from ._state import Request
@@ -132,8 +133,28 @@
     if not endpoints:
         return ""
     view = state.groups.get(request.group)
-    best = min(endpoints, key=lambda e: _rank(state, config, view, request, e, now))
-    return best.name
+
+    def rank(endpoint: Endpoint) -> tuple:
+        pool = state.pools.get(endpoint.name)
+        return (
+            pool is not None and now < pool.shunned_until,
+            is_slow(pool, _best_latency(state, endpoints, endpoint), now),
+            *_rank(state, config, view, request, endpoint, now),
+        )
+
+    return min(endpoints, key=rank).name
+
+
+def _best_latency(
+    state: NodeState, endpoints: list[Endpoint], endpoint: Endpoint
+) -> float:
+    """Return the best latency of other endpoints, in seconds; 0 if unknown."""
+    times = [
+        state.pools[other.name].latency_s
+        for other in endpoints
+        if other is not endpoint and other.name in state.pools
+    ]
+    return min((time_s for time_s in times if time_s), default=0.0)
 
 
 def _usable_primary(state: NodeState, config: GroupConfig, request: Request) -> str:
@@ -149,13 +170,11 @@
     request: Request,
     endpoint: Endpoint,
     now: float,
-) -> tuple[bool, bool, bool, int, bool, bool, int, str]:
-    """Order endpoints: able, near, lightly loaded, and no primary if possible."""
+) -> tuple[bool, bool, int, bool, bool, int, str]:
+    """Order able endpoints: near, lightly loaded, and no primary if possible."""
     pool = state.pools.get(endpoint.name)
     busy = pool.busy if pool else 0
-    shunned = pool is not None and now < pool.shunned_until
     return (
-        shunned,
         endpoint.region != state.me.region,
         _is_behind(view, endpoint, request, now),
         busy // LOAD_STEP,
--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -5,6 +5,7 @@
 from lovagewalk.core import Code, Refusal, Step, reduces, replace
 from lovagewalk.groups import ConfirmWaiter, is_confirmed, note_proof, resolve
 from lovagewalk.node import NodeState
+from lovagewalk.pools import time_read
 from lovagewalk.sessions import Session, TransactionState
 
 from . import _dispatch, _place
@@ -45,6 +46,8 @@
     request = replace(request, position=event.position)
     session = state.sessions[request.caller]
     state = note_heard(state, request.endpoint, event.at)
+    if request.reads and not request.opens:
+        state = _time_read(state, request, event.at)
     if _proves_primary(request, session) and event.position is not None:
         state = note_proof(
             state, request.group, request.sent_term, request.sent_at, event.position
@@ -56,6 +59,14 @@
     return step.then(answer(step.state, request))
 
 
+def _time_read(state: NodeState, request: Request, now: float) -> NodeState:
+    pool = state.pools.get(request.endpoint)
+    if pool is None:
+        return state
+    pool = time_read(pool, now - request.sent_at, now)
+    return replace(state, pools=state.pools.set(request.endpoint, pool))
+
+
 def _proves_primary(request: Request, session: Session) -> bool:
     """Whether an answer shows that its endpoint led the term when it was asked."""
     if request.vouch or request.kind is StatementKind.WRITE:
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -94,9 +94,10 @@
     state: NodeState, request: Request, event: StatementFailed
 ) -> NodeState:
     """Remember what a failure says about its endpoint."""
-    if event.failure is Failure.LOST:
+    failed_read = event.failure is Failure.ERROR and request.reads
+    if event.failure is Failure.LOST or failed_read:
         state = shun(state, request.endpoint, event.at)
-    elif event.failure is not Failure.NOT_SENT:
+    if event.failure not in (Failure.LOST, Failure.NOT_SENT):
         state = note_heard(state, request.endpoint, event.at)
     config = state.catalogue.group(request.group)
     is_primary = request.endpoint == config.primary
--- a/lovagewalk/routing/tests/test_stated.py
+++ b/lovagewalk/routing/tests/test_stated.py
@@ -488,3 +488,49 @@
     for _ in range(10):
         site.sweep()
     assert not site.runs and site.state.requests[req].endpoint == PRIMARY
+
+
+def _serve_reads(site, count, times):
+    """Serve reads one after the other; return how often each endpoint ran one."""
+    seen = {}
+    caller = site.connect("board")
+    for _ in range(count):
+        site.prove(Position(1, 10))
+        site.read(caller)
+        run = site.take()
+        name = site.where(run)
+        seen[name] = seen.get(name, 0) + 1
+        site.now += times.get(name, 0.03)
+        site.done(run, Position(1, 12))
+        site.now += 0.05
+    return seen
+
+
+def test_an_endpoint_that_has_turned_slow_is_left_and_tried_again_later():
+    """An instance works at a fifth of its speed; its neighbour does not."""
+    site = Site()
+    _serve_reads(site, 5, {})
+    slow = _serve_reads(site, 30, {NEAR: 0.25})
+    assert slow[NEAR] <= 6 and slow[PRIMARY] >= 24
+    site.now += 3.0
+    again = _serve_reads(site, 20, {})
+    assert again[NEAR] >= 15
+
+
+def test_statements_of_unlike_length_make_no_endpoint_slow():
+    site = Site()
+    seen = {}
+    for length in (0.008, 0.06, 0.02, 0.09, 0.03) * 4:
+        for name, count in _serve_reads(site, 1, {NEAR: length}).items():
+            seen[name] = seen.get(name, 0) + count
+    assert seen == {NEAR: 20}
+
+
+def test_an_endpoint_that_fails_reads_is_asked_last_for_a_while():
+    """Its health is good, but it fails part of its requests."""
+    site = Site()
+    site.read(site.connect("board"))
+    site.fail(site.take(), Failure.ERROR)
+    site.done(site.take(), Position(1, 12))
+    site.read(site.connect("board"))
+    assert site.where(site.take()) == PRIMARY
