Refuse at once what needs a primary that this daemon alone does not reach

Pattern: a primary is partitioned from some daemons (primary_cut); their requests for it waited a whole statement timeout, though the callers' next try reaches another daemon. While control replaces a primary, callers are held as before. Tests: test_a_daemon_that_is_cut_off_from_a_primary_refuses_at_once and two beside it.

--- a/lovagewalk/catalogue/_apply.py
+++ b/lovagewalk/catalogue/_apply.py
@@ -235,6 +235,7 @@
         primary=command.primary,
         voters=command.voters,
         starts=starts,
+        settled_fence=group.fence,
     )
     groups = catalogue.groups.set(command.group, installed)
     return Applied(replace(catalogue, groups=groups), ChangeResult(index))
--- a/lovagewalk/catalogue/_state.py
+++ b/lovagewalk/catalogue/_state.py
@@ -224,6 +224,9 @@
     fence : int
         Log index of the last allocation. It grows with each attempt, so it
         fences orders of older attempts at an outside provider.
+    settled_fence : int
+        The fence as of the installed term; a later one shows that a promotion
+        is under way.
     starts : tuple of TermStart
         Promotion points, oldest first, the last `MAX_TERM_STARTS` of them.
     connections : int
@@ -238,6 +241,7 @@
     starts: tuple[TermStart, ...] = ()
     allocated_term: int = 0
     fence: int = 0
+    settled_fence: int = 0
     management: Management = Management.FENCED
     connections: int = 0
 
--- a/lovagewalk/groups/__init__.py
+++ b/lovagewalk/groups/__init__.py
@@ -2,7 +2,7 @@
 
 from ._effects import AwaitPosition, ForgetInstance, PollInstance
 from ._events import POLL_PERIOD_S, InstanceFailed, InstanceSeen, PollTick
-from ._notes import note_lacking, note_proof, note_trouble, view_of
+from ._notes import is_cut_off, note_lacking, note_proof, note_trouble, view_of
 from ._policy import (
     SUSPECT_AFTER_S,
     add_proof,
@@ -46,6 +46,7 @@
     "add_sample",
     "data_age",
     "is_confirmed",
+    "is_cut_off",
     "is_primary_suspect",
     "note_lacking",
     "note_proof",
--- a/lovagewalk/groups/_notes.py
+++ b/lovagewalk/groups/_notes.py
@@ -8,6 +8,9 @@
 
 # Replicas of the sheets are 8 to 60 ms behind.
 LACKING_S = 0.06
+# Control needs two polls without an answer, 0.6 s, before it replaces a primary.
+CUT_OFF_AFTER_S = 0.8
+CUT_OFF_FOR_S = 0.5
 
 
 def view_of(state: NodeState, group: str) -> GroupView:
@@ -26,12 +29,30 @@
     if state.catalogue.group(group).term != term:
         return state
     view = add_proof(view_of(state, group), sent_at, position)
-    return _put(state, replace(view, served_at=sent_at, trouble_at=0.0))
+    view = replace(view, served_at=sent_at, trouble_at=0.0, trouble_since=0.0)
+    return _put(state, view)
 
 
 def note_trouble(state: NodeState, group: str, now: float) -> NodeState:
     """Note that the primary failed a statement."""
-    return _put(state, replace(view_of(state, group), trouble_at=now))
+    view = view_of(state, group)
+    since = view.trouble_since or now
+    return _put(state, replace(view, trouble_at=now, trouble_since=since))
+
+
+def is_cut_off(state: NodeState, group: str, now: float) -> bool:
+    """Whether this daemon alone seems not to reach a primary.
+
+    Control would have begun to replace it by now, if others did not reach it
+    either. The last failure counts for a while only, so that a later request
+    finds out whether it is over.
+    """
+    view = state.groups.get(group)
+    config = state.catalogue.group(group)
+    if view is None or not view.trouble_since or config.fence > config.settled_fence:
+        return False
+    lasting = now - view.trouble_since >= CUT_OFF_AFTER_S
+    return lasting and now - view.trouble_at < CUT_OFF_FOR_S
 
 
 def note_lacking(
--- a/lovagewalk/groups/_reducer.py
+++ b/lovagewalk/groups/_reducer.py
@@ -154,5 +154,6 @@
         instances=instances,
         lacking=Map(),
         trouble_at=0.0,
+        trouble_since=0.0,
     )
     return replace(state, groups=state.groups.set(group, view))
--- a/lovagewalk/groups/_state.py
+++ b/lovagewalk/groups/_state.py
@@ -141,8 +141,9 @@
         What endpoints have just been found to lack.
     served_at : float
         When the primary last answered as such.
-    trouble_at : float
-        When the primary last failed a statement; 0 if it has answered since.
+    trouble_at, trouble_since : float
+        When the primary last failed a statement, and first since it served one;
+        0 if it has answered since.
     """
 
     name: str
@@ -155,3 +156,4 @@
     lacking: Map = field(default_factory=Map)
     served_at: float = 0.0
     trouble_at: float = 0.0
+    trouble_since: float = 0.0
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -11,6 +11,7 @@
     Position,
     Role,
     data_age,
+    is_cut_off,
     replica_holds,
     translate,
 )
@@ -65,6 +66,8 @@
 ) -> Step[NodeState]:
     """Send a request on whose route states what reads must include."""
     request = plan_request(state, request, session)
+    if request.at_primary and is_cut_off(state, request.group, now):
+        return _recovery.refuse_cut_off(state, request)
     endpoint = choose_endpoint(state, request, now)
     if not endpoint and not request.at_primary:
         if not request.tried:
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -221,6 +221,13 @@
     return Step(_back_off(state, replace(request, conn=0), now))
 
 
+def refuse_cut_off(state: NodeState, request: Request) -> Step[NodeState]:
+    """Refuse what only a primary can serve that this daemon does not reach."""
+    detail = "this daemon does not reach the primary"
+    refusal = Refusal(Code.NO_ENDPOINT, detail, retry_after_s=SHUN_S)
+    return answer(state, request, refusal)
+
+
 def note_tried(request: Request) -> Request:
     """Return a request that goes to other endpoints first."""
     return replace(request, tried=request.tried + (request.endpoint,))
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from lovagewalk.core import Code, Event, Refusal, Step, every, reduces, replace
+from lovagewalk.groups import is_cut_off
 from lovagewalk.node import NodeState
 from lovagewalk.pools import Pool, surplus
 from lovagewalk.sessions import TransactionState
@@ -22,6 +23,10 @@
 QUEUE_PATIENCE_S = 0.1
 # The longest statement timeout that the sheets state for transactions.
 IDLE_MARGIN_S = 1.0
+# Phases in which a request may go elsewhere.
+_PLACED_AGAIN = frozenset(
+    (Phase.PRIMARY, Phase.CONNECTION, Phase.REPLICA, Phase.BACKOFF)
+)
 _EXPIRED = {
     Phase.CONNECTION: Code.OVERLOADED,
     Phase.PRIMARY: Code.NO_ENDPOINT,
@@ -146,6 +151,8 @@
         return _place.place(_place.put_request(state, moved), moved, now)
     if request.phase is Phase.CONNECTION and not request.at_primary:
         return _leave_queue(state, request, now)
+    if request.phase is Phase.CONNECTION and is_cut_off(state, request.group, now):
+        return _recovery.refuse_cut_off(_callers.unqueue(state, request), request)
     if request.phase is Phase.RUNNING and _is_silent(state, request, now):
         event = _outcome.StatementFailed(
             now, request.req, request.conn, _outcome.Failure.LOST, detail="silent"
@@ -217,7 +224,7 @@
     for request in state.requests.values():
         if request.group != group:
             continue
-        if request.phase not in (Phase.PRIMARY, Phase.CONNECTION, Phase.REPLICA):
+        if request.phase not in _PLACED_AGAIN:
             continue
         moved = _callers.unqueue(step.state, request)
         request = replace(request, phase=Phase.CONNECTION)
--- a/lovagewalk/routing/tests/stated_site.py
+++ b/lovagewalk/routing/tests/stated_site.py
@@ -109,6 +109,10 @@
         start = cat.TermStart(term, 0)
         self.change(cat.InstallTerm(GROUP, term, primary, (), start))
 
+    def allocate(self):
+        """Let control begin a promotion."""
+        self.change(cat.AllocateFence(GROUP))
+
     def change(self, command):
         self.revision += 1
         proposal = cat.Proposal("", "test", 0.0, command)
--- a/lovagewalk/routing/tests/test_stated.py
+++ b/lovagewalk/routing/tests/test_stated.py
@@ -534,3 +534,47 @@
     site.done(site.take(), Position(1, 12))
     site.read(site.connect("board"))
     assert site.where(site.take()) == PRIMARY
+
+
+def _cut_off(site, seconds):
+    """Let a daemon fail to reach the primary for a while."""
+    site.refusing[PRIMARY] = Refused.UNREACHABLE
+    reqs = []
+    for _ in range(int(seconds / 0.1)):
+        reqs.append(site.write(site.connect("till")))
+        site.sweep(0.1)
+    return reqs
+
+
+def test_a_daemon_that_is_cut_off_from_a_primary_refuses_at_once():
+    """The callers' next try may reach a daemon that is not cut off."""
+    site = Site()
+    _cut_off(site, 1.0)
+    req = site.write(site.connect("till"))
+    assert site.refusal(req) is Code.NO_ENDPOINT
+    assert site.answers[req].refusal.retry_after_s > 0
+    read = site.read(site.connect("board"))
+    assert read not in site.answers, "replicas serve on"
+
+
+def test_a_cut_off_daemon_finds_out_when_it_is_over():
+    site = Site()
+    _cut_off(site, 1.0)
+    site.refusing.clear()
+    site.sweep(0.6)
+    req = site.write(site.connect("till"))
+    assert site.where(site.take()) == PRIMARY and req not in site.answers
+
+
+def test_callers_are_held_while_a_primary_is_being_replaced():
+    site = Site()
+    site.refusing[PRIMARY] = Refused.UNREACHABLE
+    held = site.write(site.connect("till"))
+    site.sweep(0.3)
+    site.allocate()
+    site.sweep(0.3)
+    late = site.write(site.connect("till"))
+    site.sweep(0.2)
+    assert held not in site.answers and late not in site.answers
+    site.install(2, NEAR)
+    assert {run.req for run in site.runs} == {held, late}
