--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -25,7 +25,7 @@
 from ._endpoints import EndpointClient
 from ._operators import Operators
 from ._provider import Provider
-from ._settings import PlatformSettings
+from ._settings import METRICS_PORT, PlatformSettings
 
 # The balancer takes a daemon out after two misses, a second apart.
 OUT_OF_ROTATION_S = 2.2
@@ -65,7 +65,7 @@
         cfg, ports = self.cfg, self.ports
         ports.shell = Shell(self._first_state(), ports, ports.timer, self.on_fatal)
         await ports.peers.listen(cfg.host, cfg.peers_port)
-        metrics = Address(cfg.host, cfg.metrics_port)
+        metrics = Address(cfg.host, METRICS_PORT)
         await self._serve(metrics, MetricsPage(ports).handle)
         await self._serve(cfg.operators, ports.operators.handle_control)
         await self._serve(cfg.health, ports.operators.handle_health)
--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -13,9 +13,8 @@
 SETTINGS_VARIABLE = "LOVAGEWALK_SETTINGS"
 SECRET_VARIABLE = "LOVAGEWALK_FLEET_SECRET"
 MIN_SECRET_LENGTH = 8
-# Which of the internal ports serves what.
-PEERS_PORT = 0
-METRICS_PORT = 1
+# The deploy file names the same port; the internal ones change from day to day.
+METRICS_PORT = 9464
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +28,7 @@
     callers, health, operators : Address or None
         Where it listens for callers, for the balancer's questions, and for
         operators and endpoints; None where it does not serve them.
-    peers_port, metrics_port : int
+    peers_port : int
         The same on all VMs.
     seeds : tuple of str
         Hosts of control VMs to ask at first.
@@ -53,7 +52,6 @@
     health: Address | None
     operators: Address | None
     peers_port: int
-    metrics_port: int
     seeds: tuple[str, ...]
     may_found: bool
     data_folder: str
@@ -99,7 +97,6 @@
     """
     reader = TableReader(raw, Code.SETTINGS_BAD)
     listen = reader.table("listenAddrs")
-    first_port = _first_port(reader)
     return PlatformSettings(
         name=reader.get("nodeName", str),
         host=reader.get("ip", str),
@@ -108,8 +105,7 @@
         callers=listen.address("frontend"),
         health=listen.address("ready"),
         operators=listen.address("controlPlane"),
-        peers_port=first_port + PEERS_PORT,
-        metrics_port=first_port + METRICS_PORT,
+        peers_port=_peers_port(reader),
         seeds=_seed_hosts(reader),
         may_found=reader.get("bootstrap", bool, False),
         data_folder=reader.get("dataDir", str, ""),
@@ -120,12 +116,11 @@
     )
 
 
-def _first_port(reader: TableReader) -> int:
+def _peers_port(reader: TableReader) -> int:
+    """Return the first of the ports that are free for the system's own use."""
     ports = reader.get("internalPorts", list)
     if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
         raise LovageError(Code.SETTINGS_BAD, "internalPorts: not two numbers")
-    if ports[1] - ports[0] < METRICS_PORT:
-        raise LovageError(Code.SETTINGS_BAD, "internalPorts: too few")
     return ports[0]
 
 
--- /dev/null
+++ b/lovagewalk/platform/tests/test_deploy.py
@@ -0,0 +1,29 @@
+"""The deploy file and what the program expects of it."""
+
+import tomllib
+from pathlib import Path
+
+import pytest
+
+import lovagewalk
+from lovagewalk.platform._settings import (
+    METRICS_PORT,
+    MIN_SECRET_LENGTH,
+    SECRET_VARIABLE,
+)
+from lovagewalk.runtime._metrics_page import METRICS_PATH
+
+DEPLOY = Path(lovagewalk.__file__).parent.parent / "deploy"
+
+
+@pytest.mark.parametrize("role", ["entry", "control"])
+def test_each_role_states_its_metrics_and_secret(role):
+    roles = tomllib.loads((DEPLOY / "system.toml").read_text())["roles"]
+    assert roles[role]["metrics"] == f"{METRICS_PORT}{METRICS_PATH}"
+    assert len(roles[role]["env"][SECRET_VARIABLE]) >= MIN_SECRET_LENGTH
+
+
+def test_what_is_deployed_is_what_is_tested():
+    root = (DEPLOY.parent / "requirements.txt").read_text().split()
+    deployed = (DEPLOY / "requirements.txt").read_text().split()
+    assert set(deployed) <= set(root)
