--- a/lovagewalk/explain/_causes.py
+++ b/lovagewalk/explain/_causes.py
@@ -143,6 +143,12 @@
             f"The primary {begun.get('primary')} of {begun.get('group')} was being "
             f"replaced since {begun.time} (silent for {begun.get('silent_ms')} ms)."
         )
+    if answer.get("phase") == "primary":
+        return (
+            f"It waited {answer.get('elapsed_ms')} ms for a primary: the one of term "
+            f"{answer.get('term')} did not take it, and {answer.vm} knew of no later "
+            f"one at revision {answer.get('revision')}."
+        )
     where = answer.get("endpoint") or "any endpoint"
     return (
         f"It waited {answer.get('elapsed_ms')} ms in phase {answer.get('phase')} for "
