Waiting requests do not flood control with reports

A request is asked for once; those that wait on are named every 0.15 s. Test: test_waiting_requests_do_not_flood_control_with_reports.

--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -29,7 +29,7 @@
     SuspectReport,
 )
 from ._readiness import MAX_EAGER_CUSTOMERS, holds_shares, is_leaving
-from ._state import FOLLOW_PERIOD_S, LEASE_S, FollowState
+from ._state import FOLLOW_PERIOD_S, LEASE_S, WAITING_RETRY_S, FollowState
 
 # Between two reports that cannot wait; callers that come together share one.
 URGENT_PERIOD_S = 0.02
@@ -78,7 +78,9 @@
     is_open = follow.answered_seq < follow.seq and since < FOLLOW_PERIOD_S
     if is_open or since < URGENT_PERIOD_S:
         return False
-    return follow.urgent or _has_waiting(state)
+    if follow.urgent or _newest_waiting(state) > follow.asked_req:
+        return True
+    return since >= WAITING_RETRY_S and _newest_waiting(state) > 0
 
 
 def _notify_suspects(state: NodeState, now: float) -> Step[NodeState]:
@@ -100,8 +102,12 @@
     return tuple(found)
 
 
-def _has_waiting(state: NodeState) -> bool:
-    return any(share.waiting for share in state.shares.values())
+def _newest_waiting(state: NodeState) -> int:
+    """Return the number of the latest request that waits for tokens, or 0."""
+    return max(
+        (share.waiting[-1] for share in state.shares.values() if share.waiting),
+        default=0,
+    )
 
 
 def _send_report(state: NodeState, now: float) -> Step[NodeState]:
@@ -132,6 +138,7 @@
         seq=request.seq,
         sent_at=now,
         reported_at=now if whole else follow.reported_at,
+        asked_req=max(_newest_waiting(state), follow.asked_req),
         urgent=False,
     )
     state = replace(state, shares=cleared, follow=follow)
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -15,6 +15,9 @@
 LEASE_S = 3.0
 LEASE_MARGIN = 1.1
 FOLLOW_PERIOD_S = 0.5
+# For requests that wait on after a report: tokens come back at the customer's rate,
+# not sooner for being asked for again.
+WAITING_RETRY_S = 0.15
 FOLLOWER_LOST_S = 1.5
 
 
@@ -36,6 +39,8 @@
         When the latest request was sent, in monotonic seconds.
     reported_at : float
         When all shares were last reported.
+    asked_req : int
+        The latest request waiting for tokens that a report has told of.
     answered_at : float
         When a request was last answered by the leader.
     suspects : tuple
@@ -58,6 +63,7 @@
     answered_seq: int = 0
     sent_at: float = 0.0
     reported_at: float = 0.0
+    asked_req: int = 0
     answered_at: float = 0.0
     suspects: tuple = ()
     has_started: bool = False
--- a/lovagewalk/control/tests/test_fleet_machine.py
+++ b/lovagewalk/control/tests/test_fleet_machine.py
@@ -21,6 +21,7 @@
     PeerMessage,
 )
 from lovagewalk.control._messages import FollowReply, FollowRequest, ShareRecall
+from lovagewalk.control._state import FOLLOW_PERIOD_S, WAITING_RETRY_S
 from lovagewalk.core import reduce, replace
 from lovagewalk.daemon import SweepTick
 from lovagewalk.node import Identity, NodeState
@@ -424,3 +425,20 @@
         fleet.run(0.04)
     elapsed = fleet.now - started
     assert len(fleet.admitted) - before <= 8.0 * elapsed + 2.0 + EPSILON
+
+
+def test_waiting_requests_do_not_flood_control_with_reports():
+    """All daemons wait for tokens that do not come, as after a loss of control."""
+    fleet = Daemons()
+    revision = fleet.states[NAMES[0]].catalogue.customers[CUSTOMER].revision
+    entry = cat.CustomerEntry(CUSTOMER, "o", 1.0, 1.0)
+    fleet.change(cat.PutCustomer(entry, revision))
+    fleet.run(4.0)
+    sent = {name: fleet.states[name].follow.seq for name in NAMES}
+    for _ in range(20):
+        for name in NAMES:
+            fleet.ask(name)
+        fleet.run(0.1)
+    for name in NAMES:
+        reports = fleet.states[name].follow.seq - sent[name]
+        assert reports <= 2.0 / FOLLOW_PERIOD_S + 20 + 2.0 / WAITING_RETRY_S
