--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -29,8 +29,9 @@
 
 # The balancer takes a daemon out after two misses, a second apart.
 OUT_OF_ROTATION_S = 2.2
-# Left of the time to stop, for the last answers to be sent.
-STOP_MARGIN_S = 0.6
+# Left of the time to stop, for the last answers and for the end of the process on a
+# busy VM.
+STOP_MARGIN_S = 1.2
 ENTRY_TICKS: tuple[type[Event], ...] = (SweepTick, ControlTick)
 CONTROL_TICKS: tuple[type[Event], ...] = (ConsensusTick, RepairTick, ControlTick)
 
