--- a/lovagewalk/catalogue/_apply.py
+++ b/lovagewalk/catalogue/_apply.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from lovagewalk.core import Code, Refusal, replace
+from lovagewalk.core import Code, Handlers, Refusal, replace
 
 from . import _commands as commands
 from ._state import (
@@ -34,17 +34,8 @@
 
 
 Handler = Callable[[Catalogue, int, Any], Applied]
-_handlers: dict[type, Handler] = {}
-
-
-def applies(command_type: type) -> Callable[[Handler], Handler]:
-    """Register the decorated function as the handler of a command type."""
-
-    def decorate(handler: Handler) -> Handler:
-        _handlers[command_type] = handler
-        return handler
-
-    return decorate
+_handlers: Handlers[type, Handler] = Handlers()
+applies = _handlers.on
 
 
 def apply_proposal(
--- a/lovagewalk/consensus/_raft.py
+++ b/lovagewalk/consensus/_raft.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from lovagewalk.core import replace
+from lovagewalk.core import Handlers, replace
 
 from . import _election
 from . import _messages as msg
@@ -14,17 +14,8 @@
 PROBE_PERIOD_S = 0.3
 
 Receiver = Callable[[RaftState, str, Any, float], RaftStep]
-_receivers: dict[type, Receiver] = {}
-
-
-def receives(message_type: type) -> Callable[[Receiver], Receiver]:
-    """Register the decorated function for a type of message."""
-
-    def decorate(receiver: Receiver) -> Receiver:
-        _receivers[message_type] = receiver
-        return receiver
-
-    return decorate
+_receivers: Handlers[type, Receiver] = Handlers()
+receives = _receivers.on
 
 
 receives(msg.VoteRequest)(_election.on_vote_request)
--- a/lovagewalk/control/_failover.py
+++ b/lovagewalk/control/_failover.py
@@ -20,7 +20,7 @@
     TermStart,
     Voter,
 )
-from lovagewalk.core import Code, Effect, Refusal, Step, replace
+from lovagewalk.core import Code, Effect, Handlers, Refusal, Step, replace
 from lovagewalk.groups import Role
 from lovagewalk.node import NodeState
 
@@ -145,17 +145,8 @@
 
 
 StageHandler = Callable[[NodeState, Failover, GroupConfig, float], Step[NodeState]]
-_stages: dict[Stage, StageHandler] = {}
-
-
-def at_stage(stage: Stage) -> Callable[[StageHandler], StageHandler]:
-    """Register the decorated function as what a stage does."""
-
-    def decorate(handler: StageHandler) -> StageHandler:
-        _stages[stage] = handler
-        return handler
-
-    return decorate
+_stages: Handlers[Stage, StageHandler] = Handlers()
+at_stage = _stages.on
 
 
 def _advance(
@@ -320,17 +311,8 @@
 
 
 OrderHandler = Callable[[NodeState, Failover, InstanceSteered], Step[NodeState]]
-_orders: dict[Order, OrderHandler] = {}
-
-
-def on_order(order: Order) -> Callable[[OrderHandler], OrderHandler]:
-    """Register the decorated function for answers to an order."""
-
-    def decorate(handler: OrderHandler) -> OrderHandler:
-        _orders[order] = handler
-        return handler
-
-    return decorate
+_orders: Handlers[Order, OrderHandler] = Handlers()
+on_order = _orders.on
 
 
 @on_order(Order.FENCE)
--- a/lovagewalk/control/_provider.py
+++ b/lovagewalk/control/_provider.py
@@ -18,7 +18,7 @@
     TermStart,
 )
 from lovagewalk.consensus import has_quorum
-from lovagewalk.core import Effect, Step, replace
+from lovagewalk.core import Effect, Handlers, Step, replace
 from lovagewalk.groups import (
     GroupView,
     InstanceView,
@@ -201,17 +201,8 @@
 
 
 Stage = Callable[[NodeState, Promotion, GroupConfig, float], Step[NodeState]]
-_stages: dict[PromotionStage, Stage] = {}
-
-
-def at_stage(stage: PromotionStage) -> Callable[[Stage], Stage]:
-    """Register the decorated function as what a stage does."""
-
-    def decorate(handler: Stage) -> Stage:
-        _stages[stage] = handler
-        return handler
-
-    return decorate
+_stages: Handlers[PromotionStage, Stage] = Handlers()
+at_stage = _stages.on
 
 
 @at_stage(PromotionStage.ALLOCATE)
--- a/lovagewalk/core/__init__.py
+++ b/lovagewalk/core/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from ._errors import Code, LovageError, Outcome, Refusal
+from ._handlers import Handlers
 from ._random import Draw, draw
 from ._registry import (
     DuplicateHandlerError,
@@ -18,7 +19,7 @@
 )
 from ._replace import replace
 from ._shell import Shell
-from ._timer import TimerService
+from ._timer import TimerService, boot_clock
 from ._types import Effect, Event, Step
 
 __all__ = [
@@ -27,6 +28,7 @@
     "DuplicateHandlerError",
     "Effect",
     "Event",
+    "Handlers",
     "LovageError",
     "Outcome",
     "Refusal",
@@ -34,6 +36,7 @@
     "Step",
     "TimerService",
     "UnknownTypeError",
+    "boot_clock",
     "draw",
     "every",
     "perform",
--- a/lovagewalk/explain/_causes.py
+++ b/lovagewalk/explain/_causes.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from lovagewalk.core import Code
+from lovagewalk.core import Code, Handlers
 
 from ._records import LogRecord
 
@@ -28,18 +28,9 @@
 MAX_BELIEFS = 12
 
 Cause = Callable[[LogRecord, Sequence[LogRecord]], str]
-_causes: dict[str, Cause] = {}
-
-
-def causes(*codes: Code) -> Callable[[Cause], Cause]:
-    """Register the decorated function for answers with some codes."""
-
-    def decorate(cause: Cause) -> Cause:
-        for code in codes:
-            _causes[code.label] = cause
-        return cause
-
-    return decorate
+_causes: Handlers[Code, Cause] = Handlers()
+causes = _causes.on
+_codes = {code.label: code for code in Code}
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +64,7 @@
     if not answers:
         cause = "No answer was logged: the daemon ended first, or dropped the line."
         return Explanation(lines, beliefs, cause)
-    cause = _causes.get(last.get("outcome"), _other)
+    cause = _causes.get(_codes.get(last.get("outcome"))) or _other
     return Explanation(lines, beliefs, cause(last, lines + beliefs))
 
 
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from lovagewalk.catalogue import RateUnit, RouteClass
-from lovagewalk.core import Code, LovageError, Refusal, Step, reduces, replace
+from lovagewalk.core import Code, Handlers, LovageError, Refusal, Step, replace
 from lovagewalk.groups import Position
 from lovagewalk.node import NodeState
 from lovagewalk.sessions import (
@@ -15,22 +15,13 @@
 from lovagewalk.shares import Share, take
 
 from . import _dispatch, _place
-from ._answer import answer, count_access, latest
+from ._answer import answer, latest
 from ._closing import is_closed
 from ._effects import HurryReport
-from ._events import StatementArrived, StatementRejected
 from ._recovery import lose_transaction
 from ._state import Phase, Request
-from ._types import (
-    BEGINS,
-    Detail,
-    NamedStatement,
-    PrepareStatement,
-    SetValue,
-    StatementKind,
-)
+from ._types import BEGINS, StatementKind
 
-REQUEST_DEADLINE_S = 5.0
 TOKEN_WAIT_S = 1.0
 # An election of control takes about so long.
 STALE_RETRY_S = 1.0
@@ -40,67 +31,12 @@
 MAX_RETRY_TOKENS = 10
 
 KindHandler = Callable[[NodeState, Request, float], Step[NodeState]]
-_kinds: dict[StatementKind, KindHandler] = {}
-
-
-def handles(*kinds: StatementKind) -> Callable[[KindHandler], KindHandler]:
-    """Register the decorated function for statements of some kinds."""
-
-    def decorate(handler: KindHandler) -> KindHandler:
-        for kind in kinds:
-            _kinds[kind] = handler
-        return handler
-
-    return decorate
-
-
-@reduces(StatementArrived)
-def _statement_arrived(state: NodeState, event: StatementArrived) -> Step[NodeState]:
-    session = state.sessions.get(event.caller)
-    if session is None:
-        return Step(state)
-    if not session.in_transaction:
-        session = _begin_operation(state, session, event.at)
-    request = _build_request(state, session, event)
-    session = replace(session, req=event.req)
-    state = replace(state, sessions=state.sessions.set(event.caller, session))
-    state = replace(state, requests=state.requests.set(event.req, request))
-    handler = _details.get(request.kind)
-    if handler is not None:
-        return handler(state, request, event.detail)
-    return _admit(state, request, event.at)
-
-
-def _begin_operation(state: NodeState, session: Session, now: float) -> Session:
-    """Return a session for its next operation, by its route as it is now."""
-    route = state.catalogue.route(session.route)
-    if route is not None and route.group != session.group:
-        session = replace(session, group=route.group, position=None)
-    return replace(session, operation_at=now)
+_kinds: Handlers[StatementKind, KindHandler] = Handlers()
+handles = _kinds.on
 
 
-def _build_request(
-    state: NodeState, session: Session, event: StatementArrived
-) -> Request:
-    route = state.catalogue.route(session.route)
-    limit_s = REQUEST_DEADLINE_S
-    if route is not None and route.statement_timeout_s:
-        limit_s = route.statement_timeout_s
-    return Request(
-        req=event.req,
-        caller=event.caller,
-        customer=session.customer,
-        group=session.group,
-        kind=event.kind,
-        text=event.text,
-        marks=event.marks,
-        arrived_at=event.at,
-        deadline=event.at + limit_s,
-        route=route,
-    )
-
-
-def _admit(state: NodeState, request: Request, now: float) -> Step[NodeState]:
+def admit(state: NodeState, request: Request, now: float) -> Step[NodeState]:
+    """Run a request of a session, or refuse it."""
     session = state.sessions[request.caller]
     refusal = _refusal_of(state, session, request, now)
     if refusal is None:
@@ -112,78 +48,6 @@
     return answer(state, request, refusal)
 
 
-DetailHandler = Callable[[NodeState, Request, Detail], Step[NodeState]]
-_details: dict[StatementKind, DetailHandler] = {}
-
-
-def details(kind: StatementKind) -> Callable[[DetailHandler], DetailHandler]:
-    """Register the decorated function for statements about the session itself."""
-
-    def decorate(handler: DetailHandler) -> DetailHandler:
-        _details[kind] = handler
-        return handler
-
-    return decorate
-
-
-def _answer_detail(
-    state: NodeState, request: Request, session: Session
-) -> Step[NodeState]:
-    """Answer a statement that changed nothing but the session."""
-    if session.transaction is TransactionState.LOST:
-        refusal = Refusal(Code.TRANSACTION_LOST, "end the transaction first")
-        return answer(state, request, refusal)
-    state = replace(state, sessions=state.sessions.set(session.caller, session))
-    return answer(state, request)
-
-
-@details(StatementKind.SET_VALUE)
-def _set_value(state: NodeState, request: Request, detail: SetValue) -> Step[NodeState]:
-    session = state.sessions[request.caller]
-    values = session.values.set(detail.name, detail.value)
-    return _answer_detail(state, request, replace(session, values=values))
-
-
-@details(StatementKind.PREPARE)
-def _prepare(
-    state: NodeState, request: Request, detail: PrepareStatement
-) -> Step[NodeState]:
-    session = state.sessions[request.caller]
-    prepared = session.prepared.set(detail.name, detail.shape)
-    return _answer_detail(state, request, replace(session, prepared=prepared))
-
-
-@details(StatementKind.DEALLOCATE)
-def _deallocate(
-    state: NodeState, request: Request, detail: NamedStatement
-) -> Step[NodeState]:
-    session = state.sessions[request.caller]
-    if detail.name not in session.prepared:
-        return answer(state, request, Refusal(Code.STATEMENT_UNKNOWN))
-    prepared = session.prepared.delete(detail.name)
-    return _answer_detail(state, request, replace(session, prepared=prepared))
-
-
-@details(StatementKind.EXECUTE)
-def _execute(
-    state: NodeState, request: Request, detail: NamedStatement
-) -> Step[NodeState]:
-    """Admit a prepared statement as the read or write that it is."""
-    shape = state.sessions[request.caller].prepared.get(detail.name)
-    if shape is None:
-        return answer(state, request, Refusal(Code.STATEMENT_UNKNOWN))
-    kind = StatementKind.WRITE if shape.writes else StatementKind.READ
-    request = replace(request, kind=kind, prepared=shape)
-    return _admit(_place.put_request(state, request), request, request.arrived_at)
-
-
-@reduces(StatementRejected)
-def _statement_rejected(state: NodeState, event: StatementRejected) -> Step[NodeState]:
-    session = state.sessions.get(event.caller)
-    customer = session.customer if session else ""
-    return Step(count_access(state, customer, Refusal(event.code)))
-
-
 def _refusal_of(
     state: NodeState, session: Session, request: Request, now: float
 ) -> Refusal | None:
--- /dev/null
+++ b/lovagewalk/routing/_arrival.py
@@ -0,0 +1,66 @@
+"""Takes a statement as it arrives, as a request of its session."""
+
+from lovagewalk.core import Refusal, Step, reduces, replace
+from lovagewalk.node import NodeState
+from lovagewalk.sessions import Session
+
+from . import _admit
+from ._answer import count_access
+from ._events import StatementArrived, StatementRejected
+from ._session_statements import is_about_session, run_for_session
+from ._state import Request
+
+# The stated limit of a request whose route sets none.
+REQUEST_DEADLINE_S = 5.0
+
+
+@reduces(StatementArrived)
+def _statement_arrived(state: NodeState, event: StatementArrived) -> Step[NodeState]:
+    session = state.sessions.get(event.caller)
+    if session is None:
+        return Step(state)
+    if not session.in_transaction:
+        session = _begin_operation(state, session, event.at)
+    request = _build_request(state, session, event)
+    session = replace(session, req=event.req)
+    state = replace(state, sessions=state.sessions.set(event.caller, session))
+    state = replace(state, requests=state.requests.set(event.req, request))
+    if is_about_session(request.kind):
+        return run_for_session(state, request, event.detail)
+    return _admit.admit(state, request, event.at)
+
+
+def _begin_operation(state: NodeState, session: Session, now: float) -> Session:
+    """Return a session for its next operation, by its route as it is now."""
+    route = state.catalogue.route(session.route)
+    if route is not None and route.group != session.group:
+        session = replace(session, group=route.group, position=None)
+    return replace(session, operation_at=now)
+
+
+def _build_request(
+    state: NodeState, session: Session, event: StatementArrived
+) -> Request:
+    route = state.catalogue.route(session.route)
+    limit_s = REQUEST_DEADLINE_S
+    if route is not None and route.statement_timeout_s:
+        limit_s = route.statement_timeout_s
+    return Request(
+        req=event.req,
+        caller=event.caller,
+        customer=session.customer,
+        group=session.group,
+        kind=event.kind,
+        text=event.text,
+        marks=event.marks,
+        arrived_at=event.at,
+        deadline=event.at + limit_s,
+        route=route,
+    )
+
+
+@reduces(StatementRejected)
+def _statement_rejected(state: NodeState, event: StatementRejected) -> Step[NodeState]:
+    session = state.sessions.get(event.caller)
+    customer = session.customer if session else ""
+    return Step(count_access(state, customer, Refusal(event.code)))
--- a/lovagewalk/routing/_consistency.py
+++ b/lovagewalk/routing/_consistency.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from lovagewalk.catalogue import Consistency, Endpoint, GroupConfig
-from lovagewalk.core import replace
+from lovagewalk.core import Handlers, replace
 from lovagewalk.groups import GroupView, Position, sample_since
 from lovagewalk.node import NodeState
 from lovagewalk.pools import is_slow
@@ -40,17 +40,8 @@
 PRIMARY = Plan(at_primary=True)
 
 Planner = Callable[[NodeState, Request, Session], Plan]
-_planners: dict[Consistency, Planner] = {}
-
-
-def plans(consistency: Consistency) -> Callable[[Planner], Planner]:
-    """Register the decorated function for reads of a consistency."""
-
-    def decorate(planner: Planner) -> Planner:
-        _planners[consistency] = planner
-        return planner
-
-    return decorate
+_planners: Handlers[Consistency, Planner] = Handlers()
+plans = _planners.on
 
 
 @plans(Consistency.PRIMARY)
--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from lovagewalk.core import Code, Refusal, Step, reduces, replace
+from lovagewalk.core import Code, Handlers, Refusal, Step, reduces, replace
 from lovagewalk.groups import ConfirmWaiter, is_confirmed, note_proof, resolve
 from lovagewalk.node import NodeState
 from lovagewalk.pools import time_read
@@ -155,18 +155,8 @@
 
 
 FailureHandler = Callable[[NodeState, Request, StatementFailed], Step[NodeState]]
-_failures: dict[Failure, FailureHandler] = {}
-
-
-def on_failure(*failures: Failure) -> Callable[[FailureHandler], FailureHandler]:
-    """Register the decorated function for some kinds of failure."""
-
-    def decorate(handler: FailureHandler) -> FailureHandler:
-        for failure in failures:
-            _failures[failure] = handler
-        return handler
-
-    return decorate
+_failures: Handlers[Failure, FailureHandler] = Handlers()
+on_failure = _failures.on
 
 
 @reduces(StatementFailed)
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 
-from lovagewalk.core import Code, Effect, Refusal, Step, replace
+from lovagewalk.core import Code, Effect, Handlers, Refusal, Step, replace
 from lovagewalk.groups import note_lacking, note_trouble
 from lovagewalk.node import NodeState, note
 from lovagewalk.sessions import Session, TransactionState
@@ -28,18 +28,8 @@
 SHUN_S = 0.5
 
 Handler = Callable[[NodeState, Request, StatementFailed], Step[NodeState]]
-_handlers: dict[Failure, Handler] = {}
-
-
-def recovers(*failures: Failure) -> Callable[[Handler], Handler]:
-    """Register the decorated function for some kinds of failure."""
-
-    def decorate(handler: Handler) -> Handler:
-        for failure in failures:
-            _handlers[failure] = handler
-        return handler
-
-    return decorate
+_handlers: Handlers[Failure, Handler] = Handlers()
+recovers = _handlers.on
 
 
 def recover(
--- a/lovagewalk/routing/tests/stated_site.py
+++ b/lovagewalk/routing/tests/stated_site.py
@@ -166,6 +166,13 @@
         )
         return self.numbers
 
+    def begin(self, name, kind=StatementKind.WRITE):
+        """Connect a caller that begins a transaction with one statement."""
+        caller = self.connect(name)
+        self.ask(caller, StatementKind.BEGIN)
+        self.ask(caller, kind)
+        return caller
+
     def read(self, caller):
         return self.ask(caller, StatementKind.READ)
 
--- /dev/null
+++ b/lovagewalk/routing/tests/test_endpoint_choice.py
@@ -0,0 +1,175 @@
+"""Loads and faults in which some endpoint is the wrong one to wait for."""
+
+from lovagewalk.core import Code, replace
+from lovagewalk.groups import Position
+from lovagewalk.pools import Refused
+from lovagewalk.routing import Failure
+
+from .stated_site import NEAR, PRIMARY, Site
+
+
+def test_a_leaving_endpoint_gets_no_new_work():
+    site = Site()
+    site.read(site.connect("board"))
+    running = site.take()
+    assert site.where(running) == NEAR
+    site.announce(NEAR, sequence=2, leaving=True)
+    site.read(site.connect("board"))
+    assert site.where(site.take()) == PRIMARY
+    site.done(running, Position(1, 12))
+    site.read(site.connect("board"))
+    assert site.where(site.take()) == PRIMARY
+
+
+def test_a_connection_to_an_earlier_start_is_not_used():
+    site = Site()
+    site.read(site.connect("board"))
+    run = site.take()
+    endpoint = site.state.catalogue.endpoints[NEAR]
+    endpoints = site.state.catalogue.endpoints.set(NEAR, replace(endpoint, born=78))
+    catalogue = replace(site.state.catalogue, endpoints=endpoints)
+    site.state = replace(site.state, catalogue=catalogue)
+    site.done(run, Position(1, 12))
+    site.read(site.connect("board"))
+    assert site.take().conn != run.conn
+
+
+def test_an_unreachable_endpoint_is_left_at_once():
+    site = Site()
+    site.refusing[NEAR] = Refused.UNREACHABLE
+    site.read(site.connect("board"))
+    assert site.where(site.take()) == PRIMARY
+    site.read(site.connect("board"))
+    assert site.where(site.take()) == PRIMARY, "it is asked last for a while"
+
+
+def test_a_full_endpoint_is_left_for_this_request_only():
+    site = Site()
+    site.refusing[NEAR] = Refused.TOO_MANY
+    site.read(site.connect("board"))
+    assert site.where(site.take()) == PRIMARY
+    site.refusing.clear()
+    site.sweep(0.1)
+    site.read(site.connect("board"))
+    assert site.where(site.take()) == NEAR
+
+
+def test_a_silent_endpoint_is_left_while_there_is_another():
+    site = Site()
+    req = site.read(site.connect("board"))
+    silent = site.take()
+    assert site.where(silent) == NEAR
+    site.sweep(0.7)
+    run = site.take()
+    assert site.where(run) == PRIMARY and run.req == req
+
+
+def test_a_read_does_not_queue_for_one_endpoint_while_others_are_free():
+    """Connections of VMs that lost power fill an instance for seconds."""
+    site = Site()
+    site.hanging.add(NEAR)
+    req = site.read(site.connect("board"))
+    assert not site.runs and site.state.requests[req].endpoint == NEAR
+    for _ in range(10):
+        site.sweep()
+    run = site.take()
+    assert site.where(run) == PRIMARY and run.req == req
+
+
+def test_a_write_goes_on_waiting_for_a_connection_to_the_primary():
+    site = Site()
+    site.hanging.add(PRIMARY)
+    req = site.write(site.connect("till"))
+    for _ in range(10):
+        site.sweep()
+    assert not site.runs and site.state.requests[req].endpoint == PRIMARY
+
+
+def _serve_reads(site, count, times):
+    """Serve reads one after the other; return how often each endpoint ran one."""
+    seen = {}
+    caller = site.connect("board")
+    for _ in range(count):
+        site.prove(Position(1, 10))
+        site.read(caller)
+        run = site.take()
+        name = site.where(run)
+        seen[name] = seen.get(name, 0) + 1
+        site.now += times.get(name, 0.03)
+        site.done(run, Position(1, 12))
+        site.now += 0.05
+    return seen
+
+
+def test_an_endpoint_that_has_turned_slow_is_left_and_tried_again_later():
+    """An instance works at a fifth of its speed; its neighbour does not."""
+    site = Site()
+    _serve_reads(site, 5, {})
+    slow = _serve_reads(site, 30, {NEAR: 0.25})
+    assert slow[NEAR] <= 6 and slow[PRIMARY] >= 24
+    site.now += 3.0
+    again = _serve_reads(site, 20, {})
+    assert again[NEAR] >= 15
+
+
+def test_statements_of_unlike_length_make_no_endpoint_slow():
+    site = Site()
+    seen = {}
+    for length in (0.008, 0.06, 0.02, 0.09, 0.03) * 4:
+        for name, count in _serve_reads(site, 1, {NEAR: length}).items():
+            seen[name] = seen.get(name, 0) + count
+    assert seen == {NEAR: 20}
+
+
+def test_an_endpoint_that_fails_reads_is_asked_last_for_a_while():
+    """Its health is good, but it fails part of its requests."""
+    site = Site()
+    site.read(site.connect("board"))
+    site.fail(site.take(), Failure.ERROR)
+    site.done(site.take(), Position(1, 12))
+    site.read(site.connect("board"))
+    assert site.where(site.take()) == PRIMARY
+
+
+def _cut_off(site, seconds):
+    """Let a daemon fail to reach the primary for a while."""
+    site.refusing[PRIMARY] = Refused.UNREACHABLE
+    reqs = []
+    for _ in range(int(seconds / 0.1)):
+        reqs.append(site.write(site.connect("till")))
+        site.sweep(0.1)
+    return reqs
+
+
+def test_a_daemon_that_is_cut_off_from_a_primary_refuses_at_once():
+    """The callers' next try may reach a daemon that is not cut off."""
+    site = Site()
+    _cut_off(site, 1.0)
+    req = site.write(site.connect("till"))
+    assert site.refusal(req) is Code.NO_ENDPOINT
+    assert site.answers[req].refusal.retry_after_s > 0
+    read = site.read(site.connect("board"))
+    assert read not in site.answers, "replicas serve on"
+
+
+def test_a_cut_off_daemon_finds_out_when_it_is_over():
+    site = Site()
+    _cut_off(site, 1.0)
+    site.refusing.clear()
+    site.sweep(0.6)
+    req = site.write(site.connect("till"))
+    assert site.where(site.take()) == PRIMARY and req not in site.answers
+
+
+def test_callers_are_held_while_a_primary_is_being_replaced():
+    site = Site()
+    site.refusing[PRIMARY] = Refused.UNREACHABLE
+    held = site.write(site.connect("till"))
+    site.sweep(0.3)
+    site.allocate()
+    site.sweep(0.3)
+    late = site.write(site.connect("till"))
+    site.sweep(0.2)
+    assert held not in site.answers and late not in site.answers
+    site.install(2, NEAR)
+    assert {run.req for run in site.runs} == {held, late}
--- /dev/null
+++ b/lovagewalk/routing/tests/test_stated_sessions.py
@@ -0,0 +1,150 @@
+"""Leases, keys, settings and prepared statements of sessions."""
+
+from lovagewalk.core import Code, replace
+from lovagewalk.groups import Position
+from lovagewalk.routing import (
+    DiscardSettings,
+    Failure,
+    PrepareShape,
+    SetValue,
+    StatementKind,
+)
+from lovagewalk.sessions import PreparedShape
+
+from .stated_site import KEY, ROUTES, Site
+
+
+def _expire_lease(site):
+    site.state = replace(site.state, fresh_until=site.now)
+
+
+def test_no_keyed_statement_leaves_without_a_lease():
+    site = Site(connections=1)
+    busy = site.connect("till")
+    site.write(busy)
+    held = site.take()
+    waiting = site.write(site.connect("till"))
+    _expire_lease(site)
+    site.done(held, Position(1, 11))
+    assert not site.runs
+    assert site.refusal(waiting) is Code.CONFIG_STALE
+    assert site.refusal(site.write(busy)) is Code.CONFIG_STALE
+
+
+def test_a_commit_without_a_lease_is_rolled_back():
+    site = Site()
+    caller = site.begin("till")
+    site.done(site.take(), Position(1, 10), open_transaction=True)
+    _expire_lease(site)
+    req = site.ask(caller, StatementKind.COMMIT, "COMMIT")
+    assert not site.runs and site.refusal(req) is Code.TRANSACTION_LOST
+
+
+def test_a_statement_carries_the_end_of_its_lease():
+    site = Site()
+    site.write(site.connect("till"))
+    assert site.take().valid_until == site.state.fresh_until
+
+
+def test_a_withdrawn_key_ends_its_sessions():
+    site = Site()
+    idle, busy = site.connect("till"), site.connect("till")
+    req = site.write(busy)
+    site.configure(2, keys=("another",))
+    assert site.closed[idle].code is Code.KEY_WITHDRAWN
+    assert busy not in site.closed, "what an endpoint runs is answered"
+    site.done(site.take(), Position(1, 11))
+    assert site.answers[req].refusal is None and busy in site.closed
+    site.connect("till", KEY)
+    assert site.closed[max(site.closed)].code is Code.KEY_UNKNOWN
+
+
+def test_a_route_that_moved_is_followed_from_the_next_operation():
+    site = Site()
+    caller = site.connect("board")
+    site.configure(2, routes=(replace(ROUTES[1], statement_timeout_s=0.2),))
+    req = site.read(caller)
+    site.sweep(0.3)
+    assert site.refusal(req) is Code.OVERLOADED
+    site.configure(3, routes=ROUTES[:1])
+    assert site.closed[caller].code is Code.ROUTE_UNKNOWN
+
+
+def test_a_connection_carries_just_the_sessions_settings():
+    site = Site(connections=1)
+    first, second = site.connect("till"), site.connect("till")
+    site.set(first, "tz", "utc")
+    site.set(first, "lang", "ja")
+    site.write(first)
+    run = site.take()
+    assert set(run.setup) == {SetValue("tz", "utc"), SetValue("lang", "ja")}
+    site.done(run, Position(1, 11))
+    site.write(first)
+    again = site.take()
+    assert again.setup == (), "only what differs is sent"
+    site.done(again, Position(1, 12))
+    site.set(second, "tz", "jst")
+    site.write(second)
+    other = site.take()
+    assert other.conn == run.conn
+    assert other.setup == (DiscardSettings(), SetValue("tz", "jst"))
+
+
+def test_prepared_statements_are_shared_by_content():
+    site = Site(connections=1)
+    first, second = site.connect("till"), site.connect("till")
+    shape = PreparedShape(True, "q2c")
+    site.prepare(first, "s1", shape)
+    site.prepare(second, "other", shape)
+    site.execute(first, "s1")
+    run = site.take()
+    assert run.setup == (PrepareShape(shape),) and run.prepared == shape
+    assert run.text == "item"
+    site.done(run, Position(1, 11))
+    site.execute(second, "other")
+    assert site.take().setup == ()
+
+
+def test_a_name_means_what_its_own_session_prepared():
+    site = Site(connections=1)
+    first, second = site.connect("till"), site.connect("till")
+    site.prepare(first, "s1", PreparedShape(True, "one"))
+    site.prepare(second, "s1", PreparedShape(True, "two"))
+    site.execute(first, "s1")
+    site.done(site.take(), Position(1, 11))
+    site.execute(second, "s1")
+    assert site.take().prepared.shape == "two"
+    unknown = site.execute(site.connect("till"), "s1")
+    assert site.refusal(unknown) is Code.STATEMENT_UNKNOWN
+
+
+def test_an_endpoint_that_forgot_a_name_is_given_it_anew():
+    site = Site()
+    caller = site.connect("till")
+    shape = PreparedShape(True, "q2c")
+    site.prepare(caller, "s1", shape)
+    site.execute(caller, "s1")
+    run = site.take()
+    site.fail(run, Failure.UNKNOWN_NAME, usable=False)
+    again = site.take()
+    assert again.conn != run.conn and again.setup == (PrepareShape(shape),)
+
+
+def test_without_a_lease_nothing_is_said_to_be_unknown():
+    """A daemon that has just started knows no route and no key yet."""
+    site = Site()
+    _expire_lease(site)
+    for name, key in (("till", KEY), ("nowhere", KEY), ("till", "another")):
+        caller = site.connect(name, key)
+        assert site.closed[caller].code is Code.CONFIG_STALE
+        assert site.closed[caller].retry_after_s > 0
+
+
+def test_a_lapsed_lease_ends_no_session_for_good():
+    site = Site()
+    caller = site.connect("till")
+    routes = site.state.catalogue.routes.delete("till")
+    catalogue = replace(site.state.catalogue, routes=routes)
+    site.state = replace(site.state, catalogue=catalogue)
+    _expire_lease(site)
+    assert site.refusal(site.read(caller)) is Code.CONFIG_STALE
--- a/lovagewalk/runtime/_logs.py
+++ b/lovagewalk/runtime/_logs.py
@@ -8,7 +8,9 @@
 import logging
 import os
 import sys
-import time
+from collections.abc import Callable
+
+from lovagewalk.core import boot_clock
 
 # Lines a second and at once: a request in ten of an entry daemon's share of the
 # load may be refused and still be logged.
@@ -46,6 +48,8 @@
         Made non-blocking.
     lines_per_s, burst : float
         Budget of lines.
+    clock : callable
+        Returns seconds; the budget grows with them.
     """
 
     def __init__(
@@ -53,6 +57,7 @@
         descriptor: int,
         lines_per_s: float = LINES_PER_S,
         burst: float = BURST_LINES,
+        clock: Callable[[], float] = boot_clock,
     ) -> None:
         super().__init__()
         os.set_blocking(descriptor, False)
@@ -60,7 +65,8 @@
         self._lines_per_s = lines_per_s
         self._burst = burst
         self._budget = burst
-        self._refilled_at = time.monotonic()
+        self._clock = clock
+        self._refilled_at = clock()
         self._buffer = b""
         self.dropped = 0
 
@@ -82,7 +88,7 @@
 
     def _has_budget(self, record: logging.LogRecord) -> bool:
         """Take a line off the budget; errors are written in any case."""
-        now = time.monotonic()
+        now = self._clock()
         gained = (now - self._refilled_at) * self._lines_per_s
         self._refilled_at = now
         self._budget = min(self._burst, self._budget + gained)
--- a/lovagewalk/standin/_procedures.py
+++ b/lovagewalk/standin/_procedures.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from lovagewalk.core import Handlers
 from lovagewalk.edge._mysql_server import Reply, SqlError, build_columns
 from lovagewalk.groups import InstanceStatus, Role
 
@@ -18,17 +19,8 @@
 )
 from ._state import StandinState
 
-_calls: dict[str, Callable[..., Any]] = {}
-
-
-def procedure(name: str) -> Callable[[Callable[..., Any]], Callable[..., Any]]:
-    """Register the decorated function as a procedure that clients may call."""
-
-    def decorate(handler: Callable[..., Any]) -> Callable[..., Any]:
-        _calls[name] = handler
-        return handler
-
-    return decorate
+_calls: Handlers[str, Callable[..., Any]] = Handlers()
+procedure = _calls.on
 
 
 def build_status_reply(status: InstanceStatus) -> Reply:
