--- a/lovagewalk/catalogue/_apply.py
+++ b/lovagewalk/catalogue/_apply.py
@@ -21,7 +21,9 @@
     Versioned,
 )
 
+# Results kept for repeated proposals; a day and a half of the plan's changes.
 MAX_RESULTS = 4096
+# Starts of terms kept a group; the plan has three changes a day in all groups.
 MAX_TERM_STARTS = 64
 
 
--- a/lovagewalk/cli/_commands.py
+++ b/lovagewalk/cli/_commands.py
@@ -26,6 +26,7 @@
 EXIT_FAILED = 1
 EXIT_BAD_INPUT = 2
 DEFAULT_ADDRESS = "127.0.0.1:8306"
+# 18 bytes make 24 characters without padding.
 SECRET_BYTES = 18
 
 
--- a/lovagewalk/cli/_processes.py
+++ b/lovagewalk/cli/_processes.py
@@ -16,6 +16,7 @@
 )
 
 MS = 1000.0
+# A process that has nothing to finish ends within a second.
 LEAVE_GRACE_S = 3.0
 
 
--- a/lovagewalk/codec/_codec.py
+++ b/lovagewalk/codec/_codec.py
@@ -15,6 +15,7 @@
 from lovagewalk.core import Code, LovageError
 
 CODEC_VERSION = 2
+# A snapshot of 60,000 customers at 245 bytes, see CAPACITY.md.
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 # Shorter messages, as heartbeats are, gain less than the time is worth.
 COMPRESS_FROM_BYTES = 512
--- a/lovagewalk/consensus/_raft.py
+++ b/lovagewalk/consensus/_raft.py
@@ -11,6 +11,7 @@
 from ._state import RaftState, RaftStep, Standing, note_peers
 from ._terms import postpone_election
 
+# Several heartbeats; a pre-vote costs one message a peer.
 PROBE_PERIOD_S = 0.3
 
 Receiver = Callable[[RaftState, str, Any, float], RaftStep]
--- a/lovagewalk/consensus/_replication.py
+++ b/lovagewalk/consensus/_replication.py
@@ -20,6 +20,7 @@
 )
 from ._terms import postpone_election, step_down
 
+# Several round trips between regions, below an election.
 RESEND_AFTER_S = 0.3
 
 
--- a/lovagewalk/consensus/_state.py
+++ b/lovagewalk/consensus/_state.py
@@ -11,10 +11,15 @@
 
 from ._messages import LogEntry
 
+# An eighth of the shortest election, so that single losses elect nobody.
 HEARTBEAT_S = 0.05
+# Ten round trips of 40 ms between regions.
 ELECTION_MIN_S = 0.4
+# Twice the shortest, so that two candidates seldom meet.
 ELECTION_MAX_S = 0.8
+# Bounds what a follower that lags behind is sent at once.
 MAX_BATCH_ENTRIES = 200
+# About 5 hours of the plan's 2,700 changes a day.
 SNAPSHOT_EVERY = 600
 
 
--- a/lovagewalk/control/_events.py
+++ b/lovagewalk/control/_events.py
@@ -8,8 +8,11 @@
 from lovagewalk.core import Event, every
 from lovagewalk.groups import InstanceStatus
 
+# Below half a heartbeat.
 CONSENSUS_PERIOD_S = 0.02
+# Bounds the delay of a decision; an eighth of the silence that suspects.
 CONTROL_PERIOD_S = 0.05
+# Repairs take seconds; 9 ms a tick at 400 groups, see CAPACITY.md.
 REPAIR_PERIOD_S = 0.25
 
 
--- a/lovagewalk/control/_failover.py
+++ b/lovagewalk/control/_failover.py
@@ -38,6 +38,7 @@
 )
 from ._suspicion import Suspicions, collect_suspicions
 
+# Four times the limit of a connection, 0.5 s.
 ATTEMPT_LIMIT_S = 2.0
 OPERATOR = "control"
 
--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -33,7 +33,9 @@
 
 # Between two reports that cannot wait; callers that come together share one.
 URGENT_PERIOD_S = 0.02
+# Bounds the counts that a killed daemon loses.
 AUDIT_PERIOD_S = 5.0
+# Longer than an election of control, 0.8 s, and the forwarding after it.
 AUDIT_RESEND_S = 2.0
 AUDIT_TICKET = 0
 
--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -16,8 +16,11 @@
 )
 from ._state import ControlState, Follower, PendingFollow
 
+# As many as one batch of the log.
 MAX_PUSHED_ENTRIES = 200
+# Ten leases; nothing is held by then.
 FORGET_FOLLOWER_S = 30.0
+# Reports that come together share one round of the quorum.
 CONFIRM_DELAY_S = 0.01
 
 
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -23,11 +23,17 @@
     Ledger,
 )
 
+# Part of a rate that is spread evenly; chosen, so that first requests find a token.
 BASE_SHARE = 0.2
+# A waiting request counts as four served ones; chosen, moves tokens within a report.
 WAITING_WEIGHT = 4.0
+# Targets that differ by less than a twentieth move nothing.
 SHRINK_BAND = 0.95
+# A round trip between regions.
 RECALL_PERIOD_S = 0.05
+# Small against a lease of 3 s; keeps a report's cost constant.
 SWEEP_PERIOD_S = 0.25
+# Rounding of sums of floats.
 EPSILON = 1e-9
 # Tokens that each daemon's part of a burst has to hold to be of use.
 MIN_PART_TOKENS = 1.0
--- a/lovagewalk/control/_members.py
+++ b/lovagewalk/control/_members.py
@@ -13,7 +13,9 @@
 
 from . import _proposals
 
+# Longer than the longest election.
 ANSWERING_S = 1.0
+# Less than a heartbeat sends.
 CAUGHT_UP_ENTRIES = 10
 # Two disks may be lost at once; a majority of five survives that.
 MAX_VOTERS = 5
--- a/lovagewalk/control/_promotion.py
+++ b/lovagewalk/control/_promotion.py
@@ -5,6 +5,7 @@
 
 from ._state import Failover, Fenced
 
+# Several polls of 50 ms; a primary that steps down meanwhile is not waited for.
 OUSTED_GRACE_S = 0.3
 
 
--- a/lovagewalk/control/_provider.py
+++ b/lovagewalk/control/_provider.py
@@ -35,7 +35,7 @@
 from ._suspicion import Suspicions, collect_suspicions
 
 # Often enough that samples of the primary stay young against the shortest
-# staleness of the sheets, 1.5 s.
+# staleness of the users' sites, 1.5 s.
 WATCH_PERIOD_S = 0.3
 # All instances, while the primary is not known or another is looked for.
 SURVEY_PERIOD_S = 0.1
@@ -43,8 +43,9 @@
 SURVEY_LIMIT_S = 0.25
 # Two polls without an answer.
 PRIMARY_SILENT_S = 0.6
-# Longer than the longest promotion of the sheets, 1 s.
+# Longer than the longest promotion of the users' sites, 1 s.
 PROMOTED_LIMIT_S = 2.5
+# Several round trips to the provider between regions.
 REORDER_S = 0.5
 # What was seen before such a pause, as under another leader, tells nothing now.
 WATCH_LAPSE_S = 2.0
--- a/lovagewalk/control/_readiness.py
+++ b/lovagewalk/control/_readiness.py
@@ -4,6 +4,7 @@
 from lovagewalk.routing import is_closed
 from lovagewalk.sessions import TransactionState
 
+# A report of 64 customers takes 6 kB, see CAPACITY.md.
 MAX_EAGER_CUSTOMERS = 64
 
 
--- a/lovagewalk/control/_repair.py
+++ b/lovagewalk/control/_repair.py
@@ -15,9 +15,13 @@
 from ._events import Order
 from ._state import ControlState
 
+# Chosen: a restart of an instance costs no change of voters.
 VOTER_LOST_S = 5.0
+# Twice the silence that suspects a primary.
 SILENT_S = 1.0
+# What a replica fetches in one round trip.
 CAUGHT_UP_ENTRIES = 100
+# Two may be lost; more would slow each write.
 MAX_VOTERS = 5
 
 
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -13,11 +13,14 @@
 # Three fifths of the shortest time in which a withdrawn key has to be dead, 5 s;
 # without a sound way to control for so long, keyed requests are refused.
 LEASE_S = 3.0
+# Clocks of two VMs drift by far less than a tenth in 3 s.
 LEASE_MARGIN = 1.1
+# A sixth of a lease: five reports may be lost.
 FOLLOW_PERIOD_S = 0.5
 # For requests that wait on after a report: tokens come back at the customer's rate,
 # not sooner for being asked for again.
 WAITING_RETRY_S = 0.15
+# Three reports.
 FOLLOWER_LOST_S = 1.5
 
 
--- a/lovagewalk/edge/_daemon.py
+++ b/lovagewalk/edge/_daemon.py
@@ -19,6 +19,7 @@
 from ._operators import Operators
 from ._steering import Steering
 
+# Twice the default deadline of a request.
 DRAIN_LIMIT_S = 10.0
 TICKS = (PollTick, SweepTick, ConsensusTick, ControlTick, RepairTick)
 
--- a/lovagewalk/edge/_endpoints.py
+++ b/lovagewalk/edge/_endpoints.py
@@ -43,6 +43,7 @@
     wait_query,
 )
 
+# Results up to this many rows are answered in one piece.
 FIRST_ROWS = 200
 POSITION_QUERY = "SELECT @@group_term, @@group_position"
 REQUEST_TABLE = "lovagewalk_requests"
--- a/lovagewalk/edge/_group_client.py
+++ b/lovagewalk/edge/_group_client.py
@@ -12,8 +12,11 @@
 from lovagewalk.core import TimerService
 from lovagewalk.groups import InstanceStatus, Position, Role
 
+# Below the silence that suspects a primary, 0.4 s.
 POLL_TIMEOUT_S = 0.35
+# Two round trips to the other region and a handshake, several times over.
 CONNECT_TIMEOUT_S = 0.5
+# Two round trips between regions.
 WAIT_MARGIN_S = 0.2
 MONITOR_USER = "group"
 STATUS_QUERY = "SHOW GROUP STATUS"
--- a/lovagewalk/edge/_mysql_server.py
+++ b/lovagewalk/edge/_mysql_server.py
@@ -25,8 +25,11 @@
 
 from lovagewalk.core import Code, LovageError, Refusal
 
+# Of a statement; bounds a connection's memory.
 MAX_PACKET_BYTES = 4 * 1024 * 1024
+# Rows between two looks at the caller's buffer.
 STREAM_BATCH_ROWS = 500
+# The usual limit of MySQL servers.
 HANDSHAKE_LIMIT_S = 10.0
 SERVER_VERSION = "8.0.36-lovagewalk"
 
--- a/lovagewalk/edge/_operators.py
+++ b/lovagewalk/edge/_operators.py
@@ -21,7 +21,9 @@
 from lovagewalk.core import Code, LovageError, Refusal
 from lovagewalk.runtime import Ports
 
+# The letter's limit for a change to be in force.
 CHANGE_TIMEOUT_S = 5.0
+# A change of one entry takes less than 2 kB.
 MAX_BODY_BYTES = 64 * 1024
 SIGNATURE_HEADER = "X-Lovagewalk-Signature"
 MAX_REQUEST_ID_LENGTH = 128
--- a/lovagewalk/edge/_steering.py
+++ b/lovagewalk/edge/_steering.py
@@ -16,7 +16,9 @@
     wait_query,
 )
 
+# As for a connection.
 ORDER_TIMEOUT_S = 0.5
+# A planned switch holds writers no longer for the candidate to catch up.
 CATCH_UP_S = 0.3
 
 _queries: dict[Order, Callable[[SteerInstance], str]] = {
--- a/lovagewalk/explain/_causes.py
+++ b/lovagewalk/explain/_causes.py
@@ -25,6 +25,7 @@
         "endpoint refused a connection",
     )
 )
+# Fits on a screen with the request's own lines.
 MAX_BELIEFS = 12
 
 Cause = Callable[[LogRecord, Sequence[LogRecord]], str]
--- a/lovagewalk/groups/_events.py
+++ b/lovagewalk/groups/_events.py
@@ -6,6 +6,7 @@
 
 from ._state import InstanceStatus
 
+# Eight polls in the silence that suspects a primary.
 POLL_PERIOD_S = 0.05
 
 
--- a/lovagewalk/groups/_notes.py
+++ b/lovagewalk/groups/_notes.py
@@ -6,10 +6,11 @@
 from ._policy import add_proof
 from ._state import GroupView, Lacking, Position
 
-# Replicas of the sheets are 8 to 60 ms behind.
+# Replicas of the users' sites are 8 to 60 ms behind.
 LACKING_S = 0.06
 # Control needs two polls without an answer, 0.6 s, before it replaces a primary.
 CUT_OFF_AFTER_S = 0.8
+# A failover begins within this time, if the primary is lost to others too.
 CUT_OFF_FOR_S = 0.5
 
 
--- a/lovagewalk/groups/_policy.py
+++ b/lovagewalk/groups/_policy.py
@@ -13,9 +13,11 @@
 )
 
 MAX_SAMPLES = 64
-# Keeps 64 samples spread over the longest staleness that the sheets accept.
+# Keeps 64 samples spread over the longest staleness that the users' sites accept.
 SAMPLE_SPACING_S = 0.05
+# Pauses of 0.2 s promote nobody, see BENCHMARKS.md.
 SUSPECT_AFTER_S = 0.4
+# As for a silent primary, and one poll more.
 UNLINKED_AFTER_S = 0.5
 
 
--- a/lovagewalk/load/_run.py
+++ b/lovagewalk/load/_run.py
@@ -23,6 +23,7 @@
 )
 
 LOWEST_US, HIGHEST_US, DIGITS = 1, 60_000_000, 3
+# As a daemon drains.
 DRAIN_LIMIT_S = 10.0
 TABLE = "lovagewalk_load"
 CREATE = f"CREATE TABLE IF NOT EXISTS {TABLE} (id INT PRIMARY KEY, x INT)"
--- a/lovagewalk/operators/_client.py
+++ b/lovagewalk/operators/_client.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+# A change's 5 s and an election of control.
 REQUEST_TIMEOUT_S = 8.0
 
 
--- a/lovagewalk/platform/_lines.py
+++ b/lovagewalk/platform/_lines.py
@@ -10,13 +10,13 @@
 from lovagewalk.core import Code, LovageError, Outcome
 from lovagewalk.groups import InstanceStatus, Position, Role
 from lovagewalk.routing import (
+    Detail,
     Failure,
     NamedStatement,
     PrepareStatement,
     SetValue,
     StatementKind,
 )
-from lovagewalk.routing._types import Detail
 from lovagewalk.runtime import LINE_END, LineSplitter
 from lovagewalk.sessions import PreparedShape
 
--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -8,11 +8,15 @@
 from typing import Any
 
 from lovagewalk.core import Code, LovageError
-from lovagewalk.settings import Address, TableReader, parse_address
+from lovagewalk.settings import (
+    MIN_SECRET_LENGTH,
+    Address,
+    TableReader,
+    parse_address,
+)
 
 SETTINGS_VARIABLE = "LOVAGEWALK_SETTINGS"
 SECRET_VARIABLE = "LOVAGEWALK_FLEET_SECRET"
-MIN_SECRET_LENGTH = 8
 # The deploy file names the same port; the internal ones change from day to day.
 METRICS_PORT = 9464
 
--- a/lovagewalk/platform/tests/test_deploy.py
+++ b/lovagewalk/platform/tests/test_deploy.py
@@ -6,12 +6,9 @@
 import pytest
 
 import lovagewalk
-from lovagewalk.platform._settings import (
-    METRICS_PORT,
-    MIN_SECRET_LENGTH,
-    SECRET_VARIABLE,
-)
+from lovagewalk.platform._settings import METRICS_PORT, SECRET_VARIABLE
 from lovagewalk.runtime._metrics_page import METRICS_PATH
+from lovagewalk.settings import MIN_SECRET_LENGTH
 
 DEPLOY = Path(lovagewalk.__file__).parent.parent / "deploy"
 
--- a/lovagewalk/pools/_policy.py
+++ b/lovagewalk/pools/_policy.py
@@ -11,19 +11,28 @@
 
 from ._state import CustomerQueue, Pool, PoolConnection
 
+# Charged for a statement until it ends; a quick read of the stand-in.
 SERVICE_ESTIMATE_S = 0.002
+# Half is left to others, however much one customer sends.
 MAX_HELD_SHARE = 0.5
+# At three statements of 40 ms at a time 27 s of work, beyond any deadline.
 MAX_WAITING = 2000
+# Two polls.
 OPEN_RETRY_S = 0.1
+# A statement that comes alone finds one open.
 SPARE_CONNECTIONS = 1
 # Two round trips to the other region, in which connections of others may close.
 TOO_MANY_RETRY_S = 0.03
+# Others free theirs after 0.5 s without use; twice that.
 NARROWED_S = 1.0
+# About four reads are remembered.
 LATENCY_SMOOTHING = 0.25
-# Statements of the sheets take 6 to 40 ms on the mean and up to 300 ms; a slowed
+# Statements of the users' sites take 6 to 40 ms on the mean and up to 300 ms; a slowed
 # instance takes four times as long and more.
 SLOW_FACTOR = 3.0
+# Below it no caller's objective is at risk.
 SLOW_FROM_S = 0.1
+# How often a slow endpoint is tried again; chosen, one read in it may be slow.
 SLOW_FOR_S = 2.0
 # A session's next statement comes within about this time, if at all.
 SURPLUS_IDLE_S = 0.5
--- a/lovagewalk/routing/__init__.py
+++ b/lovagewalk/routing/__init__.py
@@ -27,6 +27,7 @@
 from ._state import Phase, Request
 from ._types import (
     NO_MARKS,
+    Detail,
     Marks,
     NamedStatement,
     PrepareStatement,
@@ -42,6 +43,7 @@
     "CallerLeft",
     "CallerReset",
     "CloseCaller",
+    "Detail",
     "DiscardSettings",
     "DropResult",
     "Failure",
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -22,6 +22,7 @@
 from ._state import Phase, Request
 from ._types import BEGINS, StatementKind
 
+# The unit of time of rates: a customer within its rate has a token by then.
 TOKEN_WAIT_S = 1.0
 # An election of control takes about so long.
 STALE_RETRY_S = 1.0
--- a/lovagewalk/routing/_answer.py
+++ b/lovagewalk/routing/_answer.py
@@ -12,7 +12,9 @@
 from ._types import StatementKind
 
 OK_LABEL = "ok"
+# Retries add at most a tenth to the load.
 RETRY_CREDIT_PER_ANSWER = 0.1
+# Ten retries at once, after a hundred answers.
 MAX_RETRY_CREDIT = 10.0
 
 
--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -16,6 +16,7 @@
 from ._state import Phase, Request
 from ._types import WRITES, StatementKind
 
+# Each endpoint of a group of three, and the primary again.
 MAX_ATTEMPTS = 4
 READ_ONLY_DETAIL = "primary is read only"
 
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -24,12 +24,15 @@
 from ._state import Phase, Request
 from ._types import StatementKind
 
+# A replica's usual lag; then the primary serves the read.
 AWAIT_REPLICA_S = 0.06
+# A question that nobody needs any more ends by itself.
 AWAIT_AT_INSTANCE_S = 0.5
+# Time in which a read gets from the choice to the instance.
 AGE_MARGIN_S = 0.005
 # Held by the control leader on each primary.
 WATCH_CONNECTIONS = 1
-# The busiest daemon of the sheets' balancers has about so much more than the mean.
+# The busiest daemon behind the users' balancers has about so much more than the mean.
 UNEVEN_SHARE = 1.6
 
 
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -17,7 +17,7 @@
 from ._state import Phase, Request
 from ._types import StatementKind
 
-# A statement of the sheets holds a slot for 8 to 40 ms; a full endpoint is asked
+# A statement of the users' sites holds a slot for 8 to 40 ms; a full endpoint is asked
 # again after about half of that.
 BUSY_BACKOFF_S = 0.015
 # Runs of one statement: every endpoint of a group of three twice over.
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -15,13 +15,15 @@
 from ._state import Phase, Request
 from ._types import StatementKind
 
+# What a deadline may be missed by.
 SWEEP_PERIOD_S = 0.02
+# After it a statement without limits of its own is given up.
 RUNNING_LIMIT_S = 60.0
-# Twice the longest undisturbed statement of the sheets.
+# Twice the longest undisturbed statement of the users' sites.
 SILENT_S = 0.6
 # A connection to the other region opens within this time.
 QUEUE_PATIENCE_S = 0.1
-# The longest statement timeout that the sheets state for transactions.
+# The longest statement timeout that the users' sites state for transactions.
 IDLE_MARGIN_S = 1.0
 # Phases in which a request may go elsewhere.
 _PLACED_AGAIN = frozenset(
--- a/lovagewalk/runtime/_http.py
+++ b/lovagewalk/runtime/_http.py
@@ -16,9 +16,11 @@
 
 # Larger than the longest configuration, whose own limit is 256 KiB.
 MAX_BODY_BYTES = 1024 * 1024
+# One read of the socket.
 READ_BYTES = 64 * 1024
 # Clients keep a connection open between calls; a silent one is closed.
 IDLE_LIMIT_S = 30.0
+# The balancer and the operators ask on fresh connections.
 SILENT_S = 5.0
 JSON = "application/json"
 # Codes that leave open whether a change has been made.
--- a/lovagewalk/runtime/_logs.py
+++ b/lovagewalk/runtime/_logs.py
@@ -15,7 +15,9 @@
 # Lines a second and at once: a request in ten of an entry daemon's share of the
 # load may be refused and still be logged.
 LINES_PER_S = 40.0
+# Five seconds of lines, as when all callers come back together.
 BURST_LINES = 200.0
+# About a thousand lines.
 MAX_BUFFERED_BYTES = 256 * 1024
 _STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 
--- a/lovagewalk/runtime/_metrics.py
+++ b/lovagewalk/runtime/_metrics.py
@@ -8,6 +8,7 @@
 from lovagewalk.core import Refusal
 from lovagewalk.node import NodeState
 
+# From a read within a zone to the default deadline.
 BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0)
 
 
--- a/lovagewalk/runtime/_peers.py
+++ b/lovagewalk/runtime/_peers.py
@@ -25,11 +25,16 @@
 from ._ports import Ports
 from ._sockets import limit_silence
 
+# Three round trips to the other region, many times over.
 HANDSHAKE_LIMIT_S = 3.0
+# A name, a nonce and a digest.
 MAX_HELLO_BYTES = 1024
 MAX_NAME_LENGTH = 64
+# Half of the largest frame; a slower peer is dialled anew.
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+# Ten seconds of heartbeats and reports.
 MAX_QUEUED_MESSAGES = 256
+# Two heartbeats.
 REDIAL_DELAY_S = 0.1
 # Shorter than the lease, so that a link that went dark is replaced within it.
 PEER_SILENT_S = 1.0
--- a/lovagewalk/runtime/_sockets.py
+++ b/lovagewalk/runtime/_sockets.py
@@ -5,6 +5,7 @@
 
 # Not in Python's socket module on every platform.
 TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
+# One may be lost.
 KEEP_ALIVE_PROBES = 2
 
 
--- a/lovagewalk/sessions/_token.py
+++ b/lovagewalk/sessions/_token.py
@@ -11,7 +11,9 @@
 from lovagewalk.core import Code, LovageError
 from lovagewalk.groups import Position
 
+# 128 bits.
 SIGNATURE_BYTES = 16
+# Several times the longest that is signed.
 MAX_TOKEN_LENGTH = 512
 _VERSION = "1"
 
--- a/lovagewalk/settings/__init__.py
+++ b/lovagewalk/settings/__init__.py
@@ -1,7 +1,7 @@
 """Settings in INI files, checked as a whole."""
 
 from ._address import Address, parse_address
-from ._load import Problem, SettingsError, load_settings
+from ._load import MIN_SECRET_LENGTH, Problem, SettingsError, load_settings
 from ._reader import TableReader
 from ._schema import (
     AnnounceSection,
@@ -17,6 +17,7 @@
 )
 
 __all__ = [
+    "MIN_SECRET_LENGTH",
     "Address",
     "AnnounceSection",
     "DaemonSection",
--- a/lovagewalk/settings/_load.py
+++ b/lovagewalk/settings/_load.py
@@ -14,6 +14,7 @@
 from ._address import parse_address
 from ._schema import DaemonSettings, StandinFileSettings
 
+# Chosen: below it a secret can be tried out.
 MIN_SECRET_LENGTH = 8
 ROLES = ("entry", "control")
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
--- a/lovagewalk/shares/_bucket.py
+++ b/lovagewalk/shares/_bucket.py
@@ -10,7 +10,9 @@
 
 from ._state import Share
 
+# Rounding of sums of floats.
 TOKEN_EPSILON = 1e-9
+# About three reports are remembered.
 DEMAND_SMOOTHING = 0.3
 
 
--- a/lovagewalk/standin/_announce.py
+++ b/lovagewalk/standin/_announce.py
@@ -9,8 +9,11 @@
 from lovagewalk.core import TimerService
 from lovagewalk.edge._operators import SIGNATURE_HEADER, sign
 
+# A change of address is known within it.
 ANNOUNCE_PERIOD_S = 2.0
+# Until the first announcement is accepted.
 FIRST_PERIOD_S = 0.2
+# More than an election of control.
 REQUEST_TIMEOUT_S = 3.0
 
 log = logging.getLogger("lovagewalk.standin")
--- a/lovagewalk/standin/_state.py
+++ b/lovagewalk/standin/_state.py
@@ -7,8 +7,11 @@
 from lovagewalk.core import Effect, Event, every
 from lovagewalk.groups import InstanceStatus, Role
 
+# How long a primary holds a question open without news.
 FETCH_WAIT_S = 0.1
+# One question held open, and a round trip.
 LINK_TIMEOUT_S = 0.15
+# The lag that a replica adds.
 APPLY_PERIOD_S = 0.005
 
 
--- a/lovagewalk/statements/_classify.py
+++ b/lovagewalk/statements/_classify.py
@@ -13,7 +13,9 @@
 from lovagewalk.core import Code, LovageError
 from lovagewalk.routing import StatementKind
 
+# Texts of statements; at most 16 MB.
 CACHE_SIZE = 4096
+# Longer texts are seldom repeated.
 MAX_CACHED_LENGTH = 4096
 _EXACT = {
     "BEGIN": StatementKind.BEGIN,
