--- a/lovagewalk/codec/_codec.py
+++ b/lovagewalk/codec/_codec.py
@@ -14,7 +14,7 @@
 from lovagewalk.control import _messages as control
 from lovagewalk.core import Code, LovageError
 
-CODEC_VERSION = 2
+CODEC_VERSION = 3
 # A snapshot of 60,000 customers at 245 bytes, see CAPACITY.md.
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 # Shorter messages, as heartbeats are, gain less than the time is worth.
@@ -44,6 +44,8 @@
         control.ProposalResult,
         control.ShareRecall,
         control.SuspectNotice,
+        control.TokenAnswer,
+        control.TokenAsk,
     )
 }
 
@@ -57,11 +59,25 @@
     )
     configure_tagged_union(cat.Command, converter)
     configure_tagged_union(cat.CustomerEntry | cat.RouteEntry | cat.KeyEntry, converter)
-    converter.register_unstructure_hook(cat.Catalogue, _pack_catalogue)
+    converter.register_unstructure_hook(cat.Catalogue, _CataloguePacker())
     converter.register_structure_hook(cat.Catalogue, _unpack_catalogue)
     return converter
 
 
+class _CataloguePacker:
+    """Packs catalogues; many daemons are sent the same one in a row."""
+
+    def __init__(self) -> None:
+        self._last: cat.Catalogue | None = None
+        self._packed: dict[str, Any] = {}
+
+    def __call__(self, catalogue: cat.Catalogue) -> dict[str, Any]:
+        if catalogue is not self._last:
+            self._packed = _pack_catalogue(catalogue)
+            self._last = catalogue
+        return self._packed
+
+
 def _pack_catalogue(catalogue: cat.Catalogue) -> dict[str, Any]:
     pack = _converter.unstructure
     return {
--- a/lovagewalk/consensus/__init__.py
+++ b/lovagewalk/consensus/__init__.py
@@ -24,9 +24,12 @@
     compaction_due,
     confirmed_round,
     has_quorum,
+    holds_leader_lease,
+    is_former_leader_over,
     send_snapshots,
 )
 from ._state import (
+    ELECTION_MIN_S,
     SNAPSHOT_EVERY,
     RaftLog,
     RaftState,
@@ -38,6 +41,7 @@
 )
 
 __all__ = [
+    "ELECTION_MIN_S",
     "SNAPSHOT_EVERY",
     "AppendReply",
     "AppendRequest",
@@ -64,7 +68,9 @@
     "confirmed_round",
     "forget_peers",
     "has_quorum",
+    "holds_leader_lease",
     "is_consensus_message",
+    "is_former_leader_over",
     "receive",
     "send_snapshots",
     "tick",
--- a/lovagewalk/consensus/_election.py
+++ b/lovagewalk/consensus/_election.py
@@ -20,7 +20,7 @@
     note_peers,
     note_voters,
 )
-from ._terms import postpone_election, step_down
+from ._terms import postpone_election, postpone_first_election, step_down
 
 
 def broadcast(raft: RaftState, message: object, names: Iterable[str]) -> RaftStep:
@@ -85,7 +85,7 @@
 
     A VM that has no vote asks to be taken in again.
     """
-    raft = postpone_election(raft, now)
+    raft = postpone_first_election(raft, now)
     if not raft.is_voter:
         return probe(raft)
     raft = replace(raft, standing=Standing.PRE_CANDIDATE, leader="")
@@ -103,6 +103,7 @@
         term=raft.term + 1,
         voted_for=raft.me,
         votes=frozenset((raft.me,)),
+        is_lease_open=not raft.heard_at,
         leader="",
     )
     step = RaftStep(raft, (PersistVote(raft.term, raft.me),))
@@ -129,6 +130,9 @@
             return _reply_vote(raft, peer, False, message.pre)
     if message.pre:
         granted = message.term > raft.term and _is_current(raft, message)
+        if granted:
+            # Leaves the first to ask time to win.
+            raft = postpone_first_election(raft, now)
         return _reply_vote(raft, peer, granted, True)
     step = RaftStep(raft)
     if message.term > raft.term:
@@ -151,7 +155,8 @@
 
 
 def _reply_vote(raft: RaftState, peer: str, granted: bool, pre: bool) -> RaftStep:
-    reply = msg.VoteReply(raft.term, granted and raft.is_voter, pre, raft.disk)
+    granted = granted and raft.is_voter
+    reply = msg.VoteReply(raft.term, granted, pre, raft.disk, raft.heard_at > 0)
     return RaftStep(raft, (SendPeer(peer, reply),))
 
 
@@ -168,6 +173,8 @@
     if not message.pre and message.term != raft.term:
         return RaftStep(raft)
     raft = replace(raft, votes=raft.votes | {peer})
+    if not message.remembers:
+        raft = replace(raft, is_lease_open=True)
     if len(raft.votes) < raft.quorum:
         return RaftStep(raft)
     if message.pre:
@@ -190,6 +197,7 @@
         heard_at=now,
         led_since=now,
         heartbeat_at=now,
+        round_times=Map(),
     )
     command = NoChange()
     if raft.configs[-1].index == 0:
--- a/lovagewalk/consensus/_messages.py
+++ b/lovagewalk/consensus/_messages.py
@@ -56,12 +56,20 @@
 
 @dataclass(frozen=True, slots=True)
 class VoteReply:
-    """Gives or denies a vote."""
+    """Gives or denies a vote.
+
+    Attributes
+    ----------
+    remembers : bool
+        Whether the voter has heard a leader since it started, and so has not
+        forgotten one that may still hold its lease.
+    """
 
     term: int
     granted: bool
     pre: bool
     disk: str
+    remembers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/consensus/_replication.py
+++ b/lovagewalk/consensus/_replication.py
@@ -1,5 +1,7 @@
 """Replication of the log: appends, heartbeats, commits, snapshots."""
 
+from immutables import Map
+
 from lovagewalk.catalogue import Catalogue, ControlVoter, Proposal
 from lovagewalk.core import replace
 
@@ -7,7 +9,9 @@
 from ._effects import PersistEntries, PersistSnapshot, PersistVote, SendPeer
 from ._state import (
     ELECTION_MAX_S,
+    ELECTION_MIN_S,
     HEARTBEAT_S,
+    LEADER_LEASE_S,
     MAX_BATCH_ENTRIES,
     Progress,
     RaftLog,
@@ -47,13 +51,28 @@
 def send_appends(raft: RaftState, now: float, heartbeat: bool) -> RaftStep:
     """Send each peer what it lacks; with `heartbeat`, something in any case."""
     if heartbeat:
-        raft = replace(raft, round=raft.round + 1, heartbeat_at=now + HEARTBEAT_S)
+        raft = replace(
+            raft,
+            round=raft.round + 1,
+            heartbeat_at=now + HEARTBEAT_S,
+            round_times=_times_since(raft, now).set(raft.round + 1, now),
+        )
     step = RaftStep(raft)
     for peer in raft.peers:
         step = step.then(_send_to(step.raft, peer, now, heartbeat))
     return step
 
 
+def _times_since(raft: RaftState, now: float) -> Map:
+    """Return the times of the rounds that may still prove something."""
+    times = raft.round_times
+    confirmed = confirmed_round(raft)
+    for number, sent_at in raft.round_times.items():
+        if number < confirmed or now - sent_at >= ELECTION_MAX_S:
+            times = times.delete(number)
+    return times
+
+
 def _send_to(raft: RaftState, peer: str, now: float, heartbeat: bool) -> RaftStep:
     progress = raft.progress[peer]
     waiting = progress.in_flight_since
@@ -225,6 +244,18 @@
     return _majority(raft, raft.round, "round")
 
 
+def holds_leader_lease(raft: RaftState, now: float) -> bool:
+    """Whether no other VM can have been elected yet.
+
+    A majority has heard this leader since a time that is known here, and gives no
+    vote for `ELECTION_MIN_S` from then on.
+    """
+    sent_at = raft.round_times.get(confirmed_round(raft))
+    if not raft.is_leader or sent_at is None:
+        return False
+    return now < sent_at + LEADER_LEASE_S
+
+
 def _majority(raft: RaftState, mine: int, name: str) -> int:
     values = []
     for voter in raft.voters:
@@ -238,6 +269,19 @@
     return values[raft.quorum - 1] if values else 0
 
 
+def is_former_leader_over(raft: RaftState, now: float) -> bool:
+    """Whether no earlier leader can still hold its lease.
+
+    Voters that remember gave their votes after its lease; those that restarted
+    may have forgotten it. Each voter that answers this leader leads no more.
+    """
+    if not raft.is_lease_open or now >= raft.led_since + ELECTION_MIN_S:
+        return True
+    others = (voter.name for voter in raft.voters if voter.name != raft.me)
+    answers = (raft.progress.get(name) for name in others)
+    return all(progress and progress.round > 0 for progress in answers)
+
+
 def has_quorum(raft: RaftState, now: float) -> bool:
     """Whether a majority of voters has answered the leader lately."""
     answering = 0
--- a/lovagewalk/consensus/_state.py
+++ b/lovagewalk/consensus/_state.py
@@ -17,6 +17,13 @@
 ELECTION_MIN_S = 0.4
 # Twice the shortest, so that two candidates seldom meet.
 ELECTION_MAX_S = 0.8
+# Before a VM has heard a leader in this run, it asks again this soon: streams to its
+# peers may not stand yet when it first asks. A round trip between regions.
+FIRST_ELECTION_MIN_S = 0.05
+# Five round trips between regions, over which five candidates spread.
+FIRST_ELECTION_MAX_S = 0.25
+# Clocks of two VMs drift by far less than a tenth in 0.4 s.
+LEADER_LEASE_S = 0.9 * ELECTION_MIN_S
 # Bounds what a follower that lags behind is sent at once.
 MAX_BATCH_ENTRIES = 200
 # About 5 hours of the plan's 2,700 changes a day.
@@ -146,12 +153,17 @@
         Last committed entry that was handed to the catalogue.
     votes : frozenset of str
         Who has granted a vote, or a pre-vote, in this attempt.
+    is_lease_open : bool
+        Whether one of `votes` came from a voter that may have forgotten a leader.
     disks : Map of str to str
         Data folders of the peers that answered a probe.
     heard_at : float
         When a leader, or as leader a quorum, was last heard.
     led_since : float
         When this VM last became leader.
+    round_times : Map of int to float
+        When each heartbeat round was sent that a majority has yet to answer, and
+        the latest one that it has.
     """
 
     me: str
@@ -168,6 +180,7 @@
     commit: int = 0
     applied: int = 0
     votes: frozenset[str] = frozenset()
+    is_lease_open: bool = False
     progress: Map = field(default_factory=Map)
     disks: Map = field(default_factory=Map)
     round: int = 0
@@ -175,6 +188,7 @@
     heartbeat_at: float = 0.0
     heard_at: float = 0.0
     led_since: float = 0.0
+    round_times: Map = field(default_factory=Map)
 
     @property
     def voters(self) -> tuple[ControlVoter, ...]:
--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -29,7 +29,14 @@
     SuspectReport,
 )
 from ._readiness import MAX_EAGER_CUSTOMERS, holds_shares, is_leaving
-from ._state import FOLLOW_PERIOD_S, LEASE_S, WAITING_RETRY_S, FollowState
+from ._state import (
+    FOLLOW_PERIOD_S,
+    LEADERLESS_RETRY_S,
+    LEASE_S,
+    MAX_PATIENCE_S,
+    PATIENCE_MARGIN,
+    FollowState,
+)
 
 # Between two reports that cannot wait; callers that come together share one.
 URGENT_PERIOD_S = 0.02
@@ -70,19 +77,19 @@
 def _is_report_due(state: NodeState, now: float) -> bool:
     """Whether to report now.
 
-    An urgent report still waits for the answer to the one before, since only
-    the answer to the latest counts.
+    Every report waits for the answer to the one before, since shares are granted
+    by the answer to the latest alone.
     """
     follow: FollowState = state.follow
-    if now - follow.reported_at >= FOLLOW_PERIOD_S:
-        return True
     since = now - follow.sent_at
-    is_open = follow.answered_seq < follow.seq and since < FOLLOW_PERIOD_S
-    if is_open or since < URGENT_PERIOD_S:
+    if follow.answered_seq < follow.seq and since < follow.patience_s:
         return False
-    if follow.urgent or _newest_waiting(state) > follow.asked_req:
+    if since >= FOLLOW_PERIOD_S:
         return True
-    return since >= WAITING_RETRY_S and _newest_waiting(state) > 0
+    if since < URGENT_PERIOD_S:
+        return False
+    is_leaderless = follow.answered_at < follow.sent_at
+    return follow.urgent or (is_leaderless and since >= LEADERLESS_RETRY_S)
 
 
 def _notify_suspects(state: NodeState, now: float) -> Step[NodeState]:
@@ -104,21 +111,12 @@
     return tuple(found)
 
 
-def _newest_waiting(state: NodeState) -> int:
-    """Return the number of the latest request that waits for tokens, or 0."""
-    return max(
-        (share.waiting[-1] for share in state.shares.values() if share.waiting),
-        default=0,
-    )
-
-
 def _send_report(state: NodeState, now: float) -> Step[NodeState]:
-    """Report all shares, or between two such reports those that cannot wait."""
+    """Report all shares that are held or may be wanted."""
     follow: FollowState = state.follow
-    whole = follow.urgent or now - follow.reported_at >= FOLLOW_PERIOD_S
     target = _next_target(state)
-    state = replace(state, shares=_prepare_shares(state, whole, now))
-    reported = [s for s in state.shares.values() if _has_news(s, whole)]
+    state = replace(state, shares=_prepare_shares(state, now))
+    reported = [s for s in state.shares.values() if _has_news(s)]
     request = FollowRequest(
         boot=follow.boot,
         seq=follow.seq + 1,
@@ -128,7 +126,6 @@
         shares=tuple(_report(share) for share in reported),
         entry=state.me.entry and not is_leaving(state, now),
         observes=state.me.entry,
-        whole=whole,
     )
     cleared = state.shares
     for share in reported:
@@ -139,23 +136,36 @@
         target=target,
         seq=request.seq,
         sent_at=now,
-        reported_at=now if whole else follow.reported_at,
-        asked_req=max(_newest_waiting(state), follow.asked_req),
+        asked_req=follow.asked_req if target == follow.target else 0,
         urgent=False,
+        unanswered=_forget_old(follow.unanswered, now).set(request.seq, now),
+        patience_s=_patience_of(follow),
     )
     state = replace(state, shares=cleared, follow=follow)
     return Step(state, (SendPeer(target, request),))
 
 
-def _has_news(share: Share, whole: bool) -> bool:
+def _forget_old(unanswered: Map, now: float) -> Map:
+    """Return the open reports whose answers could still renew a lease."""
+    for seq, sent_at in unanswered.items():
+        if now - sent_at >= LEASE_S:
+            unanswered = unanswered.delete(seq)
+    return unanswered
+
+
+def _patience_of(follow: FollowState) -> float:
+    """Return how long to wait for the next answer: longer after a missed one."""
+    if follow.answered_seq == follow.seq:
+        return follow.patience_s
+    return min(follow.patience_s * 2, MAX_PATIENCE_S)
+
+
+def _has_news(share: Share) -> bool:
     """Whether a report has to name a share.
 
     Of a customer whose bucket the leader keeps, nothing is held here.
     """
-    if share.waiting:
-        return True
-    holds = share.burst > 0 or share.returned > 0
-    return whole and (holds or not share.on_demand)
+    return share.burst > 0 or share.returned > 0 or not share.on_demand
 
 
 def _next_target(state: NodeState) -> str:
@@ -175,7 +185,7 @@
     return (later or names)[0]
 
 
-def _prepare_shares(state: NodeState, whole: bool, now: float) -> Map:
+def _prepare_shares(state: NodeState, now: float) -> Map:
     """Return the shares as they are to be reported."""
     shares = state.shares
     if state.me.entry and len(state.catalogue.customers) <= MAX_EAGER_CUSTOMERS:
@@ -183,12 +193,11 @@
             if customer not in shares:
                 shares = shares.set(customer, Share(customer, updated_at=now))
     for customer, share in shares.items():
-        if whole:
-            elapsed_s = max(now - share.reported_at, FOLLOW_PERIOD_S)
+        elapsed_s = now - share.reported_at
+        if elapsed_s >= FOLLOW_PERIOD_S:
             share = smooth_demand(share, elapsed_s)
             share = replace(share, reported_at=now)
-        if whole or share.waiting:
-            share = expire(share, now)
+        share = expire(share, now)
         if is_leaving(state, now):
             share = shrink(share, 0.0, 0.0, now)
         shares = shares.set(customer, share)
@@ -209,9 +218,15 @@
 def on_follow_reply(
     state: NodeState, peer: str, reply: FollowReply, now: float
 ) -> Step[NodeState]:
-    """Take in a reply; only the answer to the latest request renews leases."""
-    follow: FollowState = state.follow
+    """Take in a reply.
+
+    Any answer of the leader renews the freshness lease, counted from when its
+    question was sent; over a slow link the latest may always be on its way.
+    Shares are as the latest report told them, so only its answer changes them.
+    """
     step = _take_catalogue(state, reply.snapshot, reply.entries, now)
+    step = Step(_note_answer(step.state, reply, now), step.effects)
+    follow: FollowState = step.state.follow
     if reply.seq != follow.seq:
         return step
     follow = replace(follow, answered_seq=reply.seq)
@@ -221,8 +236,6 @@
     state = step.state
     follow = replace(follow, answered_at=now, target=peer)
     state = replace(state, follow=follow)
-    if state.catalogue.revision >= reply.revision:
-        state = replace(state, fresh_until=follow.sent_at + LEASE_S)
     state = _take_samples(state, reply)
     if state.me.entry and reply.entry_daemons != state.entry_daemons:
         state = resize_pools(replace(state, entry_daemons=reply.entry_daemons))
@@ -239,6 +252,23 @@
     return step.then(_serve_all(step.state, reply.grants, now))
 
 
+def _note_answer(state: NodeState, reply: FollowReply, now: float) -> NodeState:
+    """Renew the freshness lease, and learn how long answers take."""
+    follow: FollowState = state.follow
+    sent_at = follow.unanswered.get(reply.seq)
+    if sent_at is None:
+        return state
+    follow = replace(follow, unanswered=follow.unanswered.delete(reply.seq))
+    if not reply.is_latest:
+        return replace(state, follow=follow)
+    patience_s = max(FOLLOW_PERIOD_S, (now - sent_at) * PATIENCE_MARGIN)
+    follow = replace(follow, patience_s=min(patience_s, MAX_PATIENCE_S))
+    fresh_until = state.fresh_until
+    if state.catalogue.revision >= reply.revision:
+        fresh_until = max(fresh_until, sent_at + LEASE_S)
+    return replace(state, follow=follow, fresh_until=fresh_until)
+
+
 def _take_samples(state: NodeState, reply: FollowReply) -> NodeState:
     """Note what primaries held, by this daemon's clock.
 
@@ -265,12 +295,27 @@
 def _redirect(step: Step[NodeState], peer: str, reply: FollowReply) -> Step[NodeState]:
     follow: FollowState = step.state.follow
     if reply.leader and reply.leader != peer:
-        follow = replace(follow, target=reply.leader, urgent=True)
+        follow = replace(follow, target=reply.leader, asked_req=0, urgent=True)
     elif peer == follow.target:
-        follow = replace(follow, target=_target_after(step.state))
+        follow = replace(follow, target=_target_after(step.state), asked_req=0)
     return Step(replace(step.state, follow=follow), step.effects)
 
 
+def on_peer_lost(state: NodeState, peer: str) -> NodeState:
+    """Turn to another control VM at once; what the lost one was asked is lost."""
+    follow: FollowState = state.follow
+    if peer != follow.target or peer == state.me.name:
+        return state
+    follow = replace(
+        follow,
+        target=_target_after(state),
+        answered_seq=follow.seq,
+        asked_req=0,
+        urgent=follow.answered_at >= follow.sent_at,
+    )
+    return replace(state, follow=follow)
+
+
 def _take_grant(
     share: Share, grant: ShareGrant, lease_until: float, now: float
 ) -> Share:
@@ -288,10 +333,7 @@
     step = Step(state)
     for grant in grants:
         if step.state.shares[grant.customer].waiting:
-            served = _sweep.serve_customer(
-                step.state, grant.customer, now, grant.vouchers
-            )
-            step = step.then(served)
+            step = step.then(_sweep.serve_customer(step.state, grant.customer, now))
     return step
 
 
--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -5,21 +5,24 @@
 from lovagewalk.core import Effect, Step, replace
 from lovagewalk.node import NodeState
 
-from . import _ledger, _proposals
+from . import _ledger, _proposals, _token_queue
 from ._messages import (
     CatalogueUpdate,
     FollowReply,
     FollowRequest,
     GroupSample,
-    ShareRecall,
     SuspectNotice,
 )
 from ._state import ControlState, Follower, PendingFollow
 
 # As many as one batch of the log.
 MAX_PUSHED_ENTRIES = 200
+# An entry may hold a whole configuration, as a snapshot does once.
+SNAPSHOT_FROM_ENTRIES = 4
 # Ten leases; nothing is held by then.
 FORGET_FOLLOWER_S = 30.0
+# Longer than an election.
+LEADERLESS_S = 1.0
 # Reports that come together share one round of the quorum.
 CONFIRM_DELAY_S = 0.01
 
@@ -30,7 +33,7 @@
     """Note a daemon's report; it is answered once leadership is confirmed."""
     raft: RaftState = state.consensus
     if raft is None or not raft.is_leader:
-        return Step(state, (_refer(state, peer, request),))
+        return Step(state, (_refer(state, peer, request, now),))
     control: ControlState = state.control
     known = control.followers.get(peer)
     if (
@@ -39,9 +42,7 @@
         and known.request.seq >= request.seq
     ):
         return Step(state)
-    same_run = known is not None and known.request.boot == request.boot
-    has_reported = request.whole or (same_run and known.has_reported)
-    follower = Follower(peer, request.revision, now, request, has_reported)
+    follower = Follower(peer, request.revision, now, request)
     pending = PendingFollow(peer, request.seq, raft.round + 1)
     kept = tuple(other for other in control.pending if other.peer != peer)
     control = replace(
@@ -53,6 +54,7 @@
     raft = replace(raft, heartbeat_at=min(raft.heartbeat_at, now + CONFIRM_DELAY_S))
     state = replace(state, control=control, consensus=raft)
     step = _note_holder(state, peer, request, now)
+    step = step.then(_token_queue.tick(step.state, now))
     return step.then(serve_followers(step.state, now))
 
 
@@ -85,21 +87,39 @@
     return Step(replace(state, control=replace(control, followers=followers)))
 
 
-def _refer(state: NodeState, peer: str, request: FollowRequest) -> SendPeer:
-    """Send what this VM has, and the leader's name; this renews no lease."""
+def _refer(state: NodeState, peer: str, request: FollowRequest, now: float) -> SendPeer:
+    """Name the leader; this renews no lease.
+
+    Where nobody has led for a while, the catalogue is sent along as this VM has
+    it: routes that are open to all go on by it.
+    """
     raft: RaftState = state.consensus
     reply = FollowReply(
         seq=request.seq,
         leader=raft.leader if raft else "",
         is_latest=False,
         revision=state.catalogue.revision,
-        entries=_entries_after(raft, request.revision) if raft else (),
-        snapshot=None,
+        entries=(),
+        snapshot=state.catalogue if _is_owed_catalogue(state, request, now) else None,
         grants=(),
     )
     return SendPeer(peer, reply)
 
 
+def _is_owed_catalogue(state: NodeState, request: FollowRequest, now: float) -> bool:
+    raft: RaftState = state.consensus
+    if raft is None or raft.leader or request.revision:
+        return False
+    return raft.heard_at > 0 and now - raft.heard_at >= LEADERLESS_S
+
+
+def is_far_behind(raft: RaftState, revision: int) -> bool:
+    """Whether a snapshot brings a daemon up to date with less than entries would."""
+    if revision < raft.log.base_index:
+        return True
+    return raft.applied - revision >= SNAPSHOT_FROM_ENTRIES
+
+
 def _entries_after(raft: RaftState, revision: int) -> tuple[LogEntry, ...]:
     if revision < raft.log.base_index:
         return ()
@@ -125,7 +145,7 @@
     control: ControlState = state.control
     follower = control.followers[pending.peer]
     known = follower.request.revision
-    behind = known < raft.log.base_index
+    behind = is_far_behind(raft, known)
     entries = () if behind else _entries_after(raft, known)
     granted = _ledger.grant_shares(state, control, pending.peer, now)
     reply = FollowReply(
@@ -147,9 +167,6 @@
         granted.control, followers=control.followers.set(pending.peer, follower)
     )
     effects: tuple[Effect, ...] = (SendPeer(pending.peer, reply),)
-    effects += tuple(
-        SendPeer(recall.daemon, ShareRecall(recall.grant)) for recall in granted.recalls
-    )
     return Step(replace(state, control=control), effects)
 
 
@@ -176,7 +193,8 @@
         if now - follower.seen_at > FORGET_FOLLOWER_S:
             followers = followers.delete(name)
             continue
-        if follower.revision >= raft.applied:
+        is_current = follower.revision >= raft.applied
+        if is_current or is_far_behind(raft, follower.revision):
             continue
         update = updates.get(follower.revision)
         if update is None:
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -10,6 +10,7 @@
 from immutables import Map
 
 from lovagewalk.catalogue import CustomerEntry
+from lovagewalk.consensus import ELECTION_MIN_S, RaftState, is_former_leader_over
 from lovagewalk.core import replace
 from lovagewalk.node import NodeState
 
@@ -29,14 +30,15 @@
 WAITING_WEIGHT = 4.0
 # Targets that differ by less than a twentieth move nothing.
 SHRINK_BAND = 0.95
-# A round trip between regions.
-RECALL_PERIOD_S = 0.05
 # Small against a lease of 3 s; keeps a report's cost constant.
 SWEEP_PERIOD_S = 0.25
 # Rounding of sums of floats.
 EPSILON = 1e-9
-# Tokens that each daemon's part of a burst has to hold to be of use.
-MIN_PART_TOKENS = 1.0
+# Tokens that each daemon's part of a burst has to hold for a share to be of use: one
+# for the next request, and one to move.
+MIN_PART_TOKENS = 2.0
+# A daemon's first request finds a token, also while nobody leads.
+FLOOR_TOKENS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,11 +51,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Granted:
-    """Grants for one daemon, and recalls for others."""
+    """Grants for one daemon."""
 
     control: ControlState
     grants: tuple[ShareGrant, ...]
-    recalls: tuple[Recall, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,8 +85,8 @@
         entry = state.catalogue.customer(report.customer)
         if entry is None:
             continue
-        ledger = ledgers.get(report.customer) or Ledger(report.customer, updated_at=now)
-        ledger = _refresh(ledger, entry, now)
+        ledger = ledger_of(state, control, report.customer, now)
+        ledger = refresh(ledger, entry, now)
         ledger = _hold(ledger, key, Holding(report.rate, report.burst, until))
         ledger = _note_demand(ledger, peer, request, report)
         returned = min(report.returned, max(_free_burst(ledger, entry), 0.0))
@@ -94,6 +95,22 @@
     return ledgers
 
 
+def ledger_of(
+    state: NodeState, control: ControlState, customer: str, now: float
+) -> Ledger:
+    """Return a customer's ledger, an empty one at its first use.
+
+    Its bucket starts empty, and fills once no earlier leader can give tokens.
+    """
+    known = control.ledgers.get(customer)
+    if known is not None:
+        return known
+    raft: RaftState = state.consensus
+    if is_former_leader_over(raft, now):
+        return Ledger(customer, updated_at=now)
+    return Ledger(customer, updated_at=raft.led_since + ELECTION_MIN_S)
+
+
 def _hold(ledger: Ledger, key: str, held: Holding) -> Ledger:
     """Write a holding and keep the sums in step."""
     before = ledger.holdings.get(key) or Holding(0.0, 0.0, 0.0)
@@ -120,13 +137,26 @@
     return replace(ledger, demands=demands, total_demand=max(total, 0.0))
 
 
-def _refresh(ledger: Ledger, entry: CustomerEntry, now: float) -> Ledger:
+def note_need(ledger: Ledger, peer: str) -> Ledger:
+    """Count a request that waits towards its daemon's demand.
+
+    The daemon's next report replaces the sum.
+    """
+    wanted = ledger.demands.get(peer, 0.0) + WAITING_WEIGHT
+    return replace(
+        ledger,
+        demands=ledger.demands.set(peer, wanted),
+        total_demand=ledger.total_demand + WAITING_WEIGHT,
+    )
+
+
+def refresh(ledger: Ledger, entry: CustomerEntry, now: float) -> Ledger:
     """Refill the free tokens; from time to time drop what has run out."""
     free_rate = max(_free_rate(ledger, entry), 0.0)
     free_burst = max(_free_burst(ledger, entry), 0.0)
-    gained = (now - ledger.updated_at) * free_rate
+    gained = max(now - ledger.updated_at, 0.0) * free_rate
     tokens = max(min(ledger.tokens + gained, free_burst), 0.0)
-    ledger = replace(ledger, tokens=tokens, updated_at=now)
+    ledger = replace(ledger, tokens=tokens, updated_at=max(now, ledger.updated_at))
     if now - ledger.swept_at < SWEEP_PERIOD_S:
         return ledger
     return _sweep(ledger, now)
@@ -163,34 +193,35 @@
     request = control.followers[peer].request
     ledgers = control.ledgers
     grants: tuple[ShareGrant, ...] = ()
-    recalls: tuple[Recall, ...] = ()
     for report in request.shares:
         entry = state.catalogue.customer(report.customer)
         if entry is None:
             grants += (ShareGrant(report.customer, 0.0, 0.0, 0.0),)
             continue
-        ledger = _refresh(ledgers[report.customer], entry, now)
-        may_grow = _may_grow(state, control, now) and not request.draining
+        ledger = refresh(ledgers[report.customer], entry, now)
+        may_grow = may_grant(state, control, now) and not request.draining
         may_grow = may_grow and may_hold(state, peer, request)
-        target = compute_target(ledger, entry, peer)
-        on_demand = is_on_demand(control, entry, now) or not target.burst
-        if may_grow and on_demand:
-            grant = _admit_waiting(ledger, report)
+        if may_grow and is_on_demand(control, entry, now):
+            grant = ShareGrant(report.customer, 0.0, 0.0, 0.0, on_demand=True)
         else:
-            grant = _decide(ledger, entry, report, target, may_grow)
+            target = compute_target(ledger, entry, peer)
+            # What is free goes to requests that wait for it first.
+            grant = _decide(
+                ledger, entry, report, target, may_grow and not ledger.queue
+            )
         ledger = _book(ledger, holder_key(peer, request), grant)
-        if _needs_recall(grant, report, ledger, now, may_grow):
-            recalls += _recall(control, ledger, entry, peer)
-            ledger = replace(ledger, recalled_at=now)
         ledgers = ledgers.set(report.customer, ledger)
         grants += (grant,)
-    return Granted(replace(control, ledgers=ledgers), grants, recalls)
+    return Granted(replace(control, ledgers=ledgers), grants)
 
 
-def _may_grow(state: NodeState, control: ControlState, now: float) -> bool:
-    raft = state.consensus
+def may_grant(state: NodeState, control: ControlState, now: float) -> bool:
+    """Whether this leader knows enough of what is held to give out more."""
+    raft: RaftState = state.consensus
     if raft.log.term_at(raft.commit) != raft.term:
         return False
+    if not is_former_leader_over(raft, now):
+        return False
     return now >= control.ready_at or _has_heard_holders(state, control)
 
 
@@ -199,8 +230,7 @@
 
     One that reports with another run holds nothing of the run before.
     """
-    heard = (control.followers.get(name) for name in state.catalogue.holders)
-    return all(follower and follower.has_reported for follower in heard)
+    return all(name in control.followers for name in state.catalogue.holders)
 
 
 def may_hold(state: NodeState, peer: str, request: FollowRequest) -> bool:
@@ -208,12 +238,18 @@
     return state.catalogue.holders.get(peer) == request.boot
 
 
-def compute_target(ledger: Ledger, entry: CustomerEntry, peer: str) -> Target:
+def compute_target(
+    ledger: Ledger, entry: CustomerEntry, peer: str, floor: float = FLOOR_TOKENS
+) -> Target:
     """Return the part of a customer's limits that a daemon's demand entitles it to.
 
-    Every daemon keeps a small base share, so that a first request does not
-    wait for a transfer. A part of less than a token admits nothing, so none is
-    given; the daemon then asks for each request.
+    Every daemon keeps a small base share, so that a first request does not wait
+    for a transfer.
+
+    Parameters
+    ----------
+    floor : float
+        Least burst, in tokens.
     """
     if peer not in ledger.demands:
         return Target(0.0, 0.0)
@@ -222,9 +258,7 @@
     if ledger.total_demand > EPSILON:
         part = ledger.demands[peer] / ledger.total_demand
     share = BASE_SHARE / count + (1 - BASE_SHARE) * part
-    if entry.burst * share < MIN_PART_TOKENS:
-        return Target(0.0, 0.0)
-    return Target(entry.rate * share, entry.burst * share)
+    return Target(entry.rate * share, max(entry.burst * share, floor))
 
 
 def is_on_demand(control: ControlState, entry: CustomerEntry, now: float) -> bool:
@@ -257,17 +291,10 @@
     burst = _move(report.burst, target.burst, free_burst)
     tokens = 0.0
     if may_grow:
-        wanted = report.waiting + max(burst - report.burst, 0.0)
-        tokens = min(ledger.tokens, wanted, burst)
+        tokens = min(ledger.tokens, max(burst - report.burst, 0.0))
     return ShareGrant(report.customer, rate, burst, tokens)
 
 
-def _admit_waiting(ledger: Ledger, report: ShareReport) -> ShareGrant:
-    """Give a voucher to each waiting request that the bucket has a token for."""
-    vouchers = int(min(ledger.tokens + EPSILON, report.waiting))
-    return ShareGrant(report.customer, 0.0, 0.0, 0.0, vouchers, True)
-
-
 def _move(held: float, target: float, free: float) -> float:
     if target >= held:
         return held + min(target - held, free)
@@ -283,25 +310,25 @@
         held, rate=max(held.rate, grant.rate), burst=max(held.burst, grant.burst)
     )
     ledger = _hold(ledger, key, booked)
-    return replace(ledger, tokens=ledger.tokens - grant.tokens - grant.vouchers)
-
-
-def _needs_recall(
-    grant: ShareGrant, report: ShareReport, ledger: Ledger, now: float, may_grow: bool
-) -> bool:
-    short = report.waiting - grant.tokens - grant.vouchers > EPSILON
-    return may_grow and short and now - ledger.recalled_at >= RECALL_PERIOD_S
+    return replace(ledger, tokens=ledger.tokens - grant.tokens)
 
 
-def _recall(
+def recall_shares(
     control: ControlState, ledger: Ledger, entry: CustomerEntry, peer: str
 ) -> tuple[Recall, ...]:
+    """Return whom to ask for what they hold beyond their targets.
+
+    Parameters
+    ----------
+    peer : str
+        The daemon that needs tokens.
+    """
     recalls = []
     for name in ledger.demands:
         follower = control.followers.get(name)
         if name == peer or follower is None:
             continue
-        target = compute_target(ledger, entry, name)
+        target = compute_target(ledger, entry, name, floor=0.0)
         held = ledger.holdings.get(holder_key(name, follower.request))
         if held is None or held.burst <= target.burst + EPSILON:
             continue
--- a/lovagewalk/control/_messages.py
+++ b/lovagewalk/control/_messages.py
@@ -41,8 +41,6 @@
         The new share as a whole.
     tokens : float
         Tokens to add to its level.
-    vouchers : int
-        Waiting requests to admit at once, beside the share.
     on_demand : bool
         Whether no share is held, and each request has to be asked for.
     """
@@ -51,7 +49,6 @@
     rate: float
     burst: float
     tokens: float
-    vouchers: int = 0
     on_demand: bool = False
 
 
@@ -67,6 +64,8 @@
 class FollowRequest:
     """A daemon's regular report, which renews its leases.
 
+    It names every share that the daemon holds.
+
     Attributes
     ----------
     boot : str
@@ -79,8 +78,6 @@
         Whether it serves callers, and so shares rates and connections.
     observes : bool
         Whether it watches primaries itself.
-    whole : bool
-        Whether `shares` holds all of the daemon's shares.
     """
 
     boot: str
@@ -91,7 +88,6 @@
     shares: tuple[ShareReport, ...]
     entry: bool = True
     observes: bool = True
-    whole: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,6 +157,78 @@
     grant: ShareGrant
 
 
+@dataclass(frozen=True, slots=True)
+class TokenNeed:
+    """A request that waits for a token.
+
+    Attributes
+    ----------
+    wait_s : float
+        How long it may wait for it, in seconds.
+    paid : float
+        Part of the token that its daemon has set aside.
+    """
+
+    req: int
+    customer: str
+    wait_s: float
+    paid: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class TokenAsk:
+    """Asks the leader for tokens that no daemon holds."""
+
+    needs: tuple[TokenNeed, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TokenAdmission:
+    """A request that has a token.
+
+    Attributes
+    ----------
+    tokens : float
+        What the leader gave towards it.
+    """
+
+    req: int
+    customer: str
+    tokens: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class TokenDenial:
+    """A request that will get no token while it may wait.
+
+    Attributes
+    ----------
+    retry_after_s : float
+        When there will be one, in seconds.
+    """
+
+    req: int
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TokenAnswer:
+    """Answers a `TokenAsk`, or a part of it.
+
+    Attributes
+    ----------
+    is_leader : bool
+        Whether the sender leads; else nothing was asked of it.
+    leader : str
+        Whom to ask instead; empty if unknown.
+    """
+
+    admitted: tuple[TokenAdmission, ...] = ()
+    denied: tuple[TokenDenial, ...] = ()
+    is_leader: bool = True
+    leader: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardProposal:
     """Hands a proposal to the leader on behalf of a daemon."""
--- a/lovagewalk/control/_reducer.py
+++ b/lovagewalk/control/_reducer.py
@@ -17,7 +17,7 @@
 
 from . import _beats, _failover, _follow, _leader, _members
 from . import _messages as msg
-from . import _proposals, _provider, _repair, _settle
+from . import _proposals, _provider, _repair, _settle, _token_asks, _token_queue
 from ._effects import StopDaemon
 from ._events import (
     ChangeRequested,
@@ -29,6 +29,7 @@
     InstancePromoted,
     InstanceSteered,
     JournalFilled,
+    PeerLost,
     PeerMessage,
     RepairTick,
     SwitchRequested,
@@ -42,6 +43,8 @@
     msg.FollowReply: _follow.on_follow_reply,
     msg.CatalogueUpdate: _follow.on_catalogue_update,
     msg.ShareRecall: _follow.on_share_recall,
+    msg.TokenAsk: _token_queue.on_token_ask,
+    msg.TokenAnswer: _token_asks.on_token_answer,
     msg.ForwardProposal: _proposals.on_forward_proposal,
     msg.ProposalResult: _proposals.on_proposal_result,
 }
@@ -57,6 +60,13 @@
     return handler(state, event.peer, event.message, event.at)
 
 
+@reduces(PeerLost)
+def _peer_lost(state: NodeState, event: PeerLost) -> Step[NodeState]:
+    if state.follow is None:
+        return Step(state)
+    return Step(_follow.on_peer_lost(state, event.peer))
+
+
 def _consensus_message(state: NodeState, event: PeerMessage) -> Step[NodeState]:
     if state.consensus is None:
         return Step(state)
@@ -86,10 +96,12 @@
     step = Step(state)
     if state.follow is not None:
         step = _follow.tick(state, event.at)
+        step = step.then(_token_asks.ask(step.state, event.at))
     raft = step.state.consensus
     if raft is not None and raft.is_leader:
         step = step.then(_failover.tick(step.state, event.at))
         step = step.then(_provider.tick(step.state, event.at))
+        step = step.then(_token_queue.tick(step.state, event.at))
     if step.state.draining and not _has_work(step.state):
         step = step.then(Step(step.state, (StopDaemon(),)))
     return step
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -17,11 +17,14 @@
 LEASE_MARGIN = 1.1
 # A sixth of a lease: five reports may be lost.
 FOLLOW_PERIOD_S = 0.5
-# For requests that wait on after a report: tokens come back at the customer's rate,
-# not sooner for being asked for again.
-WAITING_RETRY_S = 0.15
 # Three reports.
 FOLLOWER_LOST_S = 1.5
+# While no VM has named a leader: two round trips between regions.
+LEADERLESS_RETRY_S = 0.1
+# Half a lease, so that one report more fits into it.
+MAX_PATIENCE_S = 1.5
+# An answer takes longer than the last one by less than half, unless a link fails.
+PATIENCE_MARGIN = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,10 +43,10 @@
         The latest request, and the latest one that anybody answered.
     sent_at : float
         When the latest request was sent, in monotonic seconds.
-    reported_at : float
-        When all shares were last reported.
     asked_req : int
-        The latest request waiting for tokens that a report has told of.
+        The latest request whose token the leader was asked for.
+    ask_at : float
+        No token is asked for before this time, in monotonic seconds.
     answered_at : float
         When a request was last answered by the leader.
     suspects : tuple
@@ -54,6 +57,10 @@
         Whether the next request must not wait for its period.
     holds_lease : bool
         Whether the lease was held at the last look.
+    unanswered : Map of int to float
+        When each report was sent that may still be answered, by its number.
+    patience_s : float
+        How long an answer is waited for before another VM is asked, in seconds.
     batch : Proposal or None
         Access counts that the leader has not yet confirmed.
     batch_sent_at, batch_built_at : float
@@ -65,13 +72,15 @@
     seq: int = 0
     answered_seq: int = 0
     sent_at: float = 0.0
-    reported_at: float = 0.0
     asked_req: int = 0
+    ask_at: float = 0.0
     answered_at: float = 0.0
     suspects: tuple = ()
     has_started: bool = False
     urgent: bool = False
     holds_lease: bool = False
+    unanswered: Map = field(default_factory=Map)
+    patience_s: float = FOLLOW_PERIOD_S
     batch: Proposal | None = None
     batch_number: int = 0
     batch_sent_at: float = 0.0
@@ -88,15 +97,12 @@
         What it has, or has been sent.
     request : FollowRequest
         Its latest request.
-    has_reported : bool
-        Whether this run has told this leader all its shares.
     """
 
     name: str
     revision: int
     seen_at: float
     request: FollowRequest
-    has_reported: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +131,24 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class QueuedNeed:
+    """A daemon's request that waits for a token of the leader's.
+
+    Attributes
+    ----------
+    until : float
+        When it is given up, in monotonic seconds.
+    missing : float
+        Part of a token that it still needs.
+    """
+
+    peer: str
+    req: int
+    until: float
+    missing: float = 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class Ledger:
     """One customer's limits, as handed out.
@@ -146,6 +170,8 @@
         When holdings were last checked for having run out.
     recalled_at : float
         When shares were last asked back.
+    queue : tuple of QueuedNeed
+        Requests that wait for `tokens`, oldest first.
     """
 
     customer: str
@@ -158,6 +184,7 @@
     tokens: float = 0.0
     updated_at: float = 0.0
     recalled_at: float = 0.0
+    queue: tuple[QueuedNeed, ...] = ()
 
 
 class Stage(Enum):
@@ -266,6 +293,8 @@
         When each silent voter was first missed.
     promotions : Map of str to Promotion
         By group, those through the provider.
+    queued : frozenset of str
+        Customers with requests that wait for tokens.
     noting : Map of str to str
         By daemon, the run that is being written into the log as a holder.
     """
@@ -279,4 +308,5 @@
     ledgers: Map = field(default_factory=Map)
     lost_since: Map = field(default_factory=Map)
     promotions: Map = field(default_factory=Map)
+    queued: frozenset[str] = frozenset()
     noting: Map = field(default_factory=Map)
--- /dev/null
+++ b/lovagewalk/control/_token_asks.py
@@ -0,0 +1,116 @@
+"""A daemon's asks for tokens that its own shares do not hold."""
+
+from lovagewalk.consensus import SendPeer
+from lovagewalk.core import Refusal, Step, replace
+from lovagewalk.node import NodeState
+from lovagewalk.routing import Phase, Request, _admit, _callers
+from lovagewalk.routing._answer import answer as answer_caller
+from lovagewalk.shares import level_at, set_aside
+
+from ._messages import TokenAdmission, TokenAnswer, TokenAsk, TokenDenial, TokenNeed
+from ._state import LEADERLESS_RETRY_S, FollowState
+
+
+def ask(state: NodeState, now: float) -> Step[NodeState]:
+    """Ask the leader for a token for each request that has not asked yet."""
+    follow: FollowState = state.follow
+    waiting = _unasked(state, follow.asked_req)
+    if not waiting or now < follow.ask_at:
+        return Step(state)
+    follow = replace(follow, asked_req=waiting[-1].req)
+    state = replace(state, follow=follow)
+    needs: tuple[TokenNeed, ...] = ()
+    for request in waiting:
+        left_s = _admit.token_deadline(request) - now
+        if left_s <= 0:
+            continue
+        left_s = min(left_s, _admit.token_wait_s(request))
+        state = _set_aside(state, request, now)
+        paid = state.requests[request.req].paid
+        needs += (TokenNeed(request.req, request.customer, left_s, paid),)
+    if not needs:
+        return Step(state)
+    return Step(state, (SendPeer(follow.target, TokenAsk(needs)),))
+
+
+def _unasked(state: NodeState, after: int) -> list[Request]:
+    """Return the waiting requests behind a request's number, oldest first."""
+    found = [
+        state.requests[req]
+        for share in state.shares.values()
+        for req in share.waiting
+        if req > after and req in state.requests
+    ]
+    return sorted(found, key=lambda request: request.req)
+
+
+def _set_aside(state: NodeState, request: Request, now: float) -> NodeState:
+    """Put what the share holds, less than a token, towards a request's token."""
+    share = state.shares[request.customer]
+    level = level_at(share, now) if now < share.lease_until else 0.0
+    if request.paid or not 0 < level < 1:
+        return state
+    request = replace(request, paid=level)
+    return replace(
+        state,
+        shares=state.shares.set(share.customer, set_aside(share, now)),
+        requests=state.requests.set(request.req, request),
+    )
+
+
+def on_token_answer(
+    state: NodeState, peer: str, message: TokenAnswer, now: float
+) -> Step[NodeState]:
+    """Admit or refuse what the leader has decided on."""
+    if not message.is_leader:
+        return Step(_turn_to(state, peer, message.leader, now))
+    step = Step(state)
+    for admission in message.admitted:
+        step = step.then(_admit_one(step.state, admission, now))
+    for denial in message.denied:
+        step = step.then(_refuse_one(step.state, denial))
+    return step
+
+
+def _turn_to(state: NodeState, peer: str, leader: str, now: float) -> NodeState:
+    """Ask again, where the leader is said to be or after a moment."""
+    follow: FollowState = state.follow
+    if follow.target != peer:
+        return replace(state, follow=replace(follow, asked_req=0))
+    if leader and leader != peer:
+        follow = replace(follow, target=leader, asked_req=0, urgent=True)
+    else:
+        follow = replace(follow, asked_req=0, ask_at=now + LEADERLESS_RETRY_S)
+    return replace(state, follow=follow)
+
+
+def _admit_one(
+    state: NodeState, admission: TokenAdmission, now: float
+) -> Step[NodeState]:
+    """Let a request go on; the token of one that is gone is handed back."""
+    request = _waiting(state, admission.req)
+    if request is None:
+        share = state.shares.get(admission.customer)
+        if share is None:
+            return Step(state)
+        share = replace(share, returned=share.returned + admission.tokens)
+        return Step(replace(state, shares=state.shares.set(share.customer, share)))
+    spent = replace(request, paid=0.0)
+    return _admit.proceed(_callers.unqueue(state, spent), spent, now)
+
+
+def _refuse_one(state: NodeState, denial: TokenDenial) -> Step[NodeState]:
+    request = _waiting(state, denial.req)
+    if request is None:
+        return Step(state)
+    refusal: Refusal = replace(
+        _admit.rate_refusal(state, request), retry_after_s=denial.retry_after_s
+    )
+    return answer_caller(_callers.unqueue(state, request), request, refusal)
+
+
+def _waiting(state: NodeState, req: int) -> Request | None:
+    request = state.requests.get(req)
+    if request is None or request.phase is not Phase.TOKENS:
+        return None
+    return request
--- /dev/null
+++ b/lovagewalk/control/_token_queue.py
@@ -0,0 +1,170 @@
+"""The leader's queue for tokens of customers, which it gives out one by one.
+
+An answer needs no round of the quorum: while its lease lasts, no other VM can
+lead, and a new leader's buckets start empty after it.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lovagewalk.catalogue import CustomerEntry
+from lovagewalk.consensus import RaftState, SendPeer, holds_leader_lease
+from lovagewalk.core import Effect, Step, replace
+from lovagewalk.node import NodeState
+
+from . import _ledger
+from ._messages import (
+    ShareRecall,
+    TokenAdmission,
+    TokenAnswer,
+    TokenAsk,
+    TokenDenial,
+)
+from ._state import ControlState, Ledger, QueuedNeed
+
+# A round trip between regions.
+RECALL_PERIOD_S = 0.05
+# A rate of zero gives no token at all; the longest stay that a caller is told.
+MAX_RETRY_AFTER_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """What became of a customer's queue.
+
+    Attributes
+    ----------
+    admitted : tuple of QueuedNeed
+    denied : tuple of tuple
+        Needs that no token will come for in time, and when one would, in seconds.
+    recalls : tuple of Recall
+    """
+
+    ledger: Ledger
+    admitted: tuple[QueuedNeed, ...] = ()
+    denied: tuple[tuple[QueuedNeed, float], ...] = ()
+    recalls: tuple[_ledger.Recall, ...] = ()
+
+
+def on_token_ask(
+    state: NodeState, peer: str, message: TokenAsk, now: float
+) -> Step[NodeState]:
+    """Queue a daemon's needs, and give what tokens there are."""
+    raft: RaftState = state.consensus
+    if raft is None or not raft.is_leader:
+        leader = raft.leader if raft is not None else ""
+        answer = TokenAnswer(is_leader=False, leader=leader)
+        return Step(state, (SendPeer(peer, answer),))
+    control: ControlState = state.control
+    ledgers = control.ledgers
+    for need in message.needs:
+        ledger = ledgers.get(need.customer)
+        if ledger is None:
+            ledger = _ledger.ledger_of(state, control, need.customer, now)
+        queued = QueuedNeed(peer, need.req, now + need.wait_s, 1.0 - need.paid)
+        ledger = _ledger.note_need(ledger, peer)
+        ledger = replace(ledger, queue=ledger.queue + (queued,))
+        ledgers = ledgers.set(need.customer, ledger)
+    customers = frozenset(need.customer for need in message.needs)
+    control = replace(control, ledgers=ledgers, queued=control.queued | customers)
+    return serve(replace(state, control=control), customers, now)
+
+
+def tick(state: NodeState, now: float) -> Step[NodeState]:
+    """Serve what waits for tokens."""
+    return serve(state, state.control.queued, now)
+
+
+def serve(state: NodeState, customers: Iterable[str], now: float) -> Step[NodeState]:
+    """Give tokens to the oldest needs of some customers."""
+    control: ControlState = state.control
+    if not customers or not _may_admit(state, now):
+        return Step(state)
+    answers: dict[str, TokenAnswer] = {}
+    effects: tuple[Effect, ...] = ()
+    for customer in customers:
+        served = _serve_customer(state, control, customer, now)
+        queued = control.queued
+        if not served.ledger.queue:
+            queued = queued - {customer}
+        control = replace(
+            control, ledgers=control.ledgers.set(customer, served.ledger), queued=queued
+        )
+        _collect(answers, customer, served)
+        effects += tuple(
+            SendPeer(recall.daemon, ShareRecall(recall.grant))
+            for recall in served.recalls
+        )
+    effects += tuple(SendPeer(peer, answer) for peer, answer in answers.items())
+    return Step(replace(state, control=control), effects)
+
+
+def _may_admit(state: NodeState, now: float) -> bool:
+    if not holds_leader_lease(state.consensus, now):
+        return False
+    return _ledger.may_grant(state, state.control, now)
+
+
+def _serve_customer(
+    state: NodeState, control: ControlState, customer: str, now: float
+) -> Served:
+    entry = state.catalogue.customer(customer)
+    ledger = control.ledgers[customer]
+    if entry is None:
+        denied = tuple((need, MAX_RETRY_AFTER_S) for need in ledger.queue)
+        return Served(replace(ledger, queue=()), denied=denied)
+    ledger = _ledger.refresh(ledger, entry, now)
+    waiting = list(ledger.queue)
+    admitted: tuple[QueuedNeed, ...] = ()
+    tokens = ledger.tokens
+    while waiting and waiting[0].missing <= tokens + _ledger.EPSILON:
+        tokens = max(tokens - waiting[0].missing, 0.0)
+        admitted += (waiting.pop(0),)
+    ledger = replace(ledger, tokens=tokens, queue=tuple(waiting))
+    if not waiting:
+        return Served(ledger, admitted)
+    on_demand = _ledger.is_on_demand(control, entry, now)
+    served = _deny_hopeless(ledger, entry, on_demand, now)
+    served = replace(served, admitted=admitted)
+    if on_demand or now - ledger.recalled_at < RECALL_PERIOD_S:
+        return served
+    recalls = _ledger.recall_shares(control, ledger, entry, waiting[0].peer)
+    ledger = replace(served.ledger, recalled_at=now)
+    return replace(served, ledger=ledger, recalls=recalls)
+
+
+def _deny_hopeless(
+    ledger: Ledger, entry: CustomerEntry, on_demand: bool, now: float
+) -> Served:
+    """Turn away needs whose token comes after they are given up.
+
+    Where daemons hold shares, some of those may come back at any moment.
+    """
+    free_rate = entry.rate - ledger.held_rate
+    kept: tuple[QueuedNeed, ...] = ()
+    denied: tuple[tuple[QueuedNeed, float], ...] = ()
+    missing = -ledger.tokens
+    for need in ledger.queue:
+        missing += need.missing
+        wait_s = MAX_RETRY_AFTER_S
+        if free_rate > 0:
+            wait_s = min(missing / free_rate, MAX_RETRY_AFTER_S)
+        in_time = now + wait_s < need.until if on_demand else now < need.until
+        if in_time:
+            kept += (need,)
+        else:
+            denied += ((need, wait_s),)
+            missing -= need.missing
+    return Served(replace(ledger, queue=kept), denied=denied)
+
+
+def _collect(answers: dict[str, TokenAnswer], customer: str, served: Served) -> None:
+    """Add what became of a queue to the answers of the daemons that asked."""
+    for need in served.admitted:
+        answer = answers.get(need.peer) or TokenAnswer()
+        admission = TokenAdmission(need.req, customer, need.missing)
+        answers[need.peer] = replace(answer, admitted=answer.admitted + (admission,))
+    for need, wait_s in served.denied:
+        answer = answers.get(need.peer) or TokenAnswer()
+        denial = TokenDenial(need.req, wait_s)
+        answers[need.peer] = replace(answer, denied=answer.denied + (denial,))
--- a/lovagewalk/control/tests/control_fleet.py
+++ b/lovagewalk/control/tests/control_fleet.py
@@ -93,6 +93,8 @@
         self.disks = {}
         self.states = {}
         self.cut = set()
+        self.links_up = True
+        self.outside = []
         self.wire = []
         self.answers = {}
         self.numbers = 0
@@ -204,7 +206,11 @@
         while self.wire:
             source, target, message = self.wire.pop(0)
             separated = (source in self.cut) != (target in self.cut)
-            if target in self.states and source in self.states and not separated:
+            if not self.links_up or separated:
+                continue
+            if target not in self.states:
+                self.outside.append(message)
+            elif source in self.states:
                 self.feed(target, PeerMessage(self.now, source, message))
 
     def leader(self):
--- a/lovagewalk/control/tests/test_fleet_machine.py
+++ b/lovagewalk/control/tests/test_fleet_machine.py
@@ -21,7 +21,7 @@
     PeerMessage,
 )
 from lovagewalk.control._messages import FollowReply, FollowRequest, ShareRecall
-from lovagewalk.control._state import FOLLOW_PERIOD_S, WAITING_RETRY_S
+from lovagewalk.control._state import FOLLOW_PERIOD_S
 from lovagewalk.core import reduce, replace
 from lovagewalk.daemon import SweepTick
 from lovagewalk.node import Identity, NodeState
@@ -343,27 +343,29 @@
     assert sum(s.rate for s in fleet.states[_follower(fleet)].shares.values()) < RATE
 
 
-def test_a_part_of_a_report_does_not_stand_for_the_whole():
-    """A daemon that asks for one customer may hold shares of others."""
+def test_every_report_names_every_share_that_is_held():
+    """A new leader takes whoever has reported as having told all it holds."""
     fleet = Daemons()
     fleet.run(2.0)
     holder = _follower(fleet)
-    kept = fleet.states[holder]
-    _kill_all(fleet)
-    fleet.states[holder] = kept
     deliver = fleet.deliver
-
-    def strip_reports(position):
-        message = fleet.wire[position % len(fleet.wire)]
-        if message[0] == holder and isinstance(message[2], FollowRequest):
-            part = replace(message[2], shares=(), whole=False)
-            fleet.wire[position % len(fleet.wire)] = (*message[:2], part)
+    reports = []
+
+    def check_reports(position):
+        source, _, message = fleet.wire[position % len(fleet.wire)]
+        if source == holder and isinstance(message, FollowRequest):
+            told = {share.customer: share.burst for share in message.shares}
+            held = fleet.states[holder].shares
+            reports.append(message)
+            for customer, share in held.items():
+                assert share.burst <= told.get(customer, 0.0) + EPSILON
         deliver(position)
 
-    fleet.deliver = strip_reports
+    fleet.deliver = check_reports
     for _ in range(100):
+        fleet.ask(holder)
         fleet.run(0.02)
-        assert fleet.held("rate") <= RATE + EPSILON
+    assert reports
 
 
 def test_clumps_of_a_small_customer_are_served_by_the_fleets_tokens():
@@ -441,4 +443,4 @@
         fleet.run(0.1)
     for name in NAMES:
         reports = fleet.states[name].follow.seq - sent[name]
-        assert reports <= 2.0 / FOLLOW_PERIOD_S + 20 + 2.0 / WAITING_RETRY_S
+        assert reports <= 2.0 / FOLLOW_PERIOD_S + 1
--- /dev/null
+++ b/lovagewalk/control/tests/test_follow.py
@@ -0,0 +1,137 @@
+"""A daemon that follows control over links that are slow or lose their leader."""
+
+import pytest
+
+from lovagewalk import catalogue as cat
+from lovagewalk.consensus import SendPeer
+from lovagewalk.control import ControlTick, FollowState, PeerLost, PeerMessage
+from lovagewalk.control._messages import FollowReply, FollowRequest, ShareGrant
+from lovagewalk.core import reduce, replace
+from lovagewalk.daemon import SweepTick
+from lovagewalk.node import Identity, NodeState
+
+STEP_S = 0.02
+CONTROLS = ("c1", "c2", "c3")
+
+
+class Follower:
+    """One entry daemon, and control VMs that answer after a while."""
+
+    def __init__(self, answer_s):
+        self.now = 100.0
+        self.leader = "c1"
+        self.answer_s = answer_s
+        self.wire = []
+        self.reports = []
+        customers = cat.Catalogue().customers.set(
+            "acme", cat.CustomerEntry("acme", "op", 100.0, 100.0)
+        )
+        self.state = NodeState(
+            Identity("e1", "z", "r", b"secret"),
+            catalogue=replace(cat.Catalogue(), revision=7, customers=customers),
+            follow=FollowState(CONTROLS, "c1", "boot"),
+        )
+
+    def run(self, seconds):
+        """Let time pass; return for how much of it the lease was held."""
+        held = rounds = 0
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            self._feed(ControlTick(self.now))
+            self._feed(SweepTick(self.now))
+            for due in [item for item in self.wire if item[0] <= self.now]:
+                self.wire.remove(due)
+                self._feed(PeerMessage(self.now, due[1], due[2]))
+            rounds += 1
+            held += self.now < self.state.fresh_until
+        return held / rounds
+
+    def _feed(self, event):
+        step = reduce(self.state, event)
+        self.state = step.state
+        for effect in step.effects:
+            if isinstance(effect, SendPeer):
+                self._answer(effect.peer, effect.message)
+
+    def _answer(self, peer, message):
+        if not isinstance(message, FollowRequest):
+            return
+        self.reports.append((self.now, peer))
+        is_latest = peer == self.leader
+        grants = ()
+        if is_latest:
+            grants = tuple(
+                ShareGrant(report.customer, 50.0, 50.0, 0.0)
+                for report in message.shares
+            )
+        reply = FollowReply(message.seq, self.leader, is_latest, 7, (), None, grants, 1)
+        delay_s = self.answer_s if is_latest else STEP_S
+        self.wire.append((self.now + delay_s, peer, reply))
+
+
+@pytest.mark.parametrize("answer_s", [0.04, 0.45, 0.7, 1.2])
+def test_slow_answers_renew_the_lease_and_bring_shares(answer_s):
+    """A full link delays each answer for longer than a report's period."""
+    follower = Follower(answer_s)
+    follower.run(4.0)
+    assert follower.run(10.0) == 1.0
+    assert follower.state.shares["acme"].rate == 50.0
+
+
+def test_a_late_answer_counts_from_when_its_question_was_sent():
+    follower = Follower(0.7)
+    follower.run(0.75)
+    first_sent = follower.reports[0][0]
+    assert follower.state.fresh_until == pytest.approx(first_sent + 3.0)
+
+
+def test_a_silent_leader_is_left_after_one_period():
+    follower = Follower(0.04)
+    follower.run(2.0)
+    follower.leader = "c2"
+    follower.answer_s = 0.04
+    count = len(follower.reports)
+    follower.wire.clear()
+    follower.run(1.0)
+    asked = [peer for _, peer in follower.reports[count:]]
+    assert "c2" in asked
+
+
+def test_a_leader_is_found_soon_after_an_election():
+    """Nobody leads at first; callers wait for the lease of the daemon."""
+    follower = Follower(0.04)
+    follower.leader = ""
+    follower.run(1.0)
+    follower.leader = "c3"
+    follower.run(0.5)
+    assert follower.now < follower.state.fresh_until
+
+
+def test_reports_stay_few_while_nobody_leads():
+    follower = Follower(0.04)
+    follower.leader = ""
+    follower.run(2.0)
+    assert len(follower.reports) <= 2.0 / 0.1 + 1
+
+
+def test_a_broken_link_sends_the_daemon_to_another_vm_at_once():
+    """All VMs lost power: reports that were on their way are never answered."""
+    follower = Follower(0.04)
+    follower.run(2.0)
+    follower.wire.clear()
+    follower.leader = "c3"
+    asked = len(follower.reports)
+    follower._feed(PeerLost(follower.now, "c1"))
+    follower.run(0.3)
+    assert follower.reports[asked][1] == "c2"
+    assert follower.state.follow.target == "c3"
+
+
+def test_lost_links_do_not_make_reports_flood():
+    follower = Follower(0.04)
+    follower.leader = ""
+    for _ in range(100):
+        follower._feed(PeerLost(follower.now, follower.state.follow.target))
+        follower.run(0.02)
+    assert len(follower.reports) <= 2.0 / 0.1 + 1
--- a/lovagewalk/control/tests/test_members.py
+++ b/lovagewalk/control/tests/test_members.py
@@ -48,6 +48,17 @@
     assert fleet.leader() is None
 
 
+def test_a_leader_is_found_soon_after_all_vms_lost_power(fleet):
+    """Streams stand only after the first questions were asked and lost."""
+    for name in NAMES:
+        fleet.start(name)
+    fleet.links_up = False
+    fleet.run(0.1)
+    fleet.links_up = True
+    fleet.run(0.3)
+    assert fleet.leader() is not None
+
+
 def test_a_new_vm_takes_the_place_of_one_that_is_gone(fleet):
     fleet.change(configuration(3))
     fleet.run(0.5)
--- /dev/null
+++ b/lovagewalk/control/tests/test_token_queue.py
@@ -0,0 +1,160 @@
+"""Tokens that the leader gives one by one, as to the many daemons of a large fleet."""
+
+import pytest
+
+from lovagewalk import catalogue as cat
+from lovagewalk.consensus import SendPeer, Standing
+from lovagewalk.control import ControlState, PeerMessage
+from lovagewalk.control._ledger import may_grant
+from lovagewalk.control._messages import TokenAnswer, TokenAsk, TokenNeed
+from lovagewalk.core import reduce, replace
+
+from .test_fleet_machine import CUSTOMER, NAMES, Daemons
+
+RATE, BURST = 8.0, 4.0
+
+
+@pytest.fixture
+def fleet():
+    """Daemons whose one customer has a burst too small to be divided."""
+    running = Daemons()
+    revision = running.states[NAMES[0]].catalogue.customers[CUSTOMER].revision
+    entry = cat.CustomerEntry(CUSTOMER, "o", RATE, BURST)
+    running.change(cat.PutCustomer(entry, revision))
+    running.run(4.0)
+    return running
+
+
+def _leader(fleet):
+    return next(n for n in NAMES if fleet.states[n].consensus.is_leader)
+
+
+def _other(fleet):
+    return next(n for n in NAMES if not fleet.states[n].consensus.is_leader)
+
+
+def _ask(fleet, name, count, wait_s=0.4, first=1000):
+    """Ask a VM for tokens and return its answer to the asker."""
+    needs = tuple(TokenNeed(first + n, CUSTOMER, wait_s) for n in range(count))
+    message = PeerMessage(fleet.now, _other(fleet), TokenAsk(needs))
+    step = reduce(fleet.states[name], message)
+    fleet.states[name] = step.state
+    return [
+        effect.message
+        for effect in step.effects
+        if isinstance(effect, SendPeer) and isinstance(effect.message, TokenAnswer)
+    ]
+
+
+def test_a_token_comes_with_the_answer_and_no_round_of_the_quorum(fleet):
+    (answer,) = _ask(fleet, _leader(fleet), 3)
+    assert [admission.req for admission in answer.admitted] == [1000, 1001, 1002]
+
+
+def test_what_comes_too_late_is_denied_at_once_with_its_time(fleet):
+    """A customer sends many times its rate; some of it can never be served."""
+    (answer,) = _ask(fleet, _leader(fleet), 12)
+    assert len(answer.admitted) == BURST
+    waiting = int(0.4 * RATE)
+    assert len(answer.denied) == 12 - BURST - waiting
+    for denial in answer.denied:
+        assert 0.4 <= denial.retry_after_s <= (waiting + 1) / RATE
+
+
+def test_the_oldest_need_gets_the_next_token(fleet):
+    leader = _leader(fleet)
+    _ask(fleet, leader, int(BURST))
+    assert _ask(fleet, leader, 1, first=2000) == []
+    assert _ask(fleet, leader, 1, first=3000) == []
+    fleet.run(1.1 / RATE)
+    queue = fleet.states[leader].control.ledgers[CUSTOMER].queue
+    assert [need.req for need in queue] == [3000]
+
+
+def test_a_leader_that_is_cut_off_gives_nothing(fleet):
+    """It may have been replaced, though it has not heard so."""
+    leader = _leader(fleet)
+    fleet.cut = {leader}
+    fleet.run(0.38)
+    assert fleet.states[leader].consensus.is_leader
+    assert _ask(fleet, leader, 1) == []
+
+
+def test_a_thawed_leader_gives_nothing_before_it_has_looked_around(fleet):
+    """Its VM was suspended for as long as an election takes."""
+    fleet.now += 1.0
+    assert _ask(fleet, _leader(fleet), 1) == []
+
+
+def test_who_does_not_lead_names_the_leader(fleet):
+    (answer,) = _ask(fleet, _other(fleet), 1)
+    assert not answer.is_leader and answer.leader == _leader(fleet)
+
+
+def test_old_and_new_leader_together_stay_within_rate_and_burst(fleet):
+    """The new leader's bucket fills only once the old one's lease is over."""
+    old = _leader(fleet)
+    others = [name for name in NAMES if name != old]
+    fleet.run(2.0)
+    started, given = fleet.now, 0
+    fleet.cut = {old}
+    for number in range(300):
+        fleet.run(0.02)
+        for name in (old, *others):
+            raft = fleet.states[name].consensus
+            if raft.is_leader:
+                for answer in _ask(fleet, name, 1, 0.02, first=5000 + number):
+                    given += len(answer.admitted)
+    assert given <= RATE * (fleet.now - started) + BURST + 1e-6
+
+
+def _restart(fleet, name):
+    """Start a VM again from its disk; it has forgotten whom it heard."""
+    old = fleet.states[name]
+    raft = replace(
+        old.consensus,
+        standing=Standing.FOLLOWER,
+        leader="",
+        heard_at=0.0,
+        election_at=0.0,
+    )
+    fresh = fleet._new_state(name)
+    fleet.states[name] = replace(
+        fresh, consensus=raft, catalogue=old.catalogue, control=ControlState()
+    )
+
+
+def test_voters_that_restarted_elect_a_leader_that_waits(fleet):
+    """They may have forgotten a leader that is cut off and still gives tokens."""
+    old = _leader(fleet)
+    fleet.run(2.0)
+    others = [name for name in NAMES if name != old]
+    fleet.cut = {old}
+    for name in others:
+        _restart(fleet, name)
+    elected_at = None
+    for _ in range(60):
+        fleet.run(0.02)
+        new = [n for n in others if fleet.states[n].consensus.is_leader]
+        if not new:
+            continue
+        elected_at = elected_at or fleet.now
+        leader = fleet.states[new[0]]
+        if fleet.now < elected_at + 0.4 - 0.04:
+            assert not may_grant(leader, leader.control, fleet.now)
+    assert elected_at is not None
+
+
+def test_asks_wait_for_a_new_leader_and_are_asked_again(fleet):
+    """The leader dies with asks on their way; callers wait out the election."""
+    old = _leader(fleet)
+    name = _other(fleet)
+    fleet.run(2.0)
+    before = len(fleet.admitted)
+    fleet.cut = {old}
+    fleet.run(0.7)
+    fleet.ask(name)
+    fleet.run(3.5)
+    fleet.ask(name)
+    fleet.run(0.3)
+    assert len(fleet.admitted) > before
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -28,6 +28,11 @@
 STALE_RETRY_S = 1.0
 # Part of a route's objective: leaves the rest for the statement itself.
 TOKEN_WAIT_PART = 0.4
+# While nobody says whether there is a token: an election of control, 0.8 s, with the
+# first reports to the new leader.
+UNANSWERED_WAIT_S = 1.2
+# Left of a statement's time limit for its run, which takes 0.3 s at most.
+RUN_MARGIN_S = 0.25
 # Requests that wait ahead; bounds the time that a caller is told to stay away.
 MAX_RETRY_TOKENS = 10
 
@@ -178,12 +183,22 @@
 
 
 def token_wait_s(request: Request) -> float:
-    """Return how long a request may wait for tokens, in seconds."""
+    """Return how long a request may queue for a token at the leader, in seconds."""
     if request.route is None or not request.route.objective_s:
         return TOKEN_WAIT_S
     return min(TOKEN_WAIT_S, request.route.objective_s * TOKEN_WAIT_PART)
 
 
+def token_deadline(request: Request) -> float:
+    """Return until when a request waits for a word of control on its token.
+
+    The leader answers at once that a token will come, or when. No answer means
+    that control is changing its leader, who will be asked again.
+    """
+    latest = request.deadline - RUN_MARGIN_S
+    return min(request.arrived_at + UNANSWERED_WAIT_S, latest)
+
+
 def _wait_for_tokens(
     state: NodeState, share: Share, request: Request
 ) -> Step[NodeState]:
--- a/lovagewalk/routing/_callers.py
+++ b/lovagewalk/routing/_callers.py
@@ -7,6 +7,7 @@
 from lovagewalk.node import NodeState
 from lovagewalk.pools import remove_waiting
 from lovagewalk.sessions import Session, TransactionState
+from lovagewalk.shares import give_back
 
 from . import _dispatch, _place
 from ._admit import access_refusal, authorise, stale_refusal
@@ -120,6 +121,8 @@
         return state
     waiting = tuple(req for req in share.waiting if req != request.req)
     share = replace(share, waiting=waiting)
+    if request.paid:
+        share = give_back(share, request.paid, share.updated_at)
     return replace(state, shares=state.shares.set(request.customer, share))
 
 
--- a/lovagewalk/routing/_state.py
+++ b/lovagewalk/routing/_state.py
@@ -71,6 +71,8 @@
         When it was last sent.
     queued_at : float
         When it last began to wait for a connection.
+    paid : float
+        Part of a token that its daemon has set aside for it.
     """
 
     req: int
@@ -102,6 +104,7 @@
     retry_at: float = 0.0
     sent_at: float = 0.0
     queued_at: float = 0.0
+    paid: float = 0.0
 
     @property
     def is_stated(self) -> bool:
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -7,7 +7,7 @@
 from lovagewalk.node import NodeState
 from lovagewalk.pools import Pool, surplus
 from lovagewalk.sessions import TransactionState
-from lovagewalk.shares import Taken, take
+from lovagewalk.shares import give_back, take
 
 from . import _admit, _callers, _dispatch, _outcome, _place, _recovery
 from ._answer import answer
@@ -97,23 +97,14 @@
     return step
 
 
-def serve_customer(
-    state: NodeState, customer: str, now: float, vouchers: int = 0
-) -> Step[NodeState]:
-    """Admit a customer's waiting requests as far as its tokens reach.
-
-    Parameters
-    ----------
-    vouchers : int
-        Requests to admit without a token of the share.
-    """
+def serve_customer(state: NodeState, customer: str, now: float) -> Step[NodeState]:
+    """Admit a customer's waiting requests as far as its tokens reach."""
     step = Step(state)
     while True:
         share = step.state.shares[customer]
         if not share.waiting:
             return step
-        taken = Taken(share, True) if vouchers > 0 else take(share, now)
-        vouchers -= 1
+        taken = take(share, now)
         if not taken.admitted:
             return step
         req = share.waiting[0]
@@ -121,8 +112,13 @@
         state = replace(step.state, shares=step.state.shares.set(customer, share))
         step = Step(state, step.effects)
         request = state.requests.get(req)
-        if request is not None:
-            step = step.then(_admit.proceed(state, request, now))
+        if request is None:
+            continue
+        if request.paid:
+            share = give_back(share, request.paid, now)
+            state = replace(state, shares=state.shares.set(customer, share))
+            step = Step(state, step.effects)
+        step = step.then(_admit.proceed(state, replace(request, paid=0.0), now))
 
 
 def _sweep_request(state: NodeState, request: Request, now: float) -> Step[NodeState]:
@@ -133,7 +129,7 @@
     if request.phase is Phase.REPLICA and waited >= _place.AWAIT_REPLICA_S:
         moved = replace(request, phase=Phase.CONNECTION)
         return _place.place(_place.put_request(state, moved), moved, now)
-    if request.phase is Phase.TOKENS and waited >= _admit.token_wait_s(request):
+    if request.phase is Phase.TOKENS and now >= _admit.token_deadline(request):
         refusal = _admit.rate_refusal(state, request)
         return answer(_callers.unqueue(state, request), request, refusal)
     if request.is_stated:
--- a/lovagewalk/runtime/_peers.py
+++ b/lovagewalk/runtime/_peers.py
@@ -17,7 +17,7 @@
 
 from lovagewalk.codec import CODEC_VERSION, MAX_FRAME_BYTES, decode, encode
 from lovagewalk.consensus import SendPeer, is_consensus_message
-from lovagewalk.control import PeerMessage
+from lovagewalk.control import PeerLost, PeerMessage
 from lovagewalk.core import Code, LovageError, performs
 from lovagewalk.settings import Address
 
@@ -27,6 +27,11 @@
 
 # Three round trips to the other region, many times over.
 HANDSHAKE_LIMIT_S = 3.0
+# Several round trips between regions. The kernel's own second try of a lost opening
+# packet comes after 1 s only.
+CONNECT_LIMIT_S = 0.3
+# Answers over a full link take about so long.
+MAX_CONNECT_LIMIT_S = 1.0
 # A name, a nonce and a digest.
 MAX_HELLO_BYTES = 1024
 MAX_NAME_LENGTH = 64
@@ -114,6 +119,7 @@
         self._network = network or Network()
         self._links: dict[str, Link] = {}
         self._dialling: dict[str, list[bytes]] = {}
+        self._connect_limits: dict[str, float] = {}
         self._server: asyncio.Server | None = None
         self.muted = False
         self._last_message: Any = None
@@ -166,16 +172,15 @@
     async def _dial(self, peer: str) -> None:
         address = self._resolve(peer)
         try:
+            reader, writer = await self._connect(peer, address)
             async with asyncio.timeout(HANDSHAKE_LIMIT_S):
-                reader, writer = await asyncio.open_connection(
-                    address.host, address.port
-                )
                 name = await self._greet(reader, writer)
             if name != peer:
                 writer.close()
                 raise LovageError(Code.FRAME_BAD, "peer has another name")
         except (OSError, TimeoutError, EOFError, LovageError, ValueError) as exc:
             log.debug("peers: cannot reach %s: %r", peer, exc)
+            self._ports.feed(PeerLost(self._ports.now(), peer))
             await self._ports.timer.sleep(REDIAL_DELAY_S)
             self._dialling.pop(peer, None)
             return
@@ -185,6 +190,17 @@
             link.send(payload)
         await self._read(link, reader)
 
+    async def _connect(
+        self, peer: str, address: Address
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection; each one that fails gives the next more time."""
+        limit_s = self._connect_limits.get(peer, CONNECT_LIMIT_S)
+        self._connect_limits[peer] = min(limit_s * 2, MAX_CONNECT_LIMIT_S)
+        async with asyncio.timeout(limit_s):
+            streams = await asyncio.open_connection(address.host, address.port)
+        del self._connect_limits[peer]
+        return streams
+
     async def _greet(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> str:
@@ -252,6 +268,7 @@
             link.close()
             if self._links.get(link.name) is link:
                 del self._links[link.name]
+                self._ports.feed(PeerLost(self._ports.now(), link.name))
 
     def _deliver(self, name: str, payload: bytes) -> None:
         message = decode(payload)
--- a/lovagewalk/shares/_bucket.py
+++ b/lovagewalk/shares/_bucket.py
@@ -54,6 +54,18 @@
     return Taken(taken, admitted)
 
 
+def give_back(share: Share, tokens: float, now: float) -> Share:
+    """Put tokens back that were set aside for a request, up to the burst."""
+    share = refill(share, now)
+    return replace(share, level=min(share.level + tokens, share.burst))
+
+
+def set_aside(share: Share, now: float) -> Share:
+    """Take all tokens out for a request; less than one is no use by itself."""
+    share = expire(share, now)
+    return replace(refill(share, now), level=0.0)
+
+
 def shrink(share: Share, rate: float, burst: float, now: float) -> Share:
     """Give up rate and burst; tokens beyond the new burst are returned."""
     share = refill(share, now)
