--- a/lovagewalk/catalogue/__init__.py
+++ b/lovagewalk/catalogue/__init__.py
@@ -12,6 +12,7 @@
     InstallTerm,
     IssueKey,
     NoChange,
+    NoteDivided,
     NoteHolder,
     Proposal,
     PutCustomer,
@@ -21,6 +22,12 @@
     WithdrawKey,
 )
 from ._configuration import configuration_refusal
+from ._delta import (
+    CatalogueDelta,
+    apply_delta,
+    diff_catalogues,
+    is_same_to_followers,
+)
 from ._state import (
     Catalogue,
     ChangeResult,
@@ -48,6 +55,7 @@
     "AnnounceEndpoint",
     "Applied",
     "Catalogue",
+    "CatalogueDelta",
     "ChangeControlVoters",
     "ChangeResult",
     "Consistency",
@@ -63,6 +71,7 @@
     "KeyEntry",
     "Management",
     "NoChange",
+    "NoteDivided",
     "NoteHolder",
     "Proposal",
     "PutCustomer",
@@ -77,6 +86,9 @@
     "Voter",
     "WithdrawKey",
     "applies",
+    "apply_delta",
     "apply_proposal",
     "configuration_refusal",
+    "diff_catalogues",
+    "is_same_to_followers",
 ]
--- a/lovagewalk/catalogue/_apply.py
+++ b/lovagewalk/catalogue/_apply.py
@@ -238,10 +238,22 @@
 def _note_holder(
     catalogue: Catalogue, index: int, command: commands.NoteHolder
 ) -> Applied:
-    holders = catalogue.holders.set(command.daemon, command.boot)
+    holders = catalogue.holders
+    if command.boot:
+        holders = holders.set(command.daemon, command.boot)
+    elif command.daemon in holders:
+        holders = holders.delete(command.daemon)
     return Applied(replace(catalogue, holders=holders), ChangeResult(index))
 
 
+@applies(commands.NoteDivided)
+def _note_divided(
+    catalogue: Catalogue, index: int, command: commands.NoteDivided
+) -> Applied:
+    divided = catalogue.divided | frozenset(command.customers)
+    return Applied(replace(catalogue, divided=divided), ChangeResult(index))
+
+
 @applies(commands.RecordAccess)
 def _record_access(
     catalogue: Catalogue, index: int, command: commands.RecordAccess
--- a/lovagewalk/catalogue/_commands.py
+++ b/lovagewalk/catalogue/_commands.py
@@ -134,12 +134,27 @@
 
     A new control leader need not wait for old shares to run out, once every
     holder has told it what it holds.
+
+    Attributes
+    ----------
+    boot : str
+        The run; empty once the daemon holds no shares any more.
     """
 
     daemon: str
     boot: str
 
 
+@dataclass(frozen=True, slots=True)
+class NoteDivided:
+    """Note customers of whose rates daemons may hold shares.
+
+    Of the others a new control leader can give tokens at once.
+    """
+
+    customers: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ReplaceConfiguration:
     """Replace routes, customers, keys and group limits as a whole.
@@ -164,6 +179,7 @@
 Command = (
     NoChange
     | ReplaceConfiguration
+    | NoteDivided
     | NoteHolder
     | ChangeControlVoters
     | PutCustomer
--- /dev/null
+++ b/lovagewalk/catalogue/_delta.py
@@ -0,0 +1,163 @@
+"""What a daemon without a log has to change to follow the catalogue.
+
+A new configuration repeats all entries, though most are as they were. Daemons are
+sent those that differ. What only control VMs read is left out: the document, the
+results of changes, and who may hold shares.
+"""
+
+from dataclasses import dataclass
+
+from immutables import Map
+
+from lovagewalk.core import replace
+
+from ._state import (
+    Catalogue,
+    ControlVoter,
+    Endpoint,
+    GroupConfig,
+    Versioned,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CatalogueDelta:
+    """The difference between two revisions of a catalogue.
+
+    Attributes
+    ----------
+    base : int
+        The revision that it changes; 0 if it stands for a whole catalogue.
+    revision : int
+        The revision that it leads to.
+    customers, routes, keys, endpoints, groups : tuple
+        Entries that are new or have changed.
+    gone_customers, gone_routes, gone_keys, gone_endpoints : tuple of str
+        Names of entries that are there no more.
+    """
+
+    base: int
+    revision: int
+    version: int
+    idle_transaction_s: float
+    control_voters: tuple[ControlVoter, ...]
+    customers: tuple[Versioned, ...] = ()
+    routes: tuple[Versioned, ...] = ()
+    keys: tuple[Versioned, ...] = ()
+    endpoints: tuple[Endpoint, ...] = ()
+    groups: tuple[GroupConfig, ...] = ()
+    gone_customers: tuple[str, ...] = ()
+    gone_routes: tuple[str, ...] = ()
+    gone_keys: tuple[str, ...] = ()
+    gone_endpoints: tuple[str, ...] = ()
+
+
+def diff_catalogues(old: Catalogue, new: Catalogue) -> CatalogueDelta:
+    """Return what leads from one catalogue to a later one.
+
+    Parameters
+    ----------
+    old : Catalogue
+        An empty one to get a delta that stands for the whole of `new`.
+    """
+    return CatalogueDelta(
+        base=old.revision,
+        revision=new.revision,
+        version=new.version,
+        idle_transaction_s=new.idle_transaction_s,
+        control_voters=new.control_voters,
+        customers=_changed(old.customers, new.customers),
+        routes=_changed(old.routes, new.routes),
+        keys=_changed(old.keys, new.keys),
+        endpoints=_changed(old.endpoints, new.endpoints),
+        groups=_changed(old.groups, new.groups),
+        gone_customers=_gone(old.customers, new.customers),
+        gone_routes=_gone(old.routes, new.routes),
+        gone_keys=_gone(old.keys, new.keys),
+        gone_endpoints=_gone(old.endpoints, new.endpoints),
+    )
+
+
+def is_same_to_followers(old: Catalogue, new: Catalogue) -> bool:
+    """Whether two catalogues differ in nothing but what control VMs read."""
+    same_maps = (
+        old.customers is new.customers
+        and old.routes is new.routes
+        and old.keys is new.keys
+        and old.endpoints is new.endpoints
+        and old.groups is new.groups
+    )
+    return same_maps and (
+        old.version == new.version
+        and old.idle_transaction_s == new.idle_transaction_s
+        and old.control_voters == new.control_voters
+    )
+
+
+def apply_delta(catalogue: Catalogue, delta: CatalogueDelta) -> Catalogue:
+    """Return a catalogue as it is after a delta.
+
+    One that does not fit the revision held, or leads back, changes nothing.
+    """
+    if delta.revision <= catalogue.revision:
+        return catalogue
+    if delta.base == 0:
+        catalogue = Catalogue()
+    elif delta.base != catalogue.revision:
+        return catalogue
+    catalogue = replace(
+        catalogue,
+        revision=delta.revision,
+        version=delta.version,
+        idle_transaction_s=delta.idle_transaction_s,
+        control_voters=delta.control_voters,
+        customers=_patched(
+            catalogue.customers,
+            {item.entry.name: item for item in delta.customers},
+            delta.gone_customers,
+        ),
+        routes=_patched(
+            catalogue.routes,
+            {item.entry.name: item for item in delta.routes},
+            delta.gone_routes,
+        ),
+        keys=_patched(
+            catalogue.keys,
+            {item.entry.key_id: item for item in delta.keys},
+            delta.gone_keys,
+        ),
+        groups=_patched(
+            catalogue.groups, {item.name: item for item in delta.groups}, ()
+        ),
+    )
+    for name in delta.gone_endpoints:
+        catalogue = catalogue.without_endpoint(name)
+    for endpoint in delta.endpoints:
+        catalogue = catalogue.with_endpoint(endpoint)
+    return catalogue
+
+
+def _changed(old: Map, new: Map) -> tuple:
+    """Return the entries that are not the very same in both maps."""
+    if old is new:
+        return ()
+    return tuple(item for name, item in new.items() if old.get(name) is not item)
+
+
+def _gone(old: Map, new: Map) -> tuple[str, ...]:
+    if old is new:
+        return ()
+    return tuple(name for name in old if name not in new)
+
+
+def _patched(held: Map, changed: dict, gone: tuple[str, ...]) -> Map:
+    """Return a map with some entries set and others dropped.
+
+    Without any it is returned as it is, so that nothing is enforced anew.
+    """
+    for name in gone:
+        if name in held:
+            held = held.delete(name)
+    for name, item in changed.items():
+        held = held.set(name, item)
+    return held
--- a/lovagewalk/catalogue/_state.py
+++ b/lovagewalk/catalogue/_state.py
@@ -327,6 +327,8 @@
         How long a transaction may stay idle, in seconds; 0 for no limit.
     holders : Map of str to str
         By daemon, the run of it that may hold shares.
+    divided : frozenset of str
+        Customers of whose rates daemons may hold shares.
     """
 
     revision: int = 0
@@ -344,6 +346,7 @@
     document: bytes = field(default=b"", repr=False)
     idle_transaction_s: float = 0.0
     holders: Map = field(default_factory=Map)
+    divided: frozenset[str] = frozenset()
 
     def customer(self, name: str) -> CustomerEntry | None:
         """Return a customer's entry, or None."""
@@ -384,8 +387,8 @@
         if known is None:
             return self
         names = tuple(n for n in self.members[known.group] if n != name)
-        return replace(
-            self,
-            endpoints=self.endpoints.delete(name),
-            members=self.members.set(known.group, names),
-        )
+        members = self.members.delete(known.group)
+        if names:
+            members = members.set(known.group, names)
+        endpoints = self.endpoints.delete(name)
+        return replace(self, endpoints=endpoints, members=members)
--- a/lovagewalk/codec/_codec.py
+++ b/lovagewalk/codec/_codec.py
@@ -59,25 +59,11 @@
     )
     configure_tagged_union(cat.Command, converter)
     configure_tagged_union(cat.CustomerEntry | cat.RouteEntry | cat.KeyEntry, converter)
-    converter.register_unstructure_hook(cat.Catalogue, _CataloguePacker())
+    converter.register_unstructure_hook(cat.Catalogue, _pack_catalogue)
     converter.register_structure_hook(cat.Catalogue, _unpack_catalogue)
     return converter
 
 
-class _CataloguePacker:
-    """Packs catalogues; many daemons are sent the same one in a row."""
-
-    def __init__(self) -> None:
-        self._last: cat.Catalogue | None = None
-        self._packed: dict[str, Any] = {}
-
-    def __call__(self, catalogue: cat.Catalogue) -> dict[str, Any]:
-        if catalogue is not self._last:
-            self._packed = _pack_catalogue(catalogue)
-            self._last = catalogue
-        return self._packed
-
-
 def _pack_catalogue(catalogue: cat.Catalogue) -> dict[str, Any]:
     pack = _converter.unstructure
     return {
@@ -92,6 +78,7 @@
         "version": catalogue.version,
         "document": catalogue.document,
         "holders": dict(catalogue.holders),
+        "divided": sorted(catalogue.divided),
         "idle_transaction_s": catalogue.idle_transaction_s,
         "results": [
             (request_id, pack(catalogue.results[request_id]))
@@ -122,6 +109,7 @@
         version=int(raw["version"]),
         document=bytes(raw["document"]),
         holders=Map(raw["holders"]),
+        divided=frozenset(raw["divided"]),
         idle_transaction_s=float(raw["idle_transaction_s"]),
         results=Map(results),
         result_order=tuple(request_id for request_id, _ in results),
--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -4,12 +4,12 @@
 
 from lovagewalk.catalogue import (
     AccessCount,
-    Catalogue,
+    CatalogueDelta,
     Proposal,
     RecordAccess,
-    apply_proposal,
+    apply_delta,
 )
-from lovagewalk.consensus import LogEntry, SendPeer, Standing
+from lovagewalk.consensus import SendPeer, Standing
 from lovagewalk.core import Effect, Step, replace
 from lovagewalk.daemon._changes import install_catalogue, resize_pools
 from lovagewalk.groups import add_proof, is_primary_suspect, view_of
@@ -49,7 +49,7 @@
 
 def tick(state: NodeState, now: float) -> Step[NodeState]:
     """Send a report where one is due, or where something cannot wait."""
-    step = _note_lease(state, now)
+    step = _note_lease(_hurry_leave(state, now), now)
     step = step.then(_report_accesses(step.state, now))
     step = step.then(_notify_suspects(step.state, now))
     if not _is_report_due(step.state, now):
@@ -57,6 +57,13 @@
     return step.then(_send_report(step.state, now))
 
 
+def _hurry_leave(state: NodeState, now: float) -> NodeState:
+    """Hand shares back at once when this daemon takes nothing more."""
+    if not is_leaving(state, now) or not any(s.burst for s in state.shares.values()):
+        return state
+    return replace(state, follow=replace(state.follow, urgent=True))
+
+
 def _note_lease(state: NodeState, now: float) -> Step[NodeState]:
     """Log that the lease was lost or regained."""
     follow: FollowState = state.follow
@@ -126,6 +133,7 @@
         shares=tuple(_report(share) for share in reported),
         entry=state.me.entry and not is_leaving(state, now),
         observes=state.me.entry,
+        has_log=_has_log(state),
     )
     cleared = state.shares
     for share in reported:
@@ -224,7 +232,7 @@
     question was sent; over a slow link the latest may always be on its way.
     Shares are as the latest report told them, so only its answer changes them.
     """
-    step = _take_catalogue(state, reply.snapshot, reply.entries, now)
+    step = _take_catalogue(state, reply.delta, now)
     step = Step(_note_answer(step.state, reply, now), step.effects)
     follow: FollowState = step.state.follow
     if reply.seq != follow.seq:
@@ -354,31 +362,25 @@
 def on_catalogue_update(
     state: NodeState, peer: str, message: CatalogueUpdate, now: float
 ) -> Step[NodeState]:
-    """Apply pushed entries; a gap is filled by the next report's answer."""
-    return _take_catalogue(state, None, message.entries, now)
+    """Apply a pushed change; a gap is filled by the next report's answer."""
+    return _take_catalogue(state, message.delta, now)
 
 
 def _take_catalogue(
-    state: NodeState,
-    snapshot: Catalogue | None,
-    entries: tuple[LogEntry, ...],
-    now: float,
+    state: NodeState, delta: CatalogueDelta | None, now: float
 ) -> Step[NodeState]:
-    """Bring committed entries into force, in order and never backwards.
+    """Bring a committed change into force, in order and never backwards.
 
-    A control VM takes them from its own log alone, unless it is offline.
+    A control VM takes changes from its own log alone, unless it is offline.
     """
-    raft = state.consensus
-    if raft is not None and raft.standing is not Standing.OFFLINE:
+    if delta is None or _has_log(state):
         return Step(state)
-    catalogue = state.catalogue
-    if snapshot is not None and snapshot.revision > catalogue.revision:
-        catalogue = snapshot
-    for entry in entries:
-        if entry.index == catalogue.revision + 1:
-            applied = apply_proposal(catalogue, entry.index, entry.proposal)
-            catalogue = applied.catalogue
-    return install_catalogue(state, catalogue, now)
+    return install_catalogue(state, apply_delta(state.catalogue, delta), now)
+
+
+def _has_log(state: NodeState) -> bool:
+    raft = state.consensus
+    return raft is not None and raft.standing is not Standing.OFFLINE
 
 
 def _report_accesses(state: NodeState, now: float) -> Step[NodeState]:
--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -1,7 +1,17 @@
 """The leader's side of following: reports in; leases, entries and grants out."""
 
-from lovagewalk.catalogue import Management, NoteHolder, Proposal
-from lovagewalk.consensus import LogEntry, RaftState, SendPeer, confirmed_round
+from lovagewalk.catalogue import (
+    Catalogue,
+    CatalogueDelta,
+    Command,
+    Management,
+    NoteDivided,
+    NoteHolder,
+    Proposal,
+    diff_catalogues,
+    is_same_to_followers,
+)
+from lovagewalk.consensus import RaftState, SendPeer, confirmed_round
 from lovagewalk.core import Effect, Step, replace
 from lovagewalk.node import NodeState
 
@@ -15,10 +25,6 @@
 )
 from ._state import ControlState, Follower, PendingFollow
 
-# As many as one batch of the log.
-MAX_PUSHED_ENTRIES = 200
-# An entry may hold a whole configuration, as a snapshot does once.
-SNAPSHOT_FROM_ENTRIES = 4
 # Ten leases; nothing is held by then.
 FORGET_FOLLOWER_S = 30.0
 # Longer than an election.
@@ -61,16 +67,49 @@
 def _note_holder(
     state: NodeState, peer: str, request: FollowRequest, now: float
 ) -> Step[NodeState]:
-    """Write a daemon's run into the log before it is given shares."""
+    """Write into the log whom a new leader would have to hear.
+
+    A daemon's run is noted before it is given shares, and forgotten once it has
+    handed all of them back; a customer is noted before it is divided.
+    """
+    step = _note_divided(state, request, now)
+    state = step.state
+    control: ControlState = state.control
+    holds = any(report.burst > 0 for report in request.shares)
+    wanted = request.boot
+    if request.draining and not holds:
+        wanted = ""
+    elif not any(r.customer in state.catalogue.divided for r in request.shares):
+        return step
+    known = state.catalogue.holders.get(peer, "")
+    if wanted == known or control.noting.get(peer) == wanted:
+        return step
+    control = replace(control, noting=control.noting.set(peer, wanted))
+    state = replace(state, control=control)
+    return step.then(_propose(state, NoteHolder(peer, wanted), now))
+
+
+def _note_divided(
+    state: NodeState, request: FollowRequest, now: float
+) -> Step[NodeState]:
     control: ControlState = state.control
-    noting = control.noting.get(peer) == request.boot
-    if not request.shares or noting or _ledger.may_hold(state, peer, request):
+    known = state.catalogue.divided | control.dividing
+    entries = (state.catalogue.customer(report.customer) for report in request.shares)
+    fresh = frozenset(
+        entry.name
+        for entry in entries
+        if entry and entry.name not in known
+        if not _ledger.is_on_demand(control, entry, now)
+    )
+    if not fresh:
         return Step(state)
-    noting = control.noting.set(peer, request.boot)
-    state = replace(state, control=replace(control, noting=noting))
-    command = NoteHolder(peer, request.boot)
-    proposal = Proposal("", "control", 0.0, command)
-    return _proposals.propose(state, proposal, None, now)
+    control = replace(control, dividing=control.dividing | fresh)
+    state = replace(state, control=control)
+    return _propose(state, NoteDivided(tuple(sorted(fresh))), now)
+
+
+def _propose(state: NodeState, command: Command, now: float) -> Step[NodeState]:
+    return _proposals.propose(state, Proposal("", "control", 0.0, command), None, now)
 
 
 def on_suspect_notice(
@@ -99,13 +138,16 @@
         leader=raft.leader if raft else "",
         is_latest=False,
         revision=state.catalogue.revision,
-        entries=(),
-        snapshot=state.catalogue if _is_owed_catalogue(state, request, now) else None,
+        delta=_whole(state) if _is_owed_catalogue(state, request, now) else None,
         grants=(),
     )
     return SendPeer(peer, reply)
 
 
+def _whole(state: NodeState) -> CatalogueDelta:
+    return diff_catalogues(Catalogue(), state.catalogue)
+
+
 def _is_owed_catalogue(state: NodeState, request: FollowRequest, now: float) -> bool:
     raft: RaftState = state.consensus
     if raft is None or raft.leader or request.revision:
@@ -113,18 +155,12 @@
     return raft.heard_at > 0 and now - raft.heard_at >= LEADERLESS_S
 
 
-def is_far_behind(raft: RaftState, revision: int) -> bool:
-    """Whether a snapshot brings a daemon up to date with less than entries would."""
-    if revision < raft.log.base_index:
-        return True
-    return raft.applied - revision >= SNAPSHOT_FROM_ENTRIES
-
-
-def _entries_after(raft: RaftState, revision: int) -> tuple[LogEntry, ...]:
-    if revision < raft.log.base_index:
-        return ()
-    last = min(raft.applied, revision + MAX_PUSHED_ENTRIES)
-    return tuple(raft.log.entries[i] for i in range(revision + 1, last + 1))
+def _delta_since(
+    state: NodeState, control: ControlState, revision: int
+) -> CatalogueDelta:
+    """Return what a follower lacks; the whole where its revision is not known."""
+    past = control.past.get(revision) if revision else None
+    return diff_catalogues(past or Catalogue(), state.catalogue)
 
 
 def serve_followers(state: NodeState, now: float) -> Step[NodeState]:
@@ -145,24 +181,23 @@
     control: ControlState = state.control
     follower = control.followers[pending.peer]
     known = follower.request.revision
-    behind = is_far_behind(raft, known)
-    entries = () if behind else _entries_after(raft, known)
+    delta = None
+    if not follower.request.has_log and known < state.catalogue.revision:
+        delta = _delta_since(state, control, known)
     granted = _ledger.grant_shares(state, control, pending.peer, now)
     reply = FollowReply(
         seq=pending.seq,
         leader=raft.me,
         is_latest=True,
         revision=state.catalogue.revision,
-        entries=entries,
-        snapshot=state.catalogue if behind else None,
+        delta=delta,
         grants=granted.grants,
         entry_daemons=_ledger.count_entry_daemons(control, now),
         samples=_samples(state, now),
     )
-    revision = entries[-1].index if entries else known
-    if behind:
-        revision = state.catalogue.revision
-    follower = replace(follower, revision=max(follower.revision, revision))
+    follower = replace(
+        follower, revision=max(follower.revision, state.catalogue.revision)
+    )
     control = replace(
         granted.control, followers=control.followers.set(pending.peer, follower)
     )
@@ -184,26 +219,38 @@
 
 
 def _push(state: NodeState, now: float) -> Step[NodeState]:
-    raft: RaftState = state.consensus
+    """Send followers what has changed since what they were last sent.
+
+    A change that concerns control VMs alone waits for the next report.
+    """
     control: ControlState = state.control
     followers = control.followers
     effects: tuple[Effect, ...] = ()
-    updates: dict[int, CatalogueUpdate] = {}
+    updates: dict[int, CatalogueUpdate | None] = {}
     for name, follower in control.followers.items():
         if now - follower.seen_at > FORGET_FOLLOWER_S:
             followers = followers.delete(name)
             continue
-        is_current = follower.revision >= raft.applied
-        if is_current or is_far_behind(raft, follower.revision):
+        held = follower.revision
+        if follower.request.has_log or held >= state.catalogue.revision:
             continue
-        update = updates.get(follower.revision)
+        if held not in updates:
+            updates[held] = _update_since(state, control, held)
+        update = updates[held]
         if update is None:
-            update = CatalogueUpdate(_entries_after(raft, follower.revision))
-            updates[follower.revision] = update
-        if not update.entries:
             continue
         effects += (SendPeer(name, update),)
-        sent = replace(follower, revision=update.entries[-1].index)
+        sent = replace(follower, revision=update.delta.revision)
         followers = followers.set(name, sent)
     control = replace(control, followers=followers)
     return Step(replace(state, control=control), effects)
+
+
+def _update_since(
+    state: NodeState, control: ControlState, revision: int
+) -> CatalogueUpdate | None:
+    """Return the push for a follower, or None if it can wait or must ask."""
+    past = control.past.get(revision) if revision else None
+    if past is None or is_same_to_followers(past, state.catalogue):
+        return None
+    return CatalogueUpdate(diff_catalogues(past, state.catalogue))
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -100,15 +100,19 @@
 ) -> Ledger:
     """Return a customer's ledger, an empty one at its first use.
 
-    Its bucket starts empty, and fills once no earlier leader can give tokens.
+    Its bucket starts empty, and has filled since no earlier leader could give
+    tokens; or from now on, where daemons may hold shares that fill as well.
     """
     known = control.ledgers.get(customer)
     if known is not None:
         return known
     raft: RaftState = state.consensus
-    if is_former_leader_over(raft, now):
-        return Ledger(customer, updated_at=now)
-    return Ledger(customer, updated_at=raft.led_since + ELECTION_MIN_S)
+    since = raft.led_since
+    if raft.is_lease_open:
+        since += ELECTION_MIN_S
+    if customer in state.catalogue.divided:
+        since = max(since, now)
+    return Ledger(customer, updated_at=since)
 
 
 def _hold(ledger: Ledger, key: str, held: Holding) -> Ledger:
@@ -199,11 +203,14 @@
             grants += (ShareGrant(report.customer, 0.0, 0.0, 0.0),)
             continue
         ledger = refresh(ledgers[report.customer], entry, now)
-        may_grow = may_grant(state, control, now) and not request.draining
-        may_grow = may_grow and may_hold(state, peer, request)
+        may_grow = not request.draining and may_grant(
+            state, control, report.customer, now
+        )
         if may_grow and is_on_demand(control, entry, now):
             grant = ShareGrant(report.customer, 0.0, 0.0, 0.0, on_demand=True)
         else:
+            is_divided = report.customer in state.catalogue.divided
+            may_grow = may_grow and is_divided and may_hold(state, peer, request)
             target = compute_target(ledger, entry, peer)
             # What is free goes to requests that wait for it first.
             grant = _decide(
@@ -215,14 +222,18 @@
     return Granted(replace(control, ledgers=ledgers), grants)
 
 
-def may_grant(state: NodeState, control: ControlState, now: float) -> bool:
+def may_grant(
+    state: NodeState, control: ControlState, customer: str, now: float
+) -> bool:
     """Whether this leader knows enough of what is held to give out more."""
     raft: RaftState = state.consensus
     if raft.log.term_at(raft.commit) != raft.term:
         return False
     if not is_former_leader_over(raft, now):
         return False
-    return now >= control.ready_at or _has_heard_holders(state, control)
+    if customer not in state.catalogue.divided or now >= control.ready_at:
+        return True
+    return _has_heard_holders(state, control)
 
 
 def _has_heard_holders(state: NodeState, control: ControlState) -> bool:
--- a/lovagewalk/control/_messages.py
+++ b/lovagewalk/control/_messages.py
@@ -2,8 +2,7 @@
 
 from dataclasses import dataclass
 
-from lovagewalk.catalogue import Catalogue, ChangeResult, Proposal
-from lovagewalk.consensus import LogEntry
+from lovagewalk.catalogue import CatalogueDelta, ChangeResult, Proposal
 from lovagewalk.groups import Position
 
 
@@ -78,6 +77,8 @@
         Whether it serves callers, and so shares rates and connections.
     observes : bool
         Whether it watches primaries itself.
+    has_log : bool
+        Whether it takes the catalogue from a log of its own.
     """
 
     boot: str
@@ -88,6 +89,7 @@
     shares: tuple[ShareReport, ...]
     entry: bool = True
     observes: bool = True
+    has_log: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,8 +126,9 @@
     is_latest : bool
         Whether a quorum has confirmed, after the request came, that `revision`
         is the latest; only then are leases renewed.
-    snapshot : Catalogue or None
-        Sent in place of entries to a daemon that is too far behind.
+    delta : CatalogueDelta or None
+        What the daemon lacks of the catalogue; None where it has it, or has a log
+        of its own.
     entry_daemons : int
         Daemons that serve callers at present.
     samples : tuple of GroupSample
@@ -136,8 +139,7 @@
     leader: str
     is_latest: bool
     revision: int
-    entries: tuple[LogEntry, ...]
-    snapshot: Catalogue | None
+    delta: CatalogueDelta | None
     grants: tuple[ShareGrant, ...]
     entry_daemons: int = 0
     samples: tuple[GroupSample, ...] = ()
@@ -145,9 +147,9 @@
 
 @dataclass(frozen=True, slots=True)
 class CatalogueUpdate:
-    """Entries pushed to a follower as soon as they are committed."""
+    """A change pushed to a follower as soon as it is committed."""
 
-    entries: tuple[LogEntry, ...]
+    delta: CatalogueDelta
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/control/_settle.py
+++ b/lovagewalk/control/_settle.py
@@ -1,6 +1,8 @@
 """Turns a step of the consensus into one of the whole daemon."""
 
-from lovagewalk.catalogue import ChangeResult, apply_proposal
+from immutables import Map
+
+from lovagewalk.catalogue import Catalogue, ChangeResult, apply_proposal
 from lovagewalk.consensus import (
     SNAPSHOT_EVERY,
     RaftState,
@@ -19,6 +21,9 @@
 from ._messages import ProposalResult
 from ._state import LEASE_MARGIN, LEASE_S, ControlState, Ticket
 
+# Daemons report every 0.5 s; a storm of changes brings some tens in that time.
+PAST_CATALOGUES = 64
+
 
 def settle(state: NodeState, raft_step: RaftStep, now: float) -> Step[NodeState]:
     """Adopt a consensus step, then apply, answer, push and compact.
@@ -116,15 +121,26 @@
         if ticket is not None:
             tickets = tickets.delete(index)
             effects += (answer_ticket(state, ticket, applied.result),)
+    past = _remember(control, state.catalogue)
     state = replace(
         state,
         consensus=replace(raft, applied=raft.commit),
-        control=replace(control, tickets=tickets),
+        control=replace(control, tickets=tickets, past=past),
     )
     installed = install_catalogue(state, catalogue, now)
     return Step(installed.state, effects + installed.effects)
 
 
+def _remember(control: ControlState, catalogue: Catalogue) -> Map:
+    """Return the past catalogues with one more; they share what is the same."""
+    if not control.led_term:
+        return control.past
+    past = control.past.set(catalogue.revision, catalogue)
+    if len(past) <= PAST_CATALOGUES:
+        return past
+    return past.delete(min(past))
+
+
 def _compact(state: NodeState) -> Step[NodeState]:
     if not compaction_due(state.consensus, SNAPSHOT_EVERY):
         return Step(state)
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -293,10 +293,14 @@
         When each silent voter was first missed.
     promotions : Map of str to Promotion
         By group, those through the provider.
+    past : Map of int to Catalogue
+        Earlier catalogues by revision, from which followers are brought up to date.
     queued : frozenset of str
         Customers with requests that wait for tokens.
     noting : Map of str to str
         By daemon, the run that is being written into the log as a holder.
+    dividing : frozenset of str
+        Customers that are being written into the log as divided.
     """
 
     led_term: int = 0
@@ -308,5 +312,7 @@
     ledgers: Map = field(default_factory=Map)
     lost_since: Map = field(default_factory=Map)
     promotions: Map = field(default_factory=Map)
+    past: Map = field(default_factory=Map)
     queued: frozenset[str] = frozenset()
     noting: Map = field(default_factory=Map)
+    dividing: frozenset[str] = frozenset()
--- a/lovagewalk/control/_token_queue.py
+++ b/lovagewalk/control/_token_queue.py
@@ -78,11 +78,13 @@
 def serve(state: NodeState, customers: Iterable[str], now: float) -> Step[NodeState]:
     """Give tokens to the oldest needs of some customers."""
     control: ControlState = state.control
-    if not customers or not _may_admit(state, now):
+    if not customers or not holds_leader_lease(state.consensus, now):
         return Step(state)
     answers: dict[str, TokenAnswer] = {}
     effects: tuple[Effect, ...] = ()
     for customer in customers:
+        if not _ledger.may_grant(state, control, customer, now):
+            continue
         served = _serve_customer(state, control, customer, now)
         queued = control.queued
         if not served.ledger.queue:
@@ -99,12 +101,6 @@
     return Step(replace(state, control=control), effects)
 
 
-def _may_admit(state: NodeState, now: float) -> bool:
-    if not holds_leader_lease(state.consensus, now):
-        return False
-    return _ledger.may_grant(state, state.control, now)
-
-
 def _serve_customer(
     state: NodeState, control: ControlState, customer: str, now: float
 ) -> Served:
