A fault soak over real processes; the catalogue page reads again

The soak plays seeds of kills, stops, pauses, emptied and torn disks, and harmed links over three daemons and three instances, and checks what callers were told.

Found by its first run: GET /catalogue of an operator failed with LW2101, since the document of a configuration is bytes; so did the command line's page. Mended; the process test reads the page.

--- a/lovagewalk/cli/tests/rig.py
+++ b/lovagewalk/cli/tests/rig.py
@@ -15,7 +15,8 @@
 COMMAND = "import lovagewalk.cli; lovagewalk.cli.main()"
 
 
-def daemon_ini(folder, name, ports, controls, fleet_size=3):
+def daemon_ini(folder, name, ports, controls, fleet_size=3, peers_port=0):
+    """Return a daemon's settings; `controls` holds the ports that it dials."""
     listed = "\n".join(f"{vm} = {HOST}:{port}" for vm, port in controls.items())
     return f"""
 [daemon]
@@ -27,7 +28,7 @@
 [listen]
 host = {HOST}
 callers_port = {ports[0]}
-peers_port = {controls.get(name) or free_port()}
+peers_port = {peers_port or controls.get(name) or free_port()}
 operators_port = {ports[1]}
 [control]
 {listed}
@@ -135,6 +136,10 @@
 
     async def set_up(self, customers, rate, burst):
         """Write customers with a key each, and a route to the group."""
+        await self.add_customers(customers, rate, burst)
+        await self.add_route()
+
+    async def add_customers(self, customers, rate, burst):
         for name in customers:
             entry = {
                 "name": name,
@@ -154,6 +159,8 @@
                 },
             ):
                 await self.change("vm2", command)
+
+    async def add_route(self):
         route = {
             "name": "ledger",
             "owner": "o",
--- a/lovagewalk/cli/tests/test_processes.py
+++ b/lovagewalk/cli/tests/test_processes.py
@@ -22,6 +22,9 @@
         await rig.set_up(["c"], 500.0, 100.0)
         for name in ("vm1", "vm3"):
             await rig.until(name, is_serving)
+        async with rig.operator("vm3") as client:
+            catalogue = await client.get("/catalogue")
+        assert [item["entry"]["name"] for item in catalogue["customers"]] == ["c"]
         conn = await rig.connect("vm3", "c", "secret")
         await run(conn, "CREATE TABLE sales (id INT PRIMARY KEY)")
         await run(conn, "INSERT INTO sales VALUES (1)")
--- a/lovagewalk/demo/__init__.py
+++ b/lovagewalk/demo/__init__.py
@@ -1,7 +1,16 @@
 """A fleet in one process, and a demo on it."""
 
 from ._demo import hold_fleet, run_demo
-from ._fleet import CAMPANERIA, HOST, KANIMICHI, PROFILES, CustomerKey, Fleet, run
+from ._fleet import (
+    CAMPANERIA,
+    HOST,
+    KANIMICHI,
+    PROFILES,
+    CustomerKey,
+    Fleet,
+    free_port,
+    run,
+)
 
 __all__ = [
     "CAMPANERIA",
@@ -10,6 +19,7 @@
     "PROFILES",
     "CustomerKey",
     "Fleet",
+    "free_port",
     "hold_fleet",
     "run",
     "run_demo",
--- a/lovagewalk/edge/_operators.py
+++ b/lovagewalk/edge/_operators.py
@@ -125,6 +125,7 @@
         for key in plain["keys"]:
             key["entry"]["digest"] = "left out"
         del plain["results"]
+        plain["document"] = plain["document"].decode(errors="replace")
         return web.json_response(plain)
 
     async def _audit(self, req: web.Request) -> web.StreamResponse:
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,49 @@
+"""``python -m soak run SEED`` and ``python -m soak seeds FIRST COUNT``."""
+
+import asyncio
+import sys
+
+import fire
+
+from ._run import Verdict, soak
+
+SECONDS = 30.0
+
+
+def run(seed: int, seconds: float = SECONDS) -> int:
+    """Play one seed; exits with 1 if a promise broke."""
+    return _report([asyncio.run(soak(seed, seconds))])
+
+
+def seeds(first: int, count: int, seconds: float = SECONDS) -> int:
+    """Play seeds one after the other; exits with 1 if a promise broke."""
+    return _report(
+        asyncio.run(soak(seed, seconds)) for seed in range(first, first + count)
+    )
+
+
+def _report(verdicts) -> int:
+    failed = 0
+    for verdict in verdicts:
+        failed += bool(verdict.broken)
+        _print(verdict)
+    return 1 if failed else 0
+
+
+def _print(verdict: Verdict) -> None:
+    told = ", ".join(f"{count} {kind}" for kind, count in verdict.told.items())
+    state = "BROKEN" if verdict.broken else "kept"
+    print(
+        f"seed {verdict.seed}: {state}; {len(verdict.faults)} faults; rows {told}; "
+        f"{verdict.served} limited requests served",
+        flush=True,
+    )
+    if verdict.broken:
+        for item in verdict.faults:
+            print(f"  {item.at_s:6.2f} s {item.fault}")
+        for text in verdict.broken[:20]:
+            print(f"  {text}")
+
+
+if __name__ == "__main__":
+    sys.exit(fire.Fire({"run": run, "seeds": seeds}))
--- /dev/null
+++ b/soak/_callers.py
@@ -0,0 +1,250 @@
+"""Callers of a soak: sessions that write, read back and roam; an operator."""
+
+import asyncio
+import random
+import re
+
+import asyncmy
+
+from lovagewalk.cli.tests.rig import HOST
+from lovagewalk.demo import run
+from lovagewalk.operators import OperatorError
+
+from ._promises import (
+    ChangeEnded,
+    ChangeSeen,
+    KeyWithdrawn,
+    LimitedServed,
+    RowsSeen,
+    Told,
+    WithdrawnServed,
+    WriteEnded,
+)
+
+TABLE = "soak"
+WRITER, LIMITED, WITHDRAWN = "writer", "limited", "withdrawn"
+# Longer than any stated limit of a statement, so that an answer is not missed.
+ANSWER_LIMIT_S = 12.0
+CONNECT_LIMIT_S = 3.0
+# Between two operations of one session, on the mean.
+THINK_S = 0.05
+ROAM_SHARE = 0.1
+TRANSACTION_SHARE = 0.3
+# Callers come back after a refusal.
+RETRY_S = 0.2
+CHANGE_PERIOD_S = 0.5
+_NOT_KEPT = re.compile(r"\[(not run|failed)\]")
+FAILURES = (asyncmy.errors.Error, OSError, EOFError, TimeoutError)
+
+
+def tell(exc: Exception) -> Told:
+    """Return what an error says of a write."""
+    return Told.NOT_KEPT if _NOT_KEPT.search(str(exc)) else Told.UNKNOWN
+
+
+class Session:
+    """One caller, which roams between the daemons with its token.
+
+    Parameters
+    ----------
+    feed : callable
+        Takes in observations.
+    """
+
+    def __init__(self, fleet, number, key, seed, feed, now):
+        self.fleet = fleet
+        self.number = number
+        self.key = key
+        self.rng = random.Random(f"{seed}/{number}")
+        self.feed = feed
+        self.now = now
+        self.conn = None
+        self.mark = ""
+        self.next_row = number * 1_000_000
+
+    async def connect(self):
+        """Open a connection to any daemon."""
+        ports = self.rng.choice(list(self.fleet.ports.values()))
+        async with asyncio.timeout(CONNECT_LIMIT_S):
+            self.conn = await asyncmy.connect(
+                host=HOST,
+                port=ports[0],
+                user=self.key,
+                password="secret",
+                db="ledger",
+                autocommit=True,
+            )
+
+    def drop(self):
+        """Forget a connection whose state is in doubt."""
+        if self.conn is not None:
+            self.conn.close()
+        self.conn = None
+        self.mark = ""
+
+    async def execute(self, text):
+        """Run a statement within the time that an answer may take."""
+        mark, self.mark = self.mark, ""
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            return await run(self.conn, f"{mark}{text}")
+
+    async def live(self, until):
+        """Write, read and roam until a moment."""
+        while self.now() < until:
+            try:
+                if self.conn is None:
+                    await self.connect()
+                await self.act()
+            except FAILURES:
+                self.drop()
+                await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(self.rng.expovariate(1 / THINK_S))
+        self.drop()
+
+    async def act(self):
+        """Do one thing of a writer's."""
+        await self.write()
+        if self.conn is not None:
+            await self.read()
+        if self.conn is not None and self.rng.random() < ROAM_SHARE:
+            await self.roam()
+
+    async def write(self):
+        """Insert a row, or two in a transaction, and tell what was answered."""
+        count = 2 if self.rng.random() < TRANSACTION_SHARE else 1
+        rows = tuple(self.next_row + n for n in range(count))
+        self.next_row += count
+        try:
+            if count > 1:
+                await self.execute("BEGIN")
+            for row in rows:
+                text = f"INSERT INTO {TABLE} VALUES ({row}, {self.number})"
+                await self.execute(text)
+            told = Told.UNKNOWN
+            if count > 1:
+                await self.execute("COMMIT")
+            told = Told.DONE
+        except FAILURES as exc:
+            told = tell(exc)
+            if count > 1 and told is Told.UNKNOWN:
+                self.drop()
+            elif count > 1:
+                await self.roll_back()
+            elif told is Told.UNKNOWN:
+                self.drop()
+        self.feed(WriteEnded(self.now(), self.number, rows, told))
+
+    async def roll_back(self):
+        """End a transaction that was refused."""
+        try:
+            await self.execute("ROLLBACK")
+        except FAILURES:
+            self.drop()
+
+    async def read(self):
+        """Read what this session has written."""
+        text = f"SELECT id FROM {TABLE} WHERE s = {self.number}"
+        rows = await self.execute(text)
+        seen = tuple(row[0] for row in rows)
+        self.feed(RowsSeen(self.now(), self.number, seen))
+
+    async def roam(self):
+        """Go on at another daemon with the session's token."""
+        token = (await self.execute("SELECT LOVAGEWALK_TOKEN()"))[0][0]
+        self.drop()
+        await self.connect()
+        self.mark = f"/* lw token={token} */ " if token else ""
+
+
+class LimitedSession(Session):
+    """A caller of a customer that sends far beyond its rate."""
+
+    async def act(self):
+        sent_at = self.now()
+        await self.execute(f"SELECT 1 FROM {TABLE} WHERE id = 0")
+        self.feed(LimitedServed(self.now(), sent_at))
+
+
+class WithdrawnSession(Session):
+    """A caller whose key is withdrawn while it is connected."""
+
+    async def act(self):
+        sent_at = self.now()
+        await self.execute(f"SELECT 1 FROM {TABLE} WHERE id = 0")
+        self.feed(WithdrawnServed(self.now(), sent_at))
+
+
+class Operator:
+    """Changes an entry again and again, and withdraws a key once."""
+
+    def __init__(self, fleet, seed, feed, now):
+        self.fleet = fleet
+        self.rng = random.Random(f"{seed}/operator")
+        self.feed = feed
+        self.now = now
+        self.number = 0
+        self.revision = 0
+
+    async def change(self, command, **fields):
+        """Propose a change at any daemon."""
+        name = self.rng.choice(list(self.fleet.ports))
+        async with self.fleet.operator(name) as client:
+            return await client.change(command, **fields)
+
+    async def live(self, until, withdraw_at):
+        """Change the weight of a customer until a moment."""
+        withdrawn = False
+        while self.now() < until:
+            if not withdrawn and self.now() >= withdraw_at:
+                withdrawn = await self.withdraw()
+            await self.count_up()
+            await asyncio.sleep(CHANGE_PERIOD_S)
+
+    async def withdraw(self):
+        """Withdraw a key; return whether that was acknowledged."""
+        command = {"_type": "WithdrawKey", "key_id": WITHDRAWN}
+        try:
+            await self.change(command)
+        except (*FAILURES, OperatorError):
+            return False
+        self.feed(KeyWithdrawn(self.now()))
+        return True
+
+    async def count_up(self):
+        """Write the next number; one that may be in force is not sent again."""
+        self.number += 1
+        try:
+            revision = await self.read_revision()
+            entry = {
+                "name": "counter",
+                "owner": "o",
+                "rate": float(self.number),
+                "burst": 1.0,
+                "weight": 1.0,
+            }
+            command = {"_type": "PutCustomer", "entry": entry, "expected": revision}
+            await self.change(command)
+        except (*FAILURES, OperatorError):
+            self.feed(ChangeEnded(self.now(), self.number, False))
+            return
+        self.feed(ChangeEnded(self.now(), self.number, True))
+
+    async def read_back(self):
+        """Read the number in force, once all has healed."""
+        entry = await self._read_counter()
+        self.feed(ChangeSeen(self.now(), int(entry["entry"]["rate"])))
+
+    async def read_revision(self):
+        entry = await self._read_counter()
+        return entry["revision"] if entry else 0
+
+    async def _read_counter(self):
+        name = self.rng.choice(list(self.fleet.ports))
+        async with self.fleet.operator(name) as client:
+            catalogue = await client.get("/catalogue")
+        found = [
+            item
+            for item in catalogue["customers"]
+            if item["entry"]["name"] == "counter"
+        ]
+        return found[0] if found else None
--- /dev/null
+++ b/soak/_promises.py
@@ -0,0 +1,198 @@
+"""What callers were told and saw, and whether it keeps the promises.
+
+A reducer over observations; it knows nothing of processes or sockets.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from immutables import Map
+
+from lovagewalk.core import Event, Step, reduces, replace
+
+# A withdrawn key has to be dead within this time.
+REVOKE_LIMIT_S = 5.0
+
+
+class Told(Enum):
+    """What a caller was told of a write."""
+
+    DONE = "done"
+    NOT_KEPT = "not kept"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class WriteEnded(Event):
+    """A write or a transaction of writes was answered, or given up."""
+
+    session: int
+    rows: tuple[int, ...]
+    told: Told
+
+
+@dataclass(frozen=True, slots=True)
+class RowsSeen(Event):
+    """A session read its rows.
+
+    Attributes
+    ----------
+    since : int
+        The session's finished writes when the read was sent.
+    final : bool
+        Whether it is the read after all has healed.
+    """
+
+    session: int
+    rows: tuple[int, ...]
+    final: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LimitedServed(Event):
+    """A request of the limited customer was served.
+
+    Attributes
+    ----------
+    sent_at : float
+        When it was sent; it was admitted between that and `at`.
+    """
+
+    sent_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class KeyWithdrawn(Event):
+    """Control has acknowledged that a key was withdrawn."""
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawnServed(Event):
+    """A request with the key that was withdrawn was served."""
+
+    sent_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeEnded(Event):
+    """An operator's change was answered; `number` grows with each one."""
+
+    number: int
+    accepted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeSeen(Event):
+    """The change in force was read back after all has healed."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Promises:
+    """What has been promised so far.
+
+    Attributes
+    ----------
+    told : Map of int to Told
+        By row.
+    written : Map of int to tuple of int
+        Rows that each session was told are done.
+    groups : Map of int to tuple of int
+        By row, the rows of its transaction.
+    served : tuple of LimitedServed
+    broken : tuple of str
+        A sentence for each broken promise.
+    """
+
+    rate: float
+    burst: float
+    told: Map = Map()
+    written: Map = Map()
+    groups: Map = Map()
+    served: tuple[LimitedServed, ...] = ()
+    withdrawn_at: float = 0.0
+    accepted: int = 0
+    broken: tuple[str, ...] = ()
+
+
+def _break(state: Promises, at: float, text: str) -> Promises:
+    return replace(state, broken=state.broken + (f"{at:.3f} s: {text}",))
+
+
+@reduces(WriteEnded)
+def _write_ended(state: Promises, event: WriteEnded) -> Step[Promises]:
+    told, groups = state.told, state.groups
+    for row in event.rows:
+        told = told.set(row, event.told)
+        groups = groups.set(row, event.rows)
+    written = state.written
+    if event.told is Told.DONE:
+        held = written.get(event.session, ())
+        written = written.set(event.session, held + event.rows)
+    return Step(replace(state, told=told, groups=groups, written=written))
+
+
+@reduces(RowsSeen)
+def _rows_seen(state: Promises, event: RowsSeen) -> Step[Promises]:
+    seen = set(event.rows)
+    who = f"session {event.session}"
+    for row in state.written.get(event.session, ()):
+        if row not in seen:
+            kind = "lost" if event.final else "not seen by its own session"
+            state = _break(state, event.at, f"{who}: acknowledged row {row} {kind}")
+    if len(seen) < len(event.rows):
+        doubled = sorted(row for row in seen if event.rows.count(row) > 1)
+        state = _break(state, event.at, f"{who}: rows written twice: {doubled}")
+    for row in seen:
+        if state.told.get(row) is Told.NOT_KEPT:
+            text = f"{who}: row {row} is there, though said not to be kept"
+            state = _break(state, event.at, text)
+        group = state.groups.get(row, (row,))
+        if not seen.issuperset(group):
+            text = f"{who}: half of the transaction {group} is there"
+            state = _break(state, event.at, text)
+    return Step(state)
+
+
+@reduces(LimitedServed)
+def _limited_served(state: Promises, event: LimitedServed) -> Step[Promises]:
+    served = state.served + (event,)
+    for first in served:
+        inside = sum(item.sent_at >= first.sent_at for item in served)
+        allowed = state.rate * (event.at - first.sent_at) + state.burst
+        if inside > allowed + 1e-6:
+            text = f"{inside} requests served since {first.sent_at:.3f} s"
+            text = f"{text}, where {allowed:.1f} are allowed"
+            return Step(_break(replace(state, served=served), event.at, text))
+    return Step(replace(state, served=served))
+
+
+@reduces(KeyWithdrawn)
+def _key_withdrawn(state: Promises, event: KeyWithdrawn) -> Step[Promises]:
+    return Step(replace(state, withdrawn_at=event.at))
+
+
+@reduces(WithdrawnServed)
+def _withdrawn_served(state: Promises, event: WithdrawnServed) -> Step[Promises]:
+    if not state.withdrawn_at:
+        return Step(state)
+    if event.sent_at <= state.withdrawn_at + REVOKE_LIMIT_S:
+        return Step(state)
+    late_s = event.sent_at - state.withdrawn_at
+    return Step(_break(state, event.at, f"withdrawn key served after {late_s:.1f} s"))
+
+
+@reduces(ChangeEnded)
+def _change_ended(state: Promises, event: ChangeEnded) -> Step[Promises]:
+    if not event.accepted:
+        return Step(state)
+    return Step(replace(state, accepted=max(state.accepted, event.number)))
+
+
+@reduces(ChangeSeen)
+def _change_seen(state: Promises, event: ChangeSeen) -> Step[Promises]:
+    if event.number >= state.accepted:
+        return Step(state)
+    text = f"change {event.number} in force, though {state.accepted} was accepted"
+    return Step(_break(state, event.at, text))
--- /dev/null
+++ b/soak/_proxy.py
@@ -0,0 +1,104 @@
+"""A loopback proxy whose connections can be harmed while they are open."""
+
+import asyncio
+
+from ._faults import LinkMode
+
+HOST = "127.0.0.1"
+CHUNK_BYTES = 65536
+# About a full link between regions.
+DELAY_S = 0.25
+
+
+class Proxy:
+    """Forwards connections to a port, faultless until told otherwise.
+
+    Parameters
+    ----------
+    target : int
+        The port that it forwards to.
+    """
+
+    def __init__(self, target: int) -> None:
+        self._target = target
+        self._mode: LinkMode | None = None
+        self._healed = asyncio.Event()
+        self._healed.set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._server: asyncio.Server | None = None
+        self.port = 0
+
+    async def listen(self) -> int:
+        """Accept connections, and return the port."""
+        self._server = await asyncio.start_server(self._accept, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self.port
+
+    def harm(self, mode: LinkMode) -> None:
+        """Let open and new connections misbehave."""
+        if mode is LinkMode.RESET:
+            self._reset()
+            return
+        self._mode = mode
+        if mode is not LinkMode.DELAY:
+            self._healed.clear()
+
+    def heal(self) -> None:
+        """Forward again; what was held up since is lost with its connection."""
+        if self._mode in (LinkMode.SILENCE, LinkMode.CUT_ONE_WAY):
+            self._reset()
+        self._mode = None
+        self._healed.set()
+
+    def close(self) -> None:
+        """Stop listening and drop every connection."""
+        self._server.close()
+        self._reset()
+        for task in self._tasks:
+            task.cancel()
+
+    def _reset(self) -> None:
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            if self._mode is LinkMode.SILENCE:
+                await self._healed.wait()
+            onward = await asyncio.open_connection(HOST, self._target)
+        except OSError:
+            # The far end is down: the near end sees a reset, as without a proxy.
+            writer.transport.abort()
+            self._writers.discard(writer)
+            return
+        self._writers.add(onward[1])
+        for source, sink, back in (
+            (reader, onward[1], False),
+            (onward[0], writer, True),
+        ):
+            task = asyncio.create_task(self._forward(source, sink, back))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, back: bool
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self._mode is LinkMode.DELAY:
+                    await asyncio.sleep(DELAY_S)
+                is_held = self._mode is LinkMode.SILENCE
+                if is_held or (back and self._mode is LinkMode.CUT_ONE_WAY):
+                    await self._healed.wait()
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            # A reset end resets the other one.
+            writer.transport.abort()
+        finally:
+            writer.close()
+            self._writers.discard(writer)
--- /dev/null
+++ b/soak/_run.py
@@ -0,0 +1,134 @@
+"""One run of the soak: a fleet, its callers, the faults of a seed, the verdict."""
+
+import asyncio
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from lovagewalk.cli.tests.rig import is_serving
+from lovagewalk.core import Shell, TimerService, perform
+from lovagewalk.demo import run
+
+from . import _fleet
+from ._callers import (
+    FAILURES,
+    LIMITED,
+    TABLE,
+    WITHDRAWN,
+    WRITER,
+    LimitedSession,
+    Operator,
+    Session,
+    WithdrawnSession,
+)
+from ._faults import plan_faults
+from ._promises import Promises, RowsSeen, Told
+
+WRITERS = 6
+LIMITED_CALLERS = 3
+WITHDRAWN_CALLERS = 2
+LIMITED_RATE, LIMITED_BURST = 15.0, 12.0
+# After the last fault: a lease of shares, an election and a failover, twice over.
+RECOVERY_LIMIT_S = 20.0
+WITHDRAW_PART = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a run showed.
+
+    Attributes
+    ----------
+    broken : tuple of str
+        A sentence for each broken promise.
+    told : dict of str to int
+        Rows by what their callers were told.
+    """
+
+    seed: int
+    faults: tuple
+    broken: tuple[str, ...]
+    told: dict[str, int]
+    served: int
+
+
+async def soak(seed: int, seconds: float, folder: Path | None = None) -> Verdict:
+    """Run a fleet under the faults of a seed and check what callers were told."""
+    if folder is None:
+        with tempfile.TemporaryDirectory() as name:
+            return await soak(seed, seconds, Path(name))
+    timer = TimerService()
+    state = Promises(LIMITED_RATE, LIMITED_BURST)
+    shell: Shell[Promises] = Shell(state, None, timer)
+    faults = plan_faults(seed, seconds)
+    async with _fleet.SoakFleet(folder) as fleet:
+        operator = Operator(fleet, seed, shell.feed, timer.now)
+        await _set_up(fleet, operator)
+        await _live(fleet, operator, seed, seconds, faults, shell, timer)
+        await _heal(fleet, operator, shell, timer)
+    timer.close()
+    return _judge(seed, faults, shell.state)
+
+
+async def _set_up(fleet, operator) -> None:
+    await fleet.until("vm1", lambda status: bool(status["groups"]))
+    await fleet.set_up([WRITER, WITHDRAWN], 5000.0, 1000.0)
+    await fleet.add_customers([LIMITED], LIMITED_RATE, LIMITED_BURST)
+    for name in fleet.ports:
+        await fleet.until(name, is_serving)
+    await operator.count_up()
+    conn = await fleet.connect("vm1", WRITER, "secret")
+    await run(conn, f"CREATE TABLE {TABLE} (id INT, s INT)")
+    conn.close()
+
+
+async def _live(fleet, operator, seed, seconds, faults, shell, timer) -> None:
+    """Let callers and faults run beside each other."""
+    started = timer.now()
+    until = started + seconds
+    kinds = (
+        (Session, WRITER, WRITERS),
+        (LimitedSession, LIMITED, LIMITED_CALLERS),
+        (WithdrawnSession, WITHDRAWN, WITHDRAWN_CALLERS),
+    )
+    sessions = []
+    for kind, key, count in kinds:
+        for _ in range(count):
+            number = len(sessions) + 1
+            sessions.append(kind(fleet, number, key, seed, shell.feed, timer.now))
+    withdraw_at = started + seconds * WITHDRAW_PART
+    tasks = [asyncio.create_task(session.live(until)) for session in sessions]
+    tasks.append(asyncio.create_task(operator.live(until, withdraw_at)))
+    for item in faults:
+        await timer.sleep(max(started + item.at_s - timer.now(), 0.0))
+        perform(fleet, item.fault)
+    await asyncio.gather(*tasks)
+
+
+async def _heal(fleet, operator, shell, timer) -> None:
+    """Wait until all faults are over, then read everything back."""
+    await fleet.heal()
+    async with asyncio.timeout(RECOVERY_LIMIT_S):
+        while True:
+            try:
+                await _read_all(fleet, shell, timer)
+                await operator.read_back()
+                return
+            except FAILURES:
+                await asyncio.sleep(0.2)
+
+
+async def _read_all(fleet, shell, timer) -> None:
+    conn = await fleet.connect("vm2", WRITER, "secret")
+    for number in range(1, WRITERS + 1):
+        rows = await run(conn, f"SELECT id FROM {TABLE} WHERE s = {number}")
+        seen = tuple(row[0] for row in rows)
+        shell.feed(RowsSeen(timer.now(), number, seen, final=True))
+    conn.close()
+
+
+def _judge(seed: int, faults, state: Promises) -> Verdict:
+    told = {kind.value: 0 for kind in Told}
+    for kind in state.told.values():
+        told[kind.value] += 1
+    return Verdict(seed, faults, state.broken, told, len(state.served))
