--- a/Makefile
+++ b/Makefile
@@ -13,17 +13,17 @@
 setup: $(VENV)/ready
 
 test: setup
-	$(BIN)/python -m pytest -q -p no:cacheprovider lovagewalk
+	$(BIN)/python -m pytest -q -p no:cacheprovider lovagewalk soak
 
 lint: setup
-	$(BIN)/black --check --quiet lovagewalk benchmarks
-	$(BIN)/isort --check-only --quiet lovagewalk benchmarks
-	$(BIN)/flake8 lovagewalk benchmarks
+	$(BIN)/black --check --quiet lovagewalk benchmarks soak
+	$(BIN)/isort --check-only --quiet lovagewalk benchmarks soak
+	$(BIN)/flake8 lovagewalk benchmarks soak
 	$(BIN)/lint-imports
 
 format: setup
-	$(BIN)/isort --quiet lovagewalk benchmarks
-	$(BIN)/black --quiet lovagewalk benchmarks
+	$(BIN)/isort --quiet lovagewalk benchmarks soak
+	$(BIN)/black --quiet lovagewalk benchmarks soak
 
 demo: setup
 	$(BIN)/lovagewalk demo
--- /dev/null
+++ b/soak/tests/test_faults.py
@@ -0,0 +1,29 @@
+"""Faults that a seed draws."""
+
+import pytest
+
+from soak._faults import INSTANCES, Kill, LoseDisk, plan_faults
+
+
+def test_a_seed_always_gives_the_same_faults():
+    assert plan_faults(7, 60.0) == plan_faults(7, 60.0)
+    assert plan_faults(7, 60.0) != plan_faults(8, 60.0)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_more_data_is_lost_at_once_than_may_be(seed):
+    """Each loss of rows or of a disk is repaired before the next one."""
+    faults = plan_faults(seed, 120.0)
+    rows = [f for f in faults if isinstance(f.fault, Kill)]
+    rows = [f for f in rows if f.fault.target in INSTANCES]
+    disks = [f for f in faults if isinstance(f.fault, LoseDisk)]
+    for series in (rows, disks):
+        for first, second in zip(series, series[1:], strict=False):
+            assert second.at_s - first.at_s - first.fault.for_s >= 9.0
+
+
+def test_every_kind_of_fault_comes_up():
+    kinds = {
+        type(f.fault).__name__ for seed in range(20) for f in plan_faults(seed, 60.0)
+    }
+    assert kinds == {"Kill", "Stop", "Pause", "LoseDisk", "TearLog", "HarmLink"}
--- /dev/null
+++ b/soak/tests/test_promises.py
@@ -0,0 +1,68 @@
+"""The checker finds each kind of broken promise, and nothing in an honest run."""
+
+import pytest
+
+from lovagewalk.core import reduce
+from soak._promises import (
+    ChangeEnded,
+    ChangeSeen,
+    KeyWithdrawn,
+    LimitedServed,
+    Promises,
+    RowsSeen,
+    Told,
+    WithdrawnServed,
+    WriteEnded,
+)
+
+
+def _judge(*events):
+    state = Promises(rate=10.0, burst=2.0)
+    for event in events:
+        state = reduce(state, event).state
+    return state.broken
+
+
+HONEST = [
+    (WriteEnded(1.0, 1, (1,), Told.DONE), RowsSeen(2.0, 1, (1,))),
+    (WriteEnded(1.0, 1, (1,), Told.UNKNOWN), RowsSeen(2.0, 1, ())),
+    (WriteEnded(1.0, 1, (1,), Told.UNKNOWN), RowsSeen(2.0, 1, (1,))),
+    (WriteEnded(1.0, 1, (1, 2), Told.NOT_KEPT), RowsSeen(2.0, 1, ())),
+    (WriteEnded(1.0, 1, (1,), Told.DONE), RowsSeen(2.0, 2, ())),
+    tuple(LimitedServed(1.0 + n * 0.1, 1.0 + n * 0.1) for n in range(20)),
+    (KeyWithdrawn(1.0), WithdrawnServed(6.1, 6.0)),
+    (ChangeEnded(1.0, 3, True), ChangeEnded(2.0, 4, False), ChangeSeen(3.0, 4)),
+]
+BROKEN = [
+    ((WriteEnded(1.0, 1, (1,), Told.DONE), RowsSeen(2.0, 1, ())), "not seen by"),
+    (
+        (WriteEnded(1.0, 1, (1,), Told.DONE), RowsSeen(2.0, 1, (), final=True)),
+        "lost",
+    ),
+    (
+        (WriteEnded(1.0, 1, (1,), Told.NOT_KEPT), RowsSeen(2.0, 1, (1,))),
+        "said not to be kept",
+    ),
+    (
+        (WriteEnded(1.0, 1, (1,), Told.UNKNOWN), RowsSeen(2.0, 1, (1, 1))),
+        "written twice",
+    ),
+    (
+        (WriteEnded(1.0, 1, (1, 2), Told.UNKNOWN), RowsSeen(2.0, 1, (2,))),
+        "half of the transaction",
+    ),
+    (tuple(LimitedServed(1.0, 1.0) for _ in range(3)), "3 requests served"),
+    ((KeyWithdrawn(1.0), WithdrawnServed(6.3, 6.2)), "withdrawn key served"),
+    ((ChangeEnded(1.0, 3, True), ChangeSeen(3.0, 2)), "change 2 in force"),
+]
+
+
+@pytest.mark.parametrize("events", HONEST)
+def test_an_honest_run_breaks_nothing(events):
+    assert _judge(*events) == ()
+
+
+@pytest.mark.parametrize(("events", "text"), BROKEN)
+def test_a_broken_promise_is_named(events, text):
+    (broken,) = _judge(*events)
+    assert text in broken
