Two faults that the soak found; promotions keep commits that replicas confirm

Where a group's configuration asks for replicas that confirm commits, a promotion now holds them before it looks, waits for as many answers as surely hold every commit, lets only the chosen one receive on, and a new leader lets all receive again. Tests in control/tests/test_provider.py failed first. Groups without such replicas are promoted as before.

--- a/lovagewalk/catalogue/_configuration.py
+++ b/lovagewalk/catalogue/_configuration.py
@@ -138,7 +138,10 @@
     for limits in command.groups:
         held = groups.get(limits.name) or GroupConfig(limits.name)
         changed = replace(
-            held, management=Management.PROVIDER, connections=limits.connections
+            held,
+            management=Management.PROVIDER,
+            connections=limits.connections,
+            sync_replicas=limits.sync_replicas,
         )
         if changed != held:
             groups = groups.set(limits.name, changed)
--- a/lovagewalk/catalogue/_state.py
+++ b/lovagewalk/catalogue/_state.py
@@ -175,10 +175,13 @@
     ----------
     connections : int
         Connections that the whole fleet may hold to each instance.
+    sync_replicas : int
+        Replicas that have received a commit before it is acknowledged.
     """
 
     name: str
     connections: int
+    sync_replicas: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -232,6 +235,8 @@
     connections : int
         Connections per instance, where the group's configuration states them;
         0 where each instance announces its own.
+    sync_replicas : int
+        Replicas that have received a commit before it is acknowledged.
     """
 
     name: str
@@ -244,6 +249,7 @@
     settled_fence: int = 0
     management: Management = Management.FENCED
     connections: int = 0
+    sync_replicas: int = 0
 
     @property
     def write_quorum(self) -> int:
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -202,7 +202,12 @@
         if entry is None:
             grants += (ShareGrant(report.customer, 0.0, 0.0, 0.0),)
             continue
-        ledger = refresh(ledgers[report.customer], entry, now)
+        ledger = ledgers.get(report.customer)
+        if ledger is not None:
+            ledger = refresh(ledger, entry, now)
+        if ledger is None or holder_key(peer, request) not in ledger.holdings:
+            # Not known when the report came, or over since; the next one tells.
+            continue
         may_grow = not request.draining and may_grant(
             state, control, report.customer, now
         )
--- a/lovagewalk/control/_provider.py
+++ b/lovagewalk/control/_provider.py
@@ -23,6 +23,7 @@
     GroupView,
     InstanceView,
     PollInstance,
+    Receiving,
     Role,
     view_of,
 )
@@ -81,7 +82,27 @@
         return _begin(state, config, now)
     if _is_lost(state, config, suspicions, now):
         return _begin(state, config, now)
-    return _poll(state, (endpoint,), WATCH_PERIOD_S, now)
+    step = _poll(state, (endpoint,), WATCH_PERIOD_S, now)
+    return step.then(_resume_replicas(step.state, config, now))
+
+
+def _resume_replicas(
+    state: NodeState, config: GroupConfig, now: float
+) -> Step[NodeState]:
+    """Let replicas receive that were held for a promotion, by whichever leader."""
+    control: ControlState = state.control
+    if not config.sync_replicas or config.name in control.resumed:
+        return Step(state)
+    replicas = tuple(
+        endpoint
+        for endpoint in state.catalogue.group_endpoints(config.name)
+        if endpoint.name != config.primary
+    )
+    step = _poll(state, replicas, SURVEY_PERIOD_S, now, Receiving.RESUME)
+    if len(step.effects) < len(replicas):
+        return step
+    resumed = replace(control, resumed=control.resumed | {config.name})
+    return Step(replace(step.state, control=resumed), step.effects)
 
 
 def _find_primary(state: NodeState, config: GroupConfig) -> InstanceView | None:
@@ -136,7 +157,11 @@
 
 
 def _poll(
-    state: NodeState, endpoints: tuple[Endpoint, ...], period_s: float, now: float
+    state: NodeState,
+    endpoints: tuple[Endpoint, ...],
+    period_s: float,
+    now: float,
+    receiving: Receiving = Receiving.AS_IT_IS,
 ) -> Step[NodeState]:
     """Ask instances for their status that have not been asked lately."""
     effects: tuple[Effect, ...] = ()
@@ -153,11 +178,23 @@
         view = replace(view, instances=view.instances.set(endpoint.name, instance))
         state = replace(state, groups=state.groups.set(view.name, view))
         effects += (
-            PollInstance(endpoint.name, endpoint.host, endpoint.port, endpoint.group),
+            PollInstance(
+                endpoint.name,
+                endpoint.host,
+                endpoint.port,
+                endpoint.group,
+                receiving,
+                _newest_term(view, state.catalogue.group(view.name)) + 1,
+            ),
         )
     return Step(state, effects)
 
 
+def _newest_term(view: GroupView, config: GroupConfig) -> int:
+    seen = (i.status.term for i in view.instances.values() if i.status is not None)
+    return max((config.term, *seen))
+
+
 def _put(state: NodeState, promotion: Promotion) -> NodeState:
     control: ControlState = state.control
     promotions = control.promotions.set(promotion.group, promotion)
@@ -179,6 +216,9 @@
 def _begin(state: NodeState, config: GroupConfig, now: float) -> Step[NodeState]:
     """Start a promotion by allocating its fence through the log."""
     promotion = Promotion(config.name, PromotionStage.ALLOCATE, now, config.fence)
+    control: ControlState = state.control
+    resumed = control.resumed - {config.name}
+    state = replace(state, control=replace(control, resumed=resumed))
     noted = _note_begin(state, config, now)
     step = _propose(_put(state, promotion), AllocateFence(config.name), now)
     return Step(step.state, step.effects + (noted,))
@@ -222,9 +262,14 @@
 def _survey(
     state: NodeState, promotion: Promotion, config: GroupConfig, now: float
 ) -> Step[NodeState]:
-    """Learn what each replica has received, then order the best to lead."""
+    """Learn what each replica has received, then order the best to lead.
+
+    Where replicas confirm commits, they are held first, so that none confirms one
+    that the promoted instance lacks.
+    """
     endpoints = state.catalogue.group_endpoints(config.name)
-    step = _poll(state, endpoints, SURVEY_PERIOD_S, now)
+    receiving = Receiving.HOLD if config.sync_replicas else Receiving.AS_IT_IS
+    step = _poll(state, endpoints, SURVEY_PERIOD_S, now, receiving)
     state = step.state
     found = _find_primary(state, config)
     if found is not None:
@@ -232,7 +277,7 @@
     view = view_of(state, config.name)
     candidates = _candidates(state, view, config, promotion)
     others = [e for e in endpoints if e.name != config.primary]
-    if not candidates:
+    if len(candidates) < _answers_needed(config, len(others)):
         return step
     if len(candidates) < len(others) and now - promotion.since < SURVEY_LIMIT_S:
         return step
@@ -247,6 +292,17 @@
     return step.then(_order(_put(state, promotion), promotion))
 
 
+def _answers_needed(config: GroupConfig, replicas: int) -> int:
+    """Return how many replicas have to answer before one is promoted.
+
+    A commit that was acknowledged is on `sync_replicas` of them at least; so many
+    answers include one that holds it.
+    """
+    if not config.sync_replicas:
+        return 1
+    return max(replicas - config.sync_replicas + 1, 1)
+
+
 def _candidates(
     state: NodeState, view: GroupView, config: GroupConfig, promotion: Promotion
 ) -> list[InstanceView]:
@@ -254,7 +310,10 @@
     found = []
     for endpoint in state.catalogue.group_endpoints(config.name):
         instance = view.instances.get(endpoint.name)
-        if instance is None or instance.status is None or endpoint.leaving:
+        if instance is None or instance.status is None:
+            continue
+        # One that leaves may alone hold a commit that replicas confirm.
+        if endpoint.leaving and not config.sync_replicas:
             continue
         is_replica = instance.status.role is Role.REPLICA
         if is_replica and instance.sent_at >= promotion.since:
@@ -297,9 +356,12 @@
     if found is not None:
         return _install(state, config, found, now)
     target = state.catalogue.endpoints.get(promotion.target)
-    if target is None or target.leaving or _target_failed(state, promotion, now):
+    leaves = target is not None and target.leaving and not config.sync_replicas
+    if target is None or leaves or _target_failed(state, promotion, now):
         return _begin(_drop(state, promotion.group), config, now)
-    step = _poll(state, (target,), SURVEY_PERIOD_S, now)
+    # While the others are held, whatever is confirmed until then is here.
+    receiving = Receiving.RESUME if config.sync_replicas else Receiving.AS_IT_IS
+    step = _poll(state, (target,), SURVEY_PERIOD_S, now, receiving)
     if promotion.accepted or now - promotion.ordered_at < REORDER_S:
         return step
     promotion = replace(promotion, ordered_at=now)
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -295,6 +295,8 @@
         By group, those through the provider.
     past : Map of int to Catalogue
         Earlier catalogues by revision, from which followers are brought up to date.
+    resumed : frozenset of str
+        Groups whose replicas this leader has told to receive.
     queued : frozenset of str
         Customers with requests that wait for tokens.
     noting : Map of str to str
@@ -313,6 +315,7 @@
     lost_since: Map = field(default_factory=Map)
     promotions: Map = field(default_factory=Map)
     past: Map = field(default_factory=Map)
+    resumed: frozenset[str] = frozenset()
     queued: frozenset[str] = frozenset()
     noting: Map = field(default_factory=Map)
     dividing: frozenset[str] = frozenset()
--- a/lovagewalk/control/tests/control_fleet.py
+++ b/lovagewalk/control/tests/control_fleet.py
@@ -31,6 +31,7 @@
     InstanceSeen,
     InstanceStatus,
     PollInstance,
+    Receiving,
     Role,
 )
 from lovagewalk.journal import StoredState
@@ -81,6 +82,7 @@
     term: int = 1
     received: int = 100
     up: bool = True
+    held: bool = False
 
 
 class ControlFleet:
@@ -155,6 +157,8 @@
 
     def _poll(self, name, effect):
         database = self.databases.get(effect.endpoint)
+        if database is not None and database.up:
+            self._steer_receiving(database, effect)
         if database is None or not database.up:
             event = InstanceFailed(self.now, effect.endpoint, False, False)
         else:
@@ -164,6 +168,19 @@
             event = InstanceSeen(self.now, effect.endpoint, status, self.now, False)
         self.feed(name, event)
 
+    def _steer_receiving(self, database, effect):
+        if effect.receiving is Receiving.HOLD:
+            assert effect.term > max(d.term for d in self.databases.values())
+            database.held = True
+        elif effect.receiving is Receiving.RESUME:
+            database.held = False
+
+    def commit(self, group):
+        """Let a primary commit; each replica that is up and not held receives it."""
+        for database in self.databases.values():
+            if database.group == group and database.up and not database.held:
+                database.received += 1
+
     def _promote(self, name, effect):
         self.orders.append(effect)
         if self.provider_mute:
@@ -183,6 +200,7 @@
         term = max(database.term for database in group) + 1
         for database in group:
             database.role, database.term = Role.REPLICA, term
+            database.held = False
         chosen.role = Role.PRIMARY
 
     def run(self, seconds):
@@ -245,7 +263,7 @@
         return self.numbers
 
 
-def configuration(version, groups=("g",), customers=()):
+def configuration(version, groups=("g",), customers=(), sync_replicas=0):
     """Return a configuration with a route to each group."""
     return cat.ReplaceConfiguration(
         version,
@@ -261,6 +279,6 @@
         ),
         tuple(customers),
         (),
-        tuple(cat.GroupLimits(group, 20) for group in groups),
+        tuple(cat.GroupLimits(group, 20, sync_replicas) for group in groups),
         document=f"document {version}".encode(),
     )
--- a/lovagewalk/control/tests/test_fleet_machine.py
+++ b/lovagewalk/control/tests/test_fleet_machine.py
@@ -8,6 +8,7 @@
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from immutables import Map
 
 from lovagewalk import catalogue as cat
 from lovagewalk.consensus import RaftState, SendPeer, Standing
@@ -20,7 +21,12 @@
     FollowState,
     PeerMessage,
 )
-from lovagewalk.control._messages import FollowReply, FollowRequest, ShareRecall
+from lovagewalk.control._messages import (
+    FollowReply,
+    FollowRequest,
+    ShareRecall,
+    ShareReport,
+)
 from lovagewalk.control._state import FOLLOW_PERIOD_S
 from lovagewalk.core import reduce, replace
 from lovagewalk.daemon import SweepTick
@@ -368,6 +374,53 @@
     assert reports
 
 
+def _report_to(fleet, leader, message):
+    """Let a daemon report; its answer waits for a round of the quorum."""
+    event = PeerMessage(fleet.now, _follower(fleet), message)
+    fleet.states[leader] = reduce(fleet.states[leader], event).state
+
+
+def _leader(fleet):
+    return next(n for n in NAMES if fleet.states[n].consensus.is_leader)
+
+
+def test_a_report_on_a_customer_that_the_leader_learns_of_later_is_answered():
+    """A new leader has not applied its log yet, which the daemon has."""
+    fleet = Daemons()
+    fleet.run(1.0)
+    leader = _leader(fleet)
+    state = fleet.states[leader]
+    report = ShareReport(CUSTOMER, 0.0, 0.0, 0.0, 0.0, 0)
+    request = FollowRequest("other", 1, 0, False, (), (report,))
+    bare = replace(state.catalogue, customers=Map())
+    ledgers = state.control.ledgers.delete(CUSTOMER)
+    fleet.states[leader] = replace(
+        state, catalogue=bare, control=replace(state.control, ledgers=ledgers)
+    )
+    _report_to(fleet, leader, request)
+    fleet.states[leader] = replace(fleet.states[leader], catalogue=state.catalogue)
+    fleet.run(0.2)
+    assert not fleet.states[leader].control.pending
+
+
+def test_a_report_whose_shares_have_run_out_meanwhile_is_answered():
+    """The leader's VM was suspended between the report and its answer."""
+    fleet = Daemons()
+    fleet.run(1.0)
+    leader = _leader(fleet)
+    report = ShareReport(CUSTOMER, 0.0, 0.0, 0.0, 0.0, 0)
+    request = FollowRequest("other", 1, 0, False, (), (report,))
+    _report_to(fleet, leader, request)
+    fleet.now += 0.06
+    fleet.tick(leader)
+    for _ in range(len(fleet.wire)):
+        fleet.deliver(0)
+    fleet.now += 3.4
+    while fleet.wire:
+        fleet.deliver(0)
+    assert not fleet.states[leader].control.pending
+
+
 def test_clumps_of_a_small_customer_are_served_by_the_fleets_tokens():
     """A morning rush of one kiosk: its few requests meet at any one daemon.
 
--- a/lovagewalk/control/tests/test_provider.py
+++ b/lovagewalk/control/tests/test_provider.py
@@ -15,10 +15,10 @@
 class Site(ControlFleet):
     """Three control VMs, a group of three, and a daemon that may complain."""
 
-    def __init__(self):
+    def __init__(self, sync_replicas=0):
         super().__init__(NAMES, NAMES)
         self.run(2.0)
-        self.change(configuration(1))
+        self.change(configuration(1, sync_replicas=sync_replicas))
         self.run(0.2)
         for name in DATABASES:
             self.beat(name, "g")
@@ -158,6 +158,64 @@
     assert not site.orders
 
 
+@pytest.fixture
+def sync_site():
+    """Each acknowledged commit is at the primary and one replica at least."""
+    return Site(sync_replicas=1)
+
+
+def test_a_replica_that_may_hold_a_commit_alone_is_waited_for(sync_site):
+    """The primary dies while a replica is down that alone may hold a commit."""
+    sync_site.databases["c"].up = False
+    sync_site.databases["b"].received = 90
+    sync_site.databases["a"].up = False
+    sync_site.suffer(3.0)
+    assert not sync_site.orders
+    sync_site.databases["c"].up = True
+    sync_site.suffer(3.0)
+    assert [order.endpoint for order in sync_site.orders] == ["c"]
+
+
+def test_nothing_is_confirmed_between_the_survey_and_the_order(sync_site):
+    """The primary is cut off from control alone and goes on committing."""
+    sync_site.databases["a"].up = False
+    for _ in range(40):
+        sync_site.commit("g")
+        sync_site.suffer(0.2)
+        if sync_site.orders:
+            break
+    target = sync_site.databases[sync_site.orders[0].endpoint]
+    other = next(sync_site.databases[n] for n in "bc" if n != target.name)
+    for _ in range(4):
+        assert other.held and other.received <= target.received
+        sync_site.commit("g")
+        sync_site.run(0.1)
+
+
+def test_replicas_receive_again_after_the_promotion(sync_site):
+    sync_site.databases["a"].up = False
+    sync_site.suffer(4.0)
+    assert sync_site.group.primary in ("b", "c")
+    assert not any(database.held for database in sync_site.databases.values())
+
+
+def test_a_new_leader_lets_replicas_receive_that_an_old_one_held(sync_site):
+    """The old leader was lost between the survey and its order."""
+    sync_site.run(1.0)
+    for name in ("b", "c"):
+        sync_site.databases[name].held = True
+    sync_site.cut = {sync_site.leader().me.name}
+    sync_site.run(4.0)
+    assert not any(database.held for database in sync_site.databases.values())
+
+
+def test_replicas_of_other_groups_are_never_held(site):
+    site.databases["a"].up = False
+    for _ in range(20):
+        site.suffer(0.2)
+        assert not any(database.held for database in site.databases.values())
+
+
 def test_heartbeats_without_news_write_nothing(site):
     before = site.leader().catalogue.revision
     for sequence in range(2, 6):
--- a/lovagewalk/groups/__init__.py
+++ b/lovagewalk/groups/__init__.py
@@ -1,6 +1,6 @@
 """Database groups: instance status, quorum confirmation, data age."""
 
-from ._effects import AwaitPosition, ForgetInstance, PollInstance
+from ._effects import AwaitPosition, ForgetInstance, PollInstance, Receiving
 from ._events import POLL_PERIOD_S, InstanceFailed, InstanceSeen, PollTick
 from ._notes import is_cut_off, note_lacking, note_proof, note_trouble, view_of
 from ._policy import (
@@ -39,6 +39,7 @@
     "InstanceStatus",
     "InstanceView",
     "PollInstance",
+    "Receiving",
     "PollTick",
     "Position",
     "Role",
--- a/lovagewalk/platform/_configuration.py
+++ b/lovagewalk/platform/_configuration.py
@@ -59,7 +59,11 @@
             for key in tenant.texts("apiKeys")
         ),
         groups=tuple(
-            GroupLimits(service.get("name", str), service.get("maxConns", int))
+            GroupLimits(
+                name=service.get("name", str),
+                connections=service.get("maxConns", int),
+                sync_replicas=service.get("syncReplicas", int, 0),
+            )
             for service in reader.tables("services")
         ),
         idle_transaction_s=reader.table("limits").get("txIdleMs", float, 0.0)
--- a/lovagewalk/platform/_endpoints.py
+++ b/lovagewalk/platform/_endpoints.py
@@ -7,11 +7,8 @@
 from dataclasses import dataclass
 
 from lovagewalk.core import LovageError
-from lovagewalk.groups import InstanceStatus, PollInstance
-from lovagewalk.pools import (
-    OpenConnection,
-    Refused,
-)
+from lovagewalk.groups import InstanceStatus, PollInstance, Receiving
+from lovagewalk.pools import OpenConnection, Refused
 from lovagewalk.routing import (
     DiscardSettings,
     Failure,
@@ -28,6 +25,7 @@
     Ports,
     Watcher,
     limit_silence,
+    settle,
 )
 
 from ._lines import (
@@ -144,7 +142,7 @@
             If the connection fails.
         """
         waiting = self._waiting = asyncio.get_running_loop().create_future()
-        self.send(lambda answer: _resolve(waiting, answer), *fields)
+        self.send(lambda answer: settle(waiting, answer), *fields)
         return await waiting
 
     def send(self, handler: AnswerHandler, *fields: str) -> None:
@@ -303,6 +301,11 @@
     return prepare_text(step.shape)
 
 
+_STATUS_ORDERS = {
+    Receiving.AS_IT_IS: "STATUS",
+    Receiving.HOLD: "PAUSE {}",
+    Receiving.RESUME: "RESUME",
+}
 _REFUSALS = {"TOOMANY": Refused.TOO_MANY, "MISROUTED": Refused.MISPLACED}
 
 
@@ -342,15 +345,17 @@
     def __init__(self, ports: Ports, limit_s: float) -> None:
         super().__init__(ports, limit_s)
         self._conns: dict[str, EndpointConnection] = {}
-        self._effects: dict[str, PollInstance] = {}
+        self._addresses: dict[str, tuple[str, int]] = {}
 
     async def ask(self, effect: PollInstance) -> InstanceStatus:
         """Return an instance's status."""
         conn = self._conns.get(effect.endpoint)
-        moved = self._effects.get(effect.endpoint) != effect
+        address = (effect.host, effect.port)
+        moved = self._addresses.get(effect.endpoint) != address
         if conn is None or moved or not conn.is_open:
             conn = await self._connect(effect)
-        answer = await conn.ask("QUERY", OWN_ID, "STATUS")
+        order = _STATUS_ORDERS[effect.receiving].format(effect.term)
+        answer = await conn.ask("QUERY", OWN_ID, order)
         if answer.error or not answer.rows:
             raise NoStatusError(answer.error == "BUSY", answer.error)
         endpoint = self._ports.state.catalogue.endpoints.get(effect.endpoint)
@@ -367,7 +372,7 @@
         if error:
             raise NoStatusError(error == "TOOMANY", error)
         self._conns[effect.endpoint] = conn
-        self._effects[effect.endpoint] = effect
+        self._addresses[effect.endpoint] = (effect.host, effect.port)
         return conn
 
     def forget(self, endpoint: str) -> None:
@@ -380,8 +385,3 @@
         """Close all connections."""
         for endpoint in list(self._conns):
             self.forget(endpoint)
-
-
-def _resolve(waiting: asyncio.Future, answer: Answer) -> None:
-    if not waiting.done():
-        waiting.set_result(answer)
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -133,8 +133,14 @@
 
 
 def choose(state: NodeState, request: Request, session: Session, now: float) -> Target:
-    """Pick the target of a request that has no pinned connection."""
+    """Pick the target of a request that has no pinned connection.
+
+    A session may bring a position of a term that this daemon has not heard of yet.
+    The primary it knows has then been replaced, and may lack the session's rows.
+    """
     config = state.catalogue.group(request.group)
+    if session.position is not None and session.position.term > config.term:
+        return Target(Phase.PRIMARY)
     if is_plain_read(request, session):
         replica = _choose_replica(state, config, request, session, now)
         if replica is not None:
--- a/lovagewalk/runtime/__init__.py
+++ b/lovagewalk/runtime/__init__.py
@@ -7,6 +7,7 @@
 from . import _performers, _storage
 from ._caller_front import CallerFront
 from ._decisions import Decisions
+from ._futures import settle
 from ._http import (
     UNDECIDED,
     Handler,
@@ -59,6 +60,7 @@
     "call",
     "json_response",
     "limit_silence",
+    "settle",
     "on_stop_signals",
     "set_up_structured_logs",
 ]
--- a/lovagewalk/runtime/_tickets.py
+++ b/lovagewalk/runtime/_tickets.py
@@ -8,6 +8,8 @@
 from lovagewalk.control import AnswerOperator
 from lovagewalk.core import Code, Event, LovageError, performs
 
+from ._futures import settle
+
 if TYPE_CHECKING:
     from ._ports import Ports
 
@@ -42,8 +44,8 @@
     def answer(self, effect: AnswerOperator) -> None:
         """Answer a waiting request."""
         fut = self._waiting.get(effect.ticket)
-        if fut is not None and not fut.done():
-            fut.set_result(effect.result)
+        if fut is not None:
+            settle(fut, effect.result)
 
 
 @performs(AnswerOperator)
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -4,6 +4,7 @@
 import random
 import re
 
+import aiohttp
 import asyncmy
 
 from lovagewalk.cli.tests.rig import HOST
@@ -34,7 +35,13 @@
 RETRY_S = 0.2
 CHANGE_PERIOD_S = 0.5
 _NOT_KEPT = re.compile(r"\[(not run|failed)\]")
-FAILURES = (asyncmy.errors.Error, OSError, EOFError, TimeoutError)
+FAILURES = (
+    asyncmy.errors.Error,
+    aiohttp.ClientError,
+    OSError,
+    EOFError,
+    TimeoutError,
+)
 
 
 def tell(exc: Exception) -> Told:
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -88,6 +88,13 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class NotRecovered(Event):
+    """Callers were not served again in time after the last fault."""
+
+    after_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Promises:
     """What has been promised so far.
@@ -96,11 +103,15 @@
     ----------
     told : Map of int to Told
         By row.
+    told_at : Map of int to float
+        When that was, by row.
     written : Map of int to tuple of int
         Rows that each session was told are done.
     groups : Map of int to tuple of int
         By row, the rows of its transaction.
     served : tuple of LimitedServed
+    started_at : float
+        When the faults began; times are told from it.
     broken : tuple of str
         A sentence for each broken promise.
     """
@@ -108,29 +119,34 @@
     rate: float
     burst: float
     told: Map = Map()
+    told_at: Map = Map()
     written: Map = Map()
     groups: Map = Map()
     served: tuple[LimitedServed, ...] = ()
     withdrawn_at: float = 0.0
     accepted: int = 0
+    started_at: float = 0.0
     broken: tuple[str, ...] = ()
 
 
 def _break(state: Promises, at: float, text: str) -> Promises:
-    return replace(state, broken=state.broken + (f"{at:.3f} s: {text}",))
+    at_s = at - state.started_at
+    return replace(state, broken=state.broken + (f"{at_s:.3f} s: {text}",))
 
 
 @reduces(WriteEnded)
 def _write_ended(state: Promises, event: WriteEnded) -> Step[Promises]:
-    told, groups = state.told, state.groups
+    told, groups, told_at = state.told, state.groups, state.told_at
     for row in event.rows:
         told = told.set(row, event.told)
+        told_at = told_at.set(row, event.at)
         groups = groups.set(row, event.rows)
     written = state.written
     if event.told is Told.DONE:
         held = written.get(event.session, ())
         written = written.set(event.session, held + event.rows)
-    return Step(replace(state, told=told, groups=groups, written=written))
+    state = replace(state, told=told, told_at=told_at)
+    return Step(replace(state, groups=groups, written=written))
 
 
 @reduces(RowsSeen)
@@ -140,7 +156,9 @@
     for row in state.written.get(event.session, ()):
         if row not in seen:
             kind = "lost" if event.final else "not seen by its own session"
-            state = _break(state, event.at, f"{who}: acknowledged row {row} {kind}")
+            since_s = state.told_at[row] - state.started_at
+            text = f"{who}: row {row}, acknowledged at {since_s:.3f} s, {kind}"
+            state = _break(state, event.at, text)
     if len(seen) < len(event.rows):
         doubled = sorted(row for row in seen if event.rows.count(row) > 1)
         state = _break(state, event.at, f"{who}: rows written twice: {doubled}")
@@ -196,3 +214,9 @@
         return Step(state)
     text = f"change {event.number} in force, though {state.accepted} was accepted"
     return Step(_break(state, event.at, text))
+
+
+@reduces(NotRecovered)
+def _not_recovered(state: Promises, event: NotRecovered) -> Step[Promises]:
+    text = f"not served again {event.after_s:.0f} s after the last fault"
+    return Step(_break(state, event.at, text))
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from lovagewalk.cli.tests.rig import is_serving
-from lovagewalk.core import Shell, TimerService, perform
+from lovagewalk.core import Shell, TimerService, perform, replace
 from lovagewalk.demo import run
 
 from . import _fleet
@@ -22,7 +22,7 @@
     WithdrawnSession,
 )
 from ._faults import plan_faults
-from ._promises import Promises, RowsSeen, Told
+from ._promises import NotRecovered, Promises, RowsSeen, Told
 
 WRITERS = 6
 LIMITED_CALLERS = 3
@@ -85,6 +85,7 @@
 async def _live(fleet, operator, seed, seconds, faults, shell, timer) -> None:
     """Let callers and faults run beside each other."""
     started = timer.now()
+    shell.state = replace(shell.state, started_at=started)
     until = started + seconds
     kinds = (
         (Session, WRITER, WRITERS),
@@ -108,14 +109,23 @@
 async def _heal(fleet, operator, shell, timer) -> None:
     """Wait until all faults are over, then read everything back."""
     await fleet.heal()
-    async with asyncio.timeout(RECOVERY_LIMIT_S):
-        while True:
-            try:
-                await _read_all(fleet, shell, timer)
-                await operator.read_back()
-                return
-            except FAILURES:
+    try:
+        async with asyncio.timeout(RECOVERY_LIMIT_S):
+            while not await _is_read_back(fleet, operator, shell, timer):
                 await asyncio.sleep(0.2)
+    except TimeoutError:
+        shell.feed(NotRecovered(timer.now(), RECOVERY_LIMIT_S))
+
+
+async def _is_read_back(fleet, operator, shell, timer) -> bool:
+    try:
+        await _read_all(fleet, shell, timer)
+        await operator.read_back()
+    except TimeoutError:
+        raise
+    except FAILURES:
+        return False
+    return True
 
 
 async def _read_all(fleet, shell, timer) -> None:
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -8,6 +8,7 @@
     ChangeSeen,
     KeyWithdrawn,
     LimitedServed,
+    NotRecovered,
     Promises,
     RowsSeen,
     Told,
@@ -54,6 +55,7 @@
     (tuple(LimitedServed(1.0, 1.0) for _ in range(3)), "3 requests served"),
     ((KeyWithdrawn(1.0), WithdrawnServed(6.3, 6.2)), "withdrawn key served"),
     ((ChangeEnded(1.0, 3, True), ChangeSeen(3.0, 2)), "change 2 in force"),
+    ((NotRecovered(9.0, 20.0),), "not served again 20 s"),
 ]
 
 
