A bucket fills only for what nobody else gains; queues that can be served in time

A new leader's bucket gained what unheard shares were gaining as well, up to the first word of the last holder; once heard, the burst that nobody held could keep up to that much. Test first: test_a_bucket_does_not_fill_for_shares_that_fill_elsewhere.

A read now goes to the other region once the wait here outlasts the way there, and a request whose queue is longer than half of its objective is refused at once with its time. Tests of the rush in routing/tests/test_endpoint_choice.py failed first.

--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -86,7 +86,7 @@
         if entry is None:
             continue
         ledger = ledger_of(state, control, report.customer, now)
-        ledger = refresh(ledger, entry, now)
+        ledger = refresh(state, control, ledger, entry, now)
         ledger = _hold(ledger, key, Holding(report.rate, report.burst, until))
         ledger = _note_demand(ledger, peer, request, report)
         returned = min(report.returned, max(_free_burst(ledger, entry), 0.0))
@@ -154,11 +154,23 @@
     )
 
 
-def refresh(ledger: Ledger, entry: CustomerEntry, now: float) -> Ledger:
-    """Refill the free tokens; from time to time drop what has run out."""
+def refresh(
+    state: NodeState,
+    control: ControlState,
+    ledger: Ledger,
+    entry: CustomerEntry,
+    now: float,
+) -> Ledger:
+    """Refill the free tokens; from time to time drop what has run out.
+
+    Nothing is gained as long as shares may be held that are not heard of yet,
+    since they gain the same tokens.
+    """
     free_rate = max(_free_rate(ledger, entry), 0.0)
     free_burst = max(_free_burst(ledger, entry), 0.0)
     gained = max(now - ledger.updated_at, 0.0) * free_rate
+    if not may_grant(state, control, ledger.customer, now):
+        gained = 0.0
     tokens = max(min(ledger.tokens + gained, free_burst), 0.0)
     ledger = replace(ledger, tokens=tokens, updated_at=max(now, ledger.updated_at))
     if now - ledger.swept_at < SWEEP_PERIOD_S:
@@ -204,7 +216,7 @@
             continue
         ledger = ledgers.get(report.customer)
         if ledger is not None:
-            ledger = refresh(ledger, entry, now)
+            ledger = refresh(state, control, ledger, entry, now)
         if ledger is None or holder_key(peer, request) not in ledger.holdings:
             # Not known when the report came, or over since; the next one tells.
             continue
--- a/lovagewalk/control/_token_queue.py
+++ b/lovagewalk/control/_token_queue.py
@@ -109,7 +109,7 @@
     if entry is None:
         denied = tuple((need, MAX_RETRY_AFTER_S) for need in ledger.queue)
         return Served(replace(ledger, queue=()), denied=denied)
-    ledger = _ledger.refresh(ledger, entry, now)
+    ledger = _ledger.refresh(state, control, ledger, entry, now)
     waiting = list(ledger.queue)
     admitted: tuple[QueuedNeed, ...] = ()
     tokens = ledger.tokens
--- a/lovagewalk/control/tests/test_fleet_machine.py
+++ b/lovagewalk/control/tests/test_fleet_machine.py
@@ -328,6 +328,12 @@
     fleet.wire.clear()
 
 
+def _kill_all_but(fleet, name):
+    kept = fleet.states[name]
+    _kill_all(fleet)
+    fleet.states[name] = kept
+
+
 def test_shares_come_back_at_once_if_every_holder_is_heard():
     fleet = Daemons()
     fleet.run(2.0)
@@ -374,6 +380,27 @@
     assert reports
 
 
+def test_a_bucket_does_not_fill_for_shares_that_fill_elsewhere():
+    """A new leader hears one holder late, whose share has gained tokens meanwhile."""
+    fleet = Daemons()
+    fleet.run(2.0)
+    late = _follower(fleet)
+    _kill_all_but(fleet, late)
+    deliver = fleet.deliver
+
+    def hold_back(position):
+        source, _, message = fleet.wire[position % len(fleet.wire)]
+        if source == late and isinstance(message, FollowRequest):
+            fleet.wire.pop(position % len(fleet.wire))
+            return
+        deliver(position)
+
+    fleet.deliver = hold_back
+    fleet.run(1.5)
+    ledger = fleet.states[_leader(fleet)].control.ledgers[CUSTOMER]
+    assert ledger.tokens == 0
+
+
 def _report_to(fleet, leader, message):
     """Let a daemon report; its answer waits for a round of the quorum."""
     event = PeerMessage(fleet.now, _follower(fleet), message)
--- a/lovagewalk/pools/_policy.py
+++ b/lovagewalk/pools/_policy.py
@@ -34,6 +34,8 @@
 SLOW_FROM_S = 0.1
 # How often a slow endpoint is tried again; chosen, one read in it may be slow.
 SLOW_FOR_S = 2.0
+# A statement of the users' sites at an endpoint that has not been timed yet.
+READ_ESTIMATE_S = 0.03
 # A session's next statement comes within about this time, if at all.
 SURPLUS_IDLE_S = 0.5
 
@@ -240,6 +242,16 @@
     return pool.latency_s > max(best_s * SLOW_FACTOR, SLOW_FROM_S)
 
 
+def estimate_wait(pool: Pool | None, now: float) -> float:
+    """Return how long a new request would wait for a connection, in seconds."""
+    if pool is None or pool.busy < pool.limit:
+        return 0.0
+    service_s = READ_ESTIMATE_S
+    if pool.latency_s and now - pool.timed_at < SLOW_FOR_S:
+        service_s = pool.latency_s
+    return (pool.busy - pool.limit + 1) / pool.limit * service_s
+
+
 def narrow(pool: Pool, now: float) -> Pool:
     """Take an endpoint's word that it has too many connections.
 
--- a/lovagewalk/routing/_consistency.py
+++ b/lovagewalk/routing/_consistency.py
@@ -11,7 +11,7 @@
 from lovagewalk.core import Handlers, replace
 from lovagewalk.groups import GroupView, Position, sample_since
 from lovagewalk.node import NodeState
-from lovagewalk.pools import is_slow
+from lovagewalk.pools import estimate_wait, is_slow
 from lovagewalk.sessions import Session, TransactionState
 
 from ._state import Request
@@ -19,6 +19,8 @@
 # Requests in flight per step of an endpoint's rank: below it, nearness counts
 # more than load. Endpoints of both sites run three statements at a time.
 LOAD_STEP = 2
+# A round trip to the other region. Waiting for so much longer here is worse than that.
+FAR_STEP_S = 0.04
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,12 +163,17 @@
     request: Request,
     endpoint: Endpoint,
     now: float,
-) -> tuple[bool, bool, int, bool, bool, int, str]:
-    """Order able endpoints: near, lightly loaded, and no primary if possible."""
+) -> tuple[int, bool, bool, int, bool, bool, int, str]:
+    """Order able endpoints: near, lightly loaded, and no primary if possible.
+
+    Work goes to the other region once a wait here outlasts the way there.
+    """
     pool = state.pools.get(endpoint.name)
     busy = pool.busy if pool else 0
+    far = endpoint.region != state.me.region
     return (
-        endpoint.region != state.me.region,
+        int(estimate_wait(pool, now) / FAR_STEP_S) + far,
+        far,
         _is_behind(view, endpoint, request, now),
         busy // LOAD_STEP,
         endpoint.name == config.primary,
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -16,7 +16,7 @@
     translate,
 )
 from lovagewalk.node import NodeState
-from lovagewalk.pools import Pool, enqueue, take_idle
+from lovagewalk.pools import Pool, enqueue, estimate_wait, take_idle
 from lovagewalk.sessions import Session, TransactionState
 
 from . import _dispatch, _recovery
@@ -30,6 +30,9 @@
 AWAIT_AT_INSTANCE_S = 0.5
 # Time in which a read gets from the choice to the instance.
 AGE_MARGIN_S = 0.005
+# Part of a route's objective that a request may spend in a queue for a connection;
+# the rest is for its tokens, its run and the way.
+QUEUE_PART = 0.5
 # Held by the control leader on each primary.
 WATCH_CONNECTIONS = 1
 # The busiest daemon behind the users' balancers has about so much more than the mean.
@@ -78,10 +81,21 @@
         return _recovery.back_off(state, replace(request, tried=()), now)
     if not endpoint:
         return _await_primary(state, request)
+    wait_s = estimate_wait(state.pools.get(endpoint), now)
+    if wait_s > _patience(request, now):
+        return _recovery.refuse_overloaded(state, request, wait_s)
     request = replace(request, phase=Phase.CONNECTION, endpoint=endpoint, queued_at=now)
     return _queue(state, request, now)
 
 
+def _patience(request: Request, now: float) -> float:
+    """Return how much longer a request may queue and be of use, in seconds."""
+    limit_s = request.deadline - now
+    if request.route.objective_s:
+        limit_s = min(limit_s, request.route.objective_s * QUEUE_PART)
+    return max(limit_s, 0.0)
+
+
 def _await_primary(state: NodeState, request: Request) -> Step[NodeState]:
     """Let a request wait for a change of primary or of endpoints."""
     request = replace(request, phase=Phase.PRIMARY, endpoint="")
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -218,6 +218,14 @@
     return answer(state, request, refusal)
 
 
+def refuse_overloaded(
+    state: NodeState, request: Request, wait_s: float
+) -> Step[NodeState]:
+    """Refuse what would wait longer for a connection than it may be of use."""
+    refusal = Refusal(Code.OVERLOADED, "the queue is too long", retry_after_s=wait_s)
+    return answer(state, request, refusal)
+
+
 def note_tried(request: Request) -> Request:
     """Return a request that goes to other endpoints first."""
     return replace(request, tried=request.tried + (request.endpoint,))
--- a/lovagewalk/routing/tests/test_endpoint_choice.py
+++ b/lovagewalk/routing/tests/test_endpoint_choice.py
@@ -5,7 +5,7 @@
 from lovagewalk.pools import Refused
 from lovagewalk.routing import Failure
 
-from .stated_site import NEAR, PRIMARY, Site
+from .stated_site import FAR, NEAR, PRIMARY, Site
 
 
 def test_a_leaving_endpoint_gets_no_new_work():
@@ -173,3 +173,44 @@
     assert held not in site.answers and late not in site.answers
     site.install(2, NEAR)
     assert {run.req for run in site.runs} == {held, late}
+
+
+def _flood(site, count, kind="board"):
+    """Let many callers come at once; nothing ends meanwhile."""
+    ask = site.read if kind == "board" else site.write
+    return [ask(site.connect(kind)) for _ in range(count)]
+
+
+def test_a_rush_spills_over_to_the_other_region_once_the_near_one_is_full():
+    """Many users come at once, all in one region."""
+    site = Site(connections=3)
+    _flood(site, 3)
+    assert {site.where(run) for run in site.runs} == {NEAR, PRIMARY}
+    _flood(site, 27)
+    assert FAR in {site.where(run) for run in site.runs}
+
+
+def test_a_rush_beyond_all_endpoints_is_refused_at_once_with_its_time():
+    """Waiting to the deadline would hold callers that others could serve."""
+    site = Site(connections=3)
+    reqs = _flood(site, 120)
+    refused = [req for req in reqs if req in site.answers]
+    assert {site.refusal(req) for req in refused} == {Code.OVERLOADED}
+    assert refused and len(refused) < len(reqs)
+    for req in refused:
+        assert site.answers[req].refusal.retry_after_s > 0
+    assert reqs[0] not in refused and reqs[-1] in refused
+
+
+def test_writes_queue_no_longer_than_the_primary_can_serve_in_time():
+    site = Site(connections=3)
+    reqs = _flood(site, 120, "till")
+    refused = [req for req in reqs if req in site.answers]
+    assert {site.refusal(req) for req in refused} == {Code.OVERLOADED}
+    assert 0 < len(refused) < len(reqs) - 5
+
+
+def test_a_small_rush_is_queued_and_served():
+    site = Site(connections=3)
+    reqs = _flood(site, 6, "till")
+    assert not any(req in site.answers for req in reqs)
