A transaction that an endpoint refused is left by closing its connection

Cause: when a statement inside a transaction was refused because the primary had been replaced, its connection went back to the pool, though the endpoint keeps the transaction open after a refusal.

Ruled out: the choice of the promoted instance and the count of confirmations (the fences and voters of those terms hold); the stand-in's log, which had no failure.

Change: the connection is closed; and a single write that an endpoint says it ran inside a transaction is answered "outcome unknown". Tests failed first (routing/tests/test_lost_transactions.py).

--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -29,12 +29,16 @@
         return Step(step.state, step.effects + (DropResult(event.req),))
     if request.is_stated:
         return _stated_done(state, request, event)
+    session = state.sessions[request.caller]
     if event.position is not None or event.insert_id:
         request = replace(request, position=event.position, insert_id=event.insert_id)
     if event.streaming:
         request = replace(request, phase=Phase.STREAMING)
         return answer(_place.put_request(state, request), request)
     step = _settle_connection(state, request, event)
+    if event.in_transaction and not session.conn and request.kind in WRITES:
+        # Its connection is closed above, which rolls it back.
+        return step.then(answer(step.state, request, Refusal(Code.CONNECTION_LOST)))
     if event.position is None:
         return step.then(answer(step.state, request))
     return step.then(_confirm(step.state, request, event.at))
@@ -216,12 +220,25 @@
     session = state.sessions[request.caller]
     step = Step(state)
     if session.conn == event.conn:
-        state = end_transaction(state, session, TransactionState.LOST)
-        step = _free(state, event.conn, event.at)
+        step = _leave_transaction(state, session, event)
     refusal = Refusal(Code.TRANSACTION_LOST, event.detail, errno=event.errno)
     return step.then(answer(step.state, request, refusal))
 
 
+def _leave_transaction(
+    state: NodeState, session: Session, event: StatementFailed
+) -> Step[NodeState]:
+    """Give a transaction up by closing its connection.
+
+    A refused statement leaves the transaction open at the endpoint. The next one
+    on the connection would run inside it, and be rolled back with it.
+    """
+    state = end_transaction(state, session, TransactionState.LOST)
+    endpoint = state.conn_endpoints.get(event.conn, "")
+    step = _dispatch.close(state, event.conn, event.at)
+    return step.then(_dispatch.dispatch(step.state, endpoint, event.at))
+
+
 @on_failure(Failure.DUPLICATE_ID)
 def _duplicate_id(
     state: NodeState, request: Request, event: StatementFailed
@@ -239,8 +256,7 @@
 ) -> Step[NodeState]:
     session = state.sessions[request.caller]
     if session.conn == event.conn:
-        state = end_transaction(state, session, TransactionState.LOST)
-        step = _free(state, event.conn, event.at)
+        step = _leave_transaction(state, session, event)
         refusal = Refusal(Code.TRANSACTION_LOST, READ_ONLY_DETAIL)
         return step.then(answer(step.state, request, refusal))
     request = replace(request, refused_term=request.sent_term)
--- /dev/null
+++ b/lovagewalk/routing/tests/test_lost_transactions.py
@@ -0,0 +1,46 @@
+"""Transactions that an endpoint refuses to go on with."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from lovagewalk.core import Code
+from lovagewalk.routing import Failure, StatementKind
+from lovagewalk.routing._events import StatementDone
+
+from .fake_group import Site
+
+
+def _open_transaction(site):
+    caller = site.connect()
+    site.ask(caller, StatementKind.BEGIN)
+    site.ask(caller, StatementKind.WRITE)
+    site.settle()
+    return caller, site.state.sessions[caller].conn
+
+
+@pytest.mark.parametrize("failure", [Failure.READ_ONLY, Failure.ROLLED_BACK])
+def test_a_connection_with_a_lost_transaction_serves_nobody_else(failure):
+    """The primary was replaced in the middle; the endpoint keeps its transaction."""
+    site = Site()
+    caller, conn = _open_transaction(site)
+    req = site.ask(caller, StatementKind.WRITE)
+    site.bag = [item for item in site.bag if getattr(item, "req", 0) != req]
+    site._fail(SimpleNamespace(req=req, conn=conn), failure, usable=True)
+    assert site.answers[req].code is Code.TRANSACTION_LOST
+    assert conn not in site.state.conn_endpoints
+
+
+def test_a_single_write_inside_an_open_transaction_is_not_acknowledged():
+    """Closing its connection rolls back what the endpoint took for part of it."""
+    site = Site()
+    caller = site.connect()
+    req = site.ask(caller, StatementKind.WRITE)
+    while not site.state.requests[req].conn:
+        site.deliver(0)
+    request = site.state.requests[req]
+    position = site.state.sessions[caller].position
+    site.bag = [item for item in site.bag if getattr(item, "req", 0) != req]
+    site.feed(StatementDone(site.now, req, request.conn, position, in_transaction=True))
+    assert site.answers[req].code is Code.CONNECTION_LOST
+    assert request.conn not in site.state.conn_endpoints
