Log records in one typed registry; status flags that clients go by; ports of tests

- The server told "no flag" outside transactions.
Client libraries ignore such a status and went by the one before: the proxy took its own endpoints' connections for open after each transaction and closed them, and callers' libraries could not know whether they commit by themselves.
Now the autocommit flag is told.
- A test once failed (test_two_failovers_in_a_row, address in use): ports came from the range that outgoing connections of a soak beside it used.
They lie below it.
- The soak ends its processes when it is told to stop.

--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -13,7 +13,8 @@
 from lovagewalk.core import Effect, Step, replace
 from lovagewalk.daemon._changes import install_catalogue, resize_pools
 from lovagewalk.groups import add_proof, is_primary_suspect, view_of
-from lovagewalk.node import NodeState, note
+from lovagewalk.node import NodeState
+from lovagewalk.records import LeaseGained, LeaseLost
 from lovagewalk.routing import _sweep
 from lovagewalk.shares import Share, expire, grow, shrink, smooth_demand
 
@@ -70,9 +71,8 @@
     holds = now < state.fresh_until
     if holds == follow.holds_lease:
         return Step(state)
-    noted = note(
-        "follow",
-        "lease regained" if holds else "lease lost",
+    record = LeaseGained if holds else LeaseLost
+    noted = record(
         target=follow.target,
         answered_ms_ago=round((now - follow.answered_at) * 1000),
         revision=state.catalogue.revision,
--- a/lovagewalk/control/_members.py
+++ b/lovagewalk/control/_members.py
@@ -9,7 +9,8 @@
 from lovagewalk.catalogue import ChangeControlVoters, ControlVoter, Proposal
 from lovagewalk.consensus import RaftState, forget_peers
 from lovagewalk.core import Step, replace
-from lovagewalk.node import NodeState, note
+from lovagewalk.node import NodeState
+from lovagewalk.records import VotersChange
 
 from . import _proposals
 
@@ -37,9 +38,7 @@
     voters = wanted_voters(raft, now)
     if voters == raft.voters:
         return Step(state)
-    noted = note(
-        "control",
-        "voters change",
+    noted = VotersChange(
         before=", ".join(voter.name for voter in raft.voters),
         after=", ".join(voter.name for voter in voters),
     )
--- a/lovagewalk/control/_provider.py
+++ b/lovagewalk/control/_provider.py
@@ -27,7 +27,8 @@
     Role,
     view_of,
 )
-from lovagewalk.node import NodeState, note
+from lovagewalk.node import NodeState
+from lovagewalk.records import PromotionBegun, PromotionOrdered
 
 from . import _proposals
 from ._effects import PromoteInstance
@@ -229,9 +230,7 @@
     primary = view_of(state, config.name).instances.get(config.primary)
     endpoint = state.catalogue.endpoints.get(config.primary)
     silent_s = now - primary.seen_at if primary else 0.0
-    return note(
-        "groups",
-        "promotion begins",
+    return PromotionBegun(
         group=config.name,
         primary=config.primary,
         term=config.term,
@@ -337,9 +336,7 @@
     effect = PromoteInstance(
         promotion.group, promotion.target, state.me.name, promotion.fence
     )
-    noted = note(
-        "groups",
-        "promotion ordered",
+    noted = PromotionOrdered(
         group=promotion.group,
         target=promotion.target,
         fence=promotion.fence,
--- a/lovagewalk/control/_settle.py
+++ b/lovagewalk/control/_settle.py
@@ -14,7 +14,8 @@
 )
 from lovagewalk.core import Code, Effect, Refusal, Step, replace
 from lovagewalk.daemon._changes import install_catalogue
-from lovagewalk.node import NodeState, note
+from lovagewalk.node import NodeState
+from lovagewalk.records import LeadershipGained, LeadershipLost
 
 from . import _leader
 from ._effects import AnswerOperator, RecordAudit
@@ -53,18 +54,14 @@
             tickets=control.tickets,
         )
         voters = ", ".join(voter.name for voter in raft.voters)
-        noted = note(
-            "control",
-            "this VM leads",
+        noted = LeadershipGained(
             term=raft.term,
             last_index=raft.log.last_index,
             voters=voters,
         )
         return Step(replace(state, control=fresh), (noted,))
     if not raft.is_leader and control.led_term:
-        noted = note(
-            "control",
-            "this VM no longer leads",
+        noted = LeadershipLost(
             led_term=control.led_term,
             term=raft.term,
             leader=raft.leader,
--- a/lovagewalk/core/_handlers.py
+++ b/lovagewalk/core/_handlers.py
@@ -1,6 +1,6 @@
 """A registry of handlers that decorators fill."""
 
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Iterator
 from typing import Generic, TypeVar
 
 from ._registry import DuplicateHandlerError
@@ -45,6 +45,9 @@
     def __getitem__(self, key: K) -> F:
         return self._handlers[key]
 
+    def __iter__(self) -> Iterator[K]:
+        return iter(self._handlers)
+
     def __contains__(self, key: object) -> bool:
         return key in self._handlers
 
--- a/lovagewalk/daemon/_changes.py
+++ b/lovagewalk/daemon/_changes.py
@@ -3,7 +3,8 @@
 from lovagewalk.catalogue import Catalogue, Management
 from lovagewalk.core import Step, replace
 from lovagewalk.groups._reducer import reset_group
-from lovagewalk.node import NodeState, note
+from lovagewalk.node import NodeState
+from lovagewalk.records import ConfigurationInForce, PrimaryInstalled
 from lovagewalk.routing import _callers, _dispatch, _outcome, _place, _sweep
 
 
@@ -26,9 +27,7 @@
         step = step.then(_callers.enforce_keys(step.state, now))
     if catalogue.version == before.version:
         return step
-    noted = note(
-        "catalogue",
-        "configuration in force",
+    noted = ConfigurationInForce(
         version=catalogue.version,
         before=before.version,
         revision=catalogue.revision,
@@ -90,9 +89,7 @@
         if before.group(name).term == config.term:
             continue
         step = Step(reset_group(step.state, name, now), step.effects)
-        noted = note(
-            "groups",
-            "primary installed",
+        noted = PrimaryInstalled(
             group=name,
             primary=config.primary,
             term=config.term,
--- a/lovagewalk/demo/_fleet.py
+++ b/lovagewalk/demo/_fleet.py
@@ -1,6 +1,9 @@
 """A whole fleet in one process on one loop, for demos, tests and benchmarks."""
 
 import asyncio
+import itertools
+import logging
+import os
 import secrets
 import shutil
 import socket
@@ -33,6 +36,13 @@
 HOST = "127.0.0.1"
 READY_LIMIT_S = 20.0
 RETRY_S = 0.1
+# Linux gives outgoing connections ports from 32768 on.
+FIRST_PORT, PORT_COUNT = 20_000, 12_000
+# Prime, so that processes that start one after the other lie far apart.
+PORT_STRIDE = 499
+_ports = itertools.count()
+
+log = logging.getLogger("lovagewalk.demo")
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,10 +140,20 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port of the loopback address that nothing listens on.
+
+    It lies below the ports that the system gives to outgoing connections, so that
+    none of these takes it before it is used; each process starts elsewhere.
+    """
+    while True:
+        port = FIRST_PORT + (os.getpid() * PORT_STRIDE + next(_ports)) % PORT_COUNT
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError as exc:
+                log.debug("demo: port %d is taken: %s", port, exc)
+                continue
+        return port
 
 
 class Fleet:
--- a/lovagewalk/edge/_callers.py
+++ b/lovagewalk/edge/_callers.py
@@ -104,9 +104,12 @@
                 build_columns((DEFAULT_COLUMN,), [row]),
                 (row,),
                 in_transaction=answer.in_transaction,
+                autocommit=answer.autocommit,
             )
         if result is None:
-            return Reply(in_transaction=answer.in_transaction)
+            return Reply(
+                in_transaction=answer.in_transaction, autocommit=answer.autocommit
+            )
         rows: Any = result.rows
         if result.rest is not None:
             rows = _join(result.rows, result.rest)
@@ -116,6 +119,7 @@
             result.affected_rows,
             result.insert_id,
             answer.in_transaction,
+            answer.autocommit,
         )
 
 
--- a/lovagewalk/edge/_mysql_server.py
+++ b/lovagewalk/edge/_mysql_server.py
@@ -54,6 +54,7 @@
     affected_rows: int = 0
     insert_id: int = 0
     in_transaction: bool = False
+    autocommit: bool = True
 
 
 class SqlError(MysqlError):
@@ -235,6 +236,9 @@
 
     def _note_transaction(self, reply: Reply) -> None:
         flags = ServerStatus(0)
+        # Clients ignore a status without any flag and go by the one before.
+        if reply.autocommit:
+            flags |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
         if reply.in_transaction:
             flags |= ServerStatus.SERVER_STATUS_IN_TRANS
         self.status_flags = flags
--- a/lovagewalk/edge/tests/test_path.py
+++ b/lovagewalk/edge/tests/test_path.py
@@ -172,3 +172,29 @@
     with pytest.raises(asyncmy.errors.Error, match="LW1501"):
         await reader
     assert commands_of(site.instances[0], "SELECT x") != []
+
+
+async def test_a_client_knows_how_its_session_commits(site):
+    """A client library sends SET autocommit only if the server's flag differs."""
+    conn = await _table(site)
+    await run(conn, "BEGIN")
+    await run(conn, "INSERT INTO repairs (x) VALUES (1)")
+    assert conn.get_transaction_status()
+    await run(conn, "COMMIT")
+    assert not conn.get_transaction_status()
+    await run(conn, "SET autocommit = 0")
+    await run(conn, "INSERT INTO repairs (x) VALUES (2)")
+    assert conn.get_transaction_status() and not conn.get_autocommit()
+    await run(conn, "COMMIT")
+    await run(conn, "SET autocommit = 1")
+    assert conn.get_autocommit()
+
+
+async def test_a_connection_is_used_again_after_a_transaction(site):
+    conn = await _table(site)
+    for number in range(6):
+        await run(conn, "BEGIN")
+        await run(conn, f"INSERT INTO repairs (x) VALUES ({number})")
+        await run(conn, "COMMIT")
+        await run(conn, f"INSERT INTO repairs (x) VALUES ({number})")
+    assert len(await run(conn, "SELECT x FROM repairs")) == 12
--- /dev/null
+++ b/lovagewalk/records/__init__.py
@@ -0,0 +1,39 @@
+"""What daemons log of their decisions and beliefs, as typed records."""
+
+from ._kinds import LogRecord, RecordKind, fields_of, kind_of, record_types
+from ._records import (
+    CallerClosed,
+    ConfigurationInForce,
+    EndpointRefused,
+    LeadershipGained,
+    LeadershipLost,
+    LeaseGained,
+    LeaseLost,
+    PrimaryInstalled,
+    PromotionBegun,
+    PromotionOrdered,
+    RequestAnswered,
+    StatementFailedThere,
+    VotersChange,
+)
+
+__all__ = [
+    "CallerClosed",
+    "ConfigurationInForce",
+    "EndpointRefused",
+    "LeadershipGained",
+    "LeadershipLost",
+    "LeaseGained",
+    "LeaseLost",
+    "LogRecord",
+    "PrimaryInstalled",
+    "PromotionBegun",
+    "PromotionOrdered",
+    "RecordKind",
+    "RequestAnswered",
+    "StatementFailedThere",
+    "VotersChange",
+    "fields_of",
+    "kind_of",
+    "record_types",
+]
--- a/lovagewalk/routing/_answer.py
+++ b/lovagewalk/routing/_answer.py
@@ -62,6 +62,7 @@
             refusal=refusal,
             value=value,
             in_transaction=session.in_transaction,
+            autocommit=session.autocommit,
             customer=request.customer,
             failed_transaction=session.transaction is TransactionState.LOST,
             trace=trace,
--- a/lovagewalk/routing/_effects.py
+++ b/lovagewalk/routing/_effects.py
@@ -121,6 +121,8 @@
         A value that the daemon itself answers with.
     in_transaction : bool
         What the caller is told of its transaction.
+    autocommit : bool
+        Whether its statements outside a transaction commit by themselves.
     customer : str
         Whose request it was.
     failed_transaction : bool
@@ -134,6 +136,7 @@
     refusal: Refusal | None = None
     value: str | int | None = None
     in_transaction: bool = False
+    autocommit: bool = True
     customer: str = ""
     failed_transaction: bool = False
     trace: RequestTrace | None = None
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -8,7 +8,8 @@
 
 from lovagewalk.core import Code, Effect, Handlers, Refusal, Step, replace
 from lovagewalk.groups import note_lacking, note_trouble
-from lovagewalk.node import NodeState, note
+from lovagewalk.node import NodeState
+from lovagewalk.records import StatementFailedThere
 from lovagewalk.sessions import Session, TransactionState
 
 from . import _dispatch, _place
@@ -44,9 +45,7 @@
     """Return the log line of a failure that is not part of ordinary load."""
     if event.failure in (Failure.BUSY, Failure.BEHIND):
         return ()
-    noted = note(
-        "routing",
-        "statement failed at an endpoint",
+    noted = StatementFailedThere(
         request=request.marks.request_id,
         endpoint=request.endpoint,
         failure=event.failure.value,
--- a/lovagewalk/runtime/_decisions.py
+++ b/lovagewalk/runtime/_decisions.py
@@ -5,8 +5,17 @@
 from zlib import crc32
 
 from lovagewalk.core import performs
-from lovagewalk.node import NodeState, NoteBelief
+from lovagewalk.node import NodeState
 from lovagewalk.pools import OpenConnection, Refused
+from lovagewalk.records import (
+    CallerClosed,
+    EndpointRefused,
+    LogRecord,
+    RequestAnswered,
+    fields_of,
+    kind_of,
+    record_types,
+)
 from lovagewalk.routing import AnswerCaller, CloseCaller
 
 if TYPE_CHECKING:
@@ -15,8 +24,6 @@
 # One answered request in so many is logged; the same ones on every VM.
 SAMPLE_EVERY = 64
 
-log = logging.getLogger("lovagewalk.decisions")
-
 
 class Decisions:
     """Writes a line for each decision that is worth one.
@@ -40,47 +47,50 @@
         outcome, detail = "ok", ""
         if effect.refusal is not None:
             outcome, detail = effect.refusal.code.label, str(effect.refusal)
-        fields = {
-            "request": trace.request_id,
-            "customer": effect.customer,
-            "route": trace.route,
-            "kind": trace.kind.value,
-            "phase": trace.phase.value,
-            "endpoint": trace.endpoint,
-            "attempts": trace.attempts,
-            "elapsed_ms": round(elapsed_s * 1000, 1),
-            "term": trace.term,
-            "revision": trace.revision,
-            "version": self._state.catalogue.version,
-            "fresh_ms": round((self._state.fresh_until - self._ports.now()) * 1000),
-            "outcome": outcome,
-            "detail": detail,
-        }
-        log.info("request answered", extra=fields)
+        fresh_s = self._state.fresh_until - self._ports.now()
+        record = RequestAnswered(
+            request=trace.request_id,
+            customer=effect.customer,
+            route=trace.route,
+            kind=trace.kind.value,
+            phase=trace.phase.value,
+            endpoint=trace.endpoint,
+            attempts=trace.attempts,
+            elapsed_ms=round(elapsed_s * 1000, 1),
+            term=trace.term,
+            revision=trace.revision,
+            version=self._state.catalogue.version,
+            fresh_ms=round(fresh_s * 1000),
+            outcome=outcome,
+            detail=detail,
+        )
+        write_record(record)
 
     def note_close(self, effect: CloseCaller) -> None:
         """Log that a caller was turned away or closed."""
-        fields = {
-            "caller": effect.caller,
-            "outcome": effect.refusal.code.label,
-            "revision": self._state.catalogue.revision,
-        }
-        log.info("caller closed", extra=fields)
+        label = effect.refusal.code.label
+        revision = self._state.catalogue.revision
+        write_record(CallerClosed(effect.caller, label, revision))
 
     def note_refused_connection(
         self, effect: OpenConnection, reason: Refused, detail: str
     ) -> None:
         """Log that an endpoint could not be connected to."""
-        fields = {
-            "endpoint": effect.endpoint,
-            "group": effect.group,
-            "outcome": reason.value,
-            "detail": detail,
-        }
-        log.info("endpoint refused a connection", extra=fields)
-
-
-@performs(NoteBelief)
-def _note_belief(ports: "Ports", effect: NoteBelief) -> None:
-    part = logging.getLogger(f"lovagewalk.{effect.part}")
-    part.info(effect.belief, extra=dict(effect.inputs))
+        write_record(
+            EndpointRefused(effect.endpoint, effect.group, reason.value, detail)
+        )
+
+
+def write_record(record: LogRecord) -> None:
+    """Write a record's line."""
+    kind = kind_of(record)
+    part = logging.getLogger(f"lovagewalk.{kind.part}")
+    part.info(kind.sentence, extra=fields_of(record))
+
+
+def _perform_record(ports: "Ports", effect: LogRecord) -> None:
+    write_record(effect)
+
+
+for _record_type in record_types():
+    performs(_record_type)(_perform_record)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -1,6 +1,7 @@
 """One run of the soak: a fleet, its callers, the faults of a seed, the verdict."""
 
 import asyncio
+import signal
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
@@ -53,7 +54,12 @@
 
 
 async def soak(seed: int, seconds: float, folder: Path | None = None) -> Verdict:
-    """Run a fleet under the faults of a seed and check what callers were told."""
+    """Run a fleet under the faults of a seed and check what callers were told.
+
+    A stop signal ends the fleet's processes too.
+    """
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     if folder is None:
         with tempfile.TemporaryDirectory() as name:
             return await soak(seed, seconds, Path(name))
