--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m soak run SEED`` and ``python -m soak seeds FIRST COUNT``."""
+"""``python -m soak run SEED``, ``seeds FIRST COUNT``, and ``regress``."""
 
 import asyncio
 import sys
@@ -6,6 +6,7 @@
 import fire
 
 from ._run import Verdict, soak
+from ._seeds import REGRESSIONS
 
 SECONDS = 30.0
 
@@ -22,6 +23,11 @@
     )
 
 
+def regress() -> int:
+    """Play every seed that once failed."""
+    return _report(asyncio.run(soak(item.seed, item.seconds)) for item in REGRESSIONS)
+
+
 def _report(verdicts) -> int:
     failed = 0
     for verdict in verdicts:
@@ -46,4 +52,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(fire.Fire({"run": run, "seeds": seeds}))
+    sys.exit(fire.Fire({"run": run, "seeds": seeds, "regress": regress}))
--- /dev/null
+++ b/soak/_seeds.py
@@ -0,0 +1,36 @@
+"""Seeds that once failed, and why."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Regression:
+    """A run that broke a promise before its cause was mended.
+
+    Attributes
+    ----------
+    cause : str
+        What was wrong.
+    """
+
+    seed: int
+    seconds: float
+    cause: str
+
+
+REGRESSIONS = (
+    Regression(5, 25.0, "a reducer failed for a report on an unknown customer"),
+    Regression(
+        6,
+        25.0,
+        "a suspended daemon read from a replaced primary for a session of a newer "
+        "term; a new leader's bucket filled for shares it had not heard of; a lost "
+        "transaction stayed open on a pooled connection",
+    ),
+    Regression(
+        7, 25.0, "a single write ran inside a lost transaction and was acknowledged"
+    ),
+    Regression(
+        8, 25.0, "a single write ran inside a lost transaction and was acknowledged"
+    ),
+)
