--- a/lovagewalk/edge/_callers.py
+++ b/lovagewalk/edge/_callers.py
@@ -91,7 +91,7 @@
         )
         answer = await self.answer
         elapsed = self.ports.now() - started
-        self.ports.metrics.note_answer(answer.customer, answer.refusal, elapsed)
+        self.ports.metrics.note_answer(answer, elapsed)
         return self._build_reply(answer)
 
     def _build_reply(self, answer: AnswerCaller) -> Reply:
--- a/lovagewalk/runtime/_caller_front.py
+++ b/lovagewalk/runtime/_caller_front.py
@@ -60,7 +60,7 @@
         ports = self._ports
         result = ports.results.pop(effect.req, None)
         elapsed_s = ports.now() - effect.trace.arrived_at
-        ports.metrics.note_answer(effect.customer, effect.refusal, elapsed_s)
+        ports.metrics.note_answer(effect, elapsed_s)
         ports.decisions.note_answer(effect, elapsed_s)
         connection = self.sessions.get(effect.caller)
         if connection is not None:
--- a/lovagewalk/runtime/_metrics.py
+++ b/lovagewalk/runtime/_metrics.py
@@ -1,12 +1,14 @@
 """Metrics of one daemon, for the measures that the users weigh."""
 
+from bisect import bisect_left
 from collections import Counter
+from itertools import accumulate
 
 import aioprometheus
 from aioprometheus import Gauge, Histogram, Registry
 
-from lovagewalk.core import Refusal
 from lovagewalk.node import NodeState
+from lovagewalk.routing import AnswerCaller
 
 # From a read within a zone to the default deadline.
 BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0)
@@ -20,6 +22,7 @@
         self._answers: Counter[tuple[str, str]] = Counter()
         self._runs: Counter[str] = Counter()
         self._openings: Counter[str] = Counter()
+        self._times: dict[tuple[str, str, str], list[int]] = {}
         self.statements = aioprometheus.Counter(
             "lovagewalk_statements_total",
             "Answered statements by customer and code.",
@@ -61,6 +64,11 @@
             registry=self.registry,
             buckets=BUCKETS_S,
         )
+        self.route_latency = aioprometheus.Counter(
+            "lovagewalk_request_seconds_bucket",
+            "Time to the answer by route, kind and outcome.",
+            registry=self.registry,
+        )
         self.revision = Gauge(
             "lovagewalk_catalogue_revision",
             "Catalogue revision in force.",
@@ -91,12 +99,16 @@
         """Count a connection that is opened to an endpoint."""
         self._openings[endpoint] += 1
 
-    def note_answer(
-        self, customer: str, refusal: Refusal | None, elapsed_s: float
-    ) -> None:
+    def note_answer(self, answer: AnswerCaller, elapsed_s: float) -> None:
         """Count an answered statement."""
-        self._answers[(customer, refusal.code.label if refusal else "ok")] += 1
-        self.latency.observe({"customer": customer}, elapsed_s)
+        refusal = answer.refusal
+        label = refusal.code.label if refusal else "ok"
+        outcome = refusal.code.outcome.value if refusal else "ok"
+        self._answers[(answer.customer, label)] += 1
+        self.latency.observe({"customer": answer.customer}, elapsed_s)
+        series = (answer.trace.route, answer.trace.kind.value, outcome)
+        counts = self._times.setdefault(series, [0] * (len(BUCKETS_S) + 1))
+        counts[bisect_left(BUCKETS_S, elapsed_s)] += 1
 
     def note_run(self, endpoint: str) -> None:
         """Count a statement sent to an endpoint."""
@@ -109,6 +121,11 @@
         """
         for (customer, code), count in self._answers.items():
             self.statements.set({"customer": customer, "code": code}, count)
+        bounds = (*map(str, BUCKETS_S), "+Inf")
+        for (route, kind, outcome), counts in self._times.items():
+            for bound, count in zip(bounds, accumulate(counts), strict=True):
+                labels = {"route": route, "kind": kind, "outcome": outcome}
+                self.route_latency.set({**labels, "le": bound}, count)
         for endpoint, count in self._runs.items():
             self.reads.set({"endpoint": endpoint}, count)
         for endpoint, count in self._openings.items():
