--- a/lovagewalk/control/tests/control_fleet.py
+++ b/lovagewalk/control/tests/control_fleet.py
@@ -235,7 +235,7 @@
         found = [
             state
             for name, state in self.states.items()
-            if state.consensus.is_leader and name not in self.cut
+            if state.consensus and state.consensus.is_leader and name not in self.cut
         ]
         return max(found, key=lambda s: s.consensus.term, default=None)
 
