--- a/lovagewalk/edge/_operators.py
+++ b/lovagewalk/edge/_operators.py
@@ -37,6 +37,7 @@
     Code.CHANGE_CONFLICT: 409,
     Code.NOT_LEADER: 503,
     Code.CHANGE_UNKNOWN: 504,
+    Code.CONFIG_STALE: 503,
 }
 
 
@@ -121,6 +122,9 @@
 
     async def _catalogue(self, req: web.Request) -> web.Response:
         self._authorise(req)
+        if self._ports.now() >= self._ports.state.fresh_until:
+            # One that has just started, or is cut off, may hold an older one.
+            raise LovageError(Code.CONFIG_STALE)
         plain = to_plain(self._ports.state.catalogue)
         for key in plain["keys"]:
             key["entry"]["digest"] = "left out"
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -239,7 +239,8 @@
     async def read_back(self):
         """Read the number in force, once all has healed."""
         entry = await self._read_counter()
-        self.feed(ChangeSeen(self.now(), int(entry["entry"]["rate"])))
+        number = int(entry["entry"]["rate"]) if entry else 0
+        self.feed(ChangeSeen(self.now(), number))
 
     async def read_revision(self):
         entry = await self._read_counter()
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -9,6 +9,7 @@
 from lovagewalk.cli.tests.rig import is_serving
 from lovagewalk.core import Shell, TimerService, perform, replace
 from lovagewalk.demo import run
+from lovagewalk.operators import OperatorError
 
 from . import _fleet
 from ._callers import (
@@ -129,7 +130,7 @@
         await operator.read_back()
     except TimeoutError:
         raise
-    except FAILURES:
+    except (*FAILURES, OperatorError):
         return False
     return True
 
--- a/soak/_seeds.py
+++ b/soak/_seeds.py
@@ -30,6 +30,9 @@
     Regression(
         7, 25.0, "a single write ran inside a lost transaction and was acknowledged"
     ),
+    Regression(
+        20, 20.0, "a daemon that had just started showed an empty catalogue as its own"
+    ),
     Regression(
         8, 25.0, "a single write ran inside a lost transaction and was acknowledged"
     ),
