--- /dev/null
+++ b/lovagewalk/control/_accesses.py
@@ -0,0 +1,57 @@
+"""Counts of answered statements, which a daemon reports for the audit trail."""
+
+from lovagewalk.catalogue import AccessCount, Proposal, RecordAccess
+from lovagewalk.consensus import SendPeer
+from lovagewalk.core import Effect, Step, replace
+from lovagewalk.node import NodeState
+
+from ._messages import ForwardProposal
+from ._state import FollowState
+
+# Bounds the counts that a killed daemon loses.
+AUDIT_PERIOD_S = 5.0
+# Longer than an election of control, 0.8 s, and the forwarding after it.
+AUDIT_RESEND_S = 2.0
+AUDIT_TICKET = 0
+
+
+def report_accesses(state: NodeState, now: float) -> Step[NodeState]:
+    """Send the counts that are due, or again those that nobody has confirmed."""
+    follow: FollowState = state.follow
+    if follow.batch is None:
+        due = now - follow.batch_built_at >= AUDIT_PERIOD_S or state.draining
+        if not state.accesses or not due:
+            return Step(state)
+        state = _build_batch(state, now)
+        follow = state.follow
+    if now - follow.batch_sent_at < AUDIT_RESEND_S:
+        return Step(state)
+    follow = replace(follow, batch_sent_at=now)
+    message = ForwardProposal(AUDIT_TICKET, follow.batch)
+    effects: tuple[Effect, ...] = (SendPeer(follow.target, message),)
+    return Step(replace(state, follow=follow), effects)
+
+
+def _build_batch(state: NodeState, now: float) -> NodeState:
+    follow: FollowState = state.follow
+    counts = tuple(
+        AccessCount(key.customer, key.code, count)
+        for key, count in sorted(
+            state.accesses.items(), key=lambda item: (item[0].customer, item[0].code)
+        )
+    )
+    number = follow.batch_number + 1
+    command = RecordAccess(state.me.name, f"{follow.boot}/{number}", counts)
+    follow = replace(
+        follow,
+        batch=Proposal("", state.me.name, 0.0, command),
+        batch_number=number,
+        batch_built_at=now,
+        batch_sent_at=0.0,
+    )
+    return replace(state, follow=follow, accesses=type(state.accesses)())
+
+
+def batch_confirmed(state: NodeState) -> NodeState:
+    """Note that the leader has counted the last batch of accesses."""
+    return replace(state, follow=replace(state.follow, batch=None))
--- a/lovagewalk/control/_proposals.py
+++ b/lovagewalk/control/_proposals.py
@@ -6,8 +6,8 @@
 from lovagewalk.node import NodeState
 
 from . import _settle
+from ._accesses import AUDIT_TICKET, batch_confirmed
 from ._effects import AnswerOperator
-from ._follow import AUDIT_TICKET, batch_confirmed
 from ._messages import ForwardProposal, ProposalResult
 from ._state import Ticket
 
--- a/lovagewalk/control/_reducer.py
+++ b/lovagewalk/control/_reducer.py
@@ -15,9 +15,23 @@
 from lovagewalk.daemon._changes import install_catalogue
 from lovagewalk.node import NodeState
 
-from . import _beats, _failover, _follow, _leader, _members
+from . import (
+    _beats,
+    _failover,
+    _follow,
+    _leader,
+    _members,
+)
 from . import _messages as msg
-from . import _proposals, _provider, _repair, _settle, _token_asks, _token_queue
+from . import (
+    _proposals,
+    _provider,
+    _repair,
+    _reports,
+    _settle,
+    _token_asks,
+    _token_queue,
+)
 from ._effects import StopDaemon
 from ._events import (
     ChangeRequested,
@@ -95,7 +109,7 @@
 def _control_tick(state: NodeState, event: ControlTick) -> Step[NodeState]:
     step = Step(state)
     if state.follow is not None:
-        step = _follow.tick(state, event.at)
+        step = _reports.tick(state, event.at)
         step = step.then(_token_asks.ask(step.state, event.at))
     raft = step.state.consensus
     if raft is not None and raft.is_leader:
