--- a/lovagewalk/control/_provider.py
+++ b/lovagewalk/control/_provider.py
@@ -10,7 +10,6 @@
 
 from lovagewalk.catalogue import (
     AllocateFence,
-    Endpoint,
     GroupConfig,
     InstallTerm,
     Management,
@@ -20,9 +19,7 @@
 from lovagewalk.consensus import has_quorum
 from lovagewalk.core import Effect, Handlers, Step, replace
 from lovagewalk.groups import (
-    GroupView,
     InstanceView,
-    PollInstance,
     Receiving,
     Role,
     view_of,
@@ -34,13 +31,19 @@
 from ._effects import PromoteInstance
 from ._events import InstancePromoted, Ordered
 from ._state import ControlState, Promotion, PromotionStage
+from ._survey import (
+    SURVEY_PERIOD_S,
+    answers_needed,
+    find_candidates,
+    merit_of,
+    poll,
+    resume_replicas,
+)
 from ._suspicion import Suspicions, collect_suspicions
 
 # Often enough that samples of the primary stay young against the shortest
 # staleness of the users' sites, 1.5 s.
 WATCH_PERIOD_S = 0.3
-# All instances, while the primary is not known or another is looked for.
-SURVEY_PERIOD_S = 0.1
 # Replies from the other region take 40 ms.
 SURVEY_LIMIT_S = 0.25
 # Two polls without an answer.
@@ -49,8 +52,6 @@
 PROMOTED_LIMIT_S = 2.5
 # Several round trips to the provider between regions.
 REORDER_S = 0.5
-# What was seen before such a pause, as under another leader, tells nothing now.
-WATCH_LAPSE_S = 2.0
 OPERATOR = "control"
 
 
@@ -83,27 +84,8 @@
         return _begin(state, config, now)
     if _is_lost(state, config, suspicions, now):
         return _begin(state, config, now)
-    step = _poll(state, (endpoint,), WATCH_PERIOD_S, now)
-    return step.then(_resume_replicas(step.state, config, now))
-
-
-def _resume_replicas(
-    state: NodeState, config: GroupConfig, now: float
-) -> Step[NodeState]:
-    """Let replicas receive that were held for a promotion, by whichever leader."""
-    control: ControlState = state.control
-    if not config.sync_replicas or config.name in control.resumed:
-        return Step(state)
-    replicas = tuple(
-        endpoint
-        for endpoint in state.catalogue.group_endpoints(config.name)
-        if endpoint.name != config.primary
-    )
-    step = _poll(state, replicas, SURVEY_PERIOD_S, now, Receiving.RESUME)
-    if len(step.effects) < len(replicas):
-        return step
-    resumed = replace(control, resumed=control.resumed | {config.name})
-    return Step(replace(step.state, control=resumed), step.effects)
+    step = poll(state, (endpoint,), WATCH_PERIOD_S, now)
+    return step.then(resume_replicas(step.state, config, now))
 
 
 def _find_primary(state: NodeState, config: GroupConfig) -> InstanceView | None:
@@ -123,7 +105,7 @@
 def _seek_primary(state: NodeState, config: GroupConfig, now: float) -> Step[NodeState]:
     """Ask all instances; promote one if none of them leads."""
     endpoints = state.catalogue.group_endpoints(config.name)
-    step = _poll(state, endpoints, WATCH_PERIOD_S, now)
+    step = poll(state, endpoints, WATCH_PERIOD_S, now)
     view = view_of(step.state, config.name)
     replicas = [
         instance
@@ -157,45 +139,6 @@
     return suspicions.is_lost(config)
 
 
-def _poll(
-    state: NodeState,
-    endpoints: tuple[Endpoint, ...],
-    period_s: float,
-    now: float,
-    receiving: Receiving = Receiving.AS_IT_IS,
-) -> Step[NodeState]:
-    """Ask instances for their status that have not been asked lately."""
-    effects: tuple[Effect, ...] = ()
-    for endpoint in endpoints:
-        view = view_of(state, endpoint.group)
-        instance = view.instances.get(endpoint.name)
-        if instance is None:
-            instance = InstanceView(endpoint.name, seen_at=now)
-        if instance.polling or now - instance.polled_at < period_s:
-            continue
-        if now - instance.polled_at >= WATCH_LAPSE_S:
-            instance = replace(instance, seen_at=now, status=None)
-        instance = replace(instance, polling=True, polled_at=now)
-        view = replace(view, instances=view.instances.set(endpoint.name, instance))
-        state = replace(state, groups=state.groups.set(view.name, view))
-        effects += (
-            PollInstance(
-                endpoint.name,
-                endpoint.host,
-                endpoint.port,
-                endpoint.group,
-                receiving,
-                _newest_term(view, state.catalogue.group(view.name)) + 1,
-            ),
-        )
-    return Step(state, effects)
-
-
-def _newest_term(view: GroupView, config: GroupConfig) -> int:
-    seen = (i.status.term for i in view.instances.values() if i.status is not None)
-    return max((config.term, *seen))
-
-
 def _put(state: NodeState, promotion: Promotion) -> NodeState:
     control: ControlState = state.control
     promotions = control.promotions.set(promotion.group, promotion)
@@ -268,19 +211,19 @@
     """
     endpoints = state.catalogue.group_endpoints(config.name)
     receiving = Receiving.HOLD if config.sync_replicas else Receiving.AS_IT_IS
-    step = _poll(state, endpoints, SURVEY_PERIOD_S, now, receiving)
+    step = poll(state, endpoints, SURVEY_PERIOD_S, now, receiving)
     state = step.state
     found = _find_primary(state, config)
     if found is not None:
         return step.then(_install(state, config, found, now))
     view = view_of(state, config.name)
-    candidates = _candidates(state, view, config, promotion)
+    candidates = find_candidates(state, view, config, promotion)
     others = [e for e in endpoints if e.name != config.primary]
-    if len(candidates) < _answers_needed(config, len(others)):
+    if len(candidates) < answers_needed(config, len(others)):
         return step
     if len(candidates) < len(others) and now - promotion.since < SURVEY_LIMIT_S:
         return step
-    target = max(candidates, key=lambda i: _merit(state, config, i))
+    target = max(candidates, key=lambda i: merit_of(state, config, i))
     promotion = replace(
         promotion,
         stage=PromotionStage.ORDER,
@@ -291,47 +234,6 @@
     return step.then(_order(_put(state, promotion), promotion))
 
 
-def _answers_needed(config: GroupConfig, replicas: int) -> int:
-    """Return how many replicas have to answer before one is promoted.
-
-    A commit that was acknowledged is on `sync_replicas` of them at least; so many
-    answers include one that holds it.
-    """
-    if not config.sync_replicas:
-        return 1
-    return max(replicas - config.sync_replicas + 1, 1)
-
-
-def _candidates(
-    state: NodeState, view: GroupView, config: GroupConfig, promotion: Promotion
-) -> list[InstanceView]:
-    """Return the replicas that have answered since the survey began."""
-    found = []
-    for endpoint in state.catalogue.group_endpoints(config.name):
-        instance = view.instances.get(endpoint.name)
-        if instance is None or instance.status is None:
-            continue
-        # One that leaves may alone hold a commit that replicas confirm.
-        if endpoint.leaving and not config.sync_replicas:
-            continue
-        is_replica = instance.status.role is Role.REPLICA
-        if is_replica and instance.sent_at >= promotion.since:
-            found.append(instance)
-    return found
-
-
-def _merit(
-    state: NodeState, config: GroupConfig, instance: InstanceView
-) -> tuple[int, int, bool, str]:
-    """Order candidates: what they have received, then where a primary is best."""
-    endpoints = state.catalogue.group_endpoints(config.name)
-    regions = {endpoint.name: endpoint.region for endpoint in endpoints}
-    region = regions.get(instance.endpoint, "")
-    neighbours = sum(other == region for other in regions.values())
-    status = instance.status
-    return (status.last_term, status.index, neighbours > 1, instance.endpoint)
-
-
 def _order(state: NodeState, promotion: Promotion) -> Step[NodeState]:
     effect = PromoteInstance(
         promotion.group, promotion.target, state.me.name, promotion.fence
@@ -358,7 +260,7 @@
         return _begin(_drop(state, promotion.group), config, now)
     # While the others are held, whatever is confirmed until then is here.
     receiving = Receiving.RESUME if config.sync_replicas else Receiving.AS_IT_IS
-    step = _poll(state, (target,), SURVEY_PERIOD_S, now, receiving)
+    step = poll(state, (target,), SURVEY_PERIOD_S, now, receiving)
     if promotion.accepted or now - promotion.ordered_at < REORDER_S:
         return step
     promotion = replace(promotion, ordered_at=now)
--- /dev/null
+++ b/lovagewalk/control/_survey.py
@@ -0,0 +1,119 @@
+"""What the control leader learns of the instances of a provider's group."""
+
+from lovagewalk.catalogue import Endpoint, GroupConfig
+from lovagewalk.core import Effect, Step, replace
+from lovagewalk.groups import (
+    GroupView,
+    InstanceView,
+    PollInstance,
+    Receiving,
+    Role,
+    view_of,
+)
+from lovagewalk.node import NodeState
+
+from ._state import ControlState, Promotion
+
+# All instances, while the primary is not known or another is looked for.
+SURVEY_PERIOD_S = 0.1
+# What was seen before such a pause, as under another leader, tells nothing now.
+WATCH_LAPSE_S = 2.0
+
+
+def poll(
+    state: NodeState,
+    endpoints: tuple[Endpoint, ...],
+    period_s: float,
+    now: float,
+    receiving: Receiving = Receiving.AS_IT_IS,
+) -> Step[NodeState]:
+    """Ask instances for their status that have not been asked lately."""
+    effects: tuple[Effect, ...] = ()
+    for endpoint in endpoints:
+        view = view_of(state, endpoint.group)
+        instance = view.instances.get(endpoint.name)
+        if instance is None:
+            instance = InstanceView(endpoint.name, seen_at=now)
+        if instance.polling or now - instance.polled_at < period_s:
+            continue
+        if now - instance.polled_at >= WATCH_LAPSE_S:
+            instance = replace(instance, seen_at=now, status=None)
+        instance = replace(instance, polling=True, polled_at=now)
+        view = replace(view, instances=view.instances.set(endpoint.name, instance))
+        state = replace(state, groups=state.groups.set(view.name, view))
+        effects += (
+            PollInstance(
+                endpoint.name,
+                endpoint.host,
+                endpoint.port,
+                endpoint.group,
+                receiving,
+                _newest_term(view, state.catalogue.group(view.name)) + 1,
+            ),
+        )
+    return Step(state, effects)
+
+
+def _newest_term(view: GroupView, config: GroupConfig) -> int:
+    seen = (i.status.term for i in view.instances.values() if i.status is not None)
+    return max((config.term, *seen))
+
+
+def resume_replicas(
+    state: NodeState, config: GroupConfig, now: float
+) -> Step[NodeState]:
+    """Let replicas receive that were held for a promotion, by whichever leader."""
+    control: ControlState = state.control
+    if not config.sync_replicas or config.name in control.resumed:
+        return Step(state)
+    replicas = tuple(
+        endpoint
+        for endpoint in state.catalogue.group_endpoints(config.name)
+        if endpoint.name != config.primary
+    )
+    step = poll(state, replicas, SURVEY_PERIOD_S, now, Receiving.RESUME)
+    if len(step.effects) < len(replicas):
+        return step
+    resumed = replace(control, resumed=control.resumed | {config.name})
+    return Step(replace(step.state, control=resumed), step.effects)
+
+
+def answers_needed(config: GroupConfig, replicas: int) -> int:
+    """Return how many replicas have to answer before one is promoted.
+
+    A commit that was acknowledged is on `sync_replicas` of them at least; so many
+    answers include one that holds it.
+    """
+    if not config.sync_replicas:
+        return 1
+    return max(replicas - config.sync_replicas + 1, 1)
+
+
+def find_candidates(
+    state: NodeState, view: GroupView, config: GroupConfig, promotion: Promotion
+) -> list[InstanceView]:
+    """Return the replicas that have answered since the survey began."""
+    found = []
+    for endpoint in state.catalogue.group_endpoints(config.name):
+        instance = view.instances.get(endpoint.name)
+        if instance is None or instance.status is None:
+            continue
+        # One that leaves may alone hold a commit that replicas confirm.
+        if endpoint.leaving and not config.sync_replicas:
+            continue
+        is_replica = instance.status.role is Role.REPLICA
+        if is_replica and instance.sent_at >= promotion.since:
+            found.append(instance)
+    return found
+
+
+def merit_of(
+    state: NodeState, config: GroupConfig, instance: InstanceView
+) -> tuple[int, int, bool, str]:
+    """Order candidates: what they have received, then where a primary is best."""
+    endpoints = state.catalogue.group_endpoints(config.name)
+    regions = {endpoint.name: endpoint.region for endpoint in endpoints}
+    region = regions.get(instance.endpoint, "")
+    neighbours = sum(other == region for other in regions.values())
+    status = instance.status
+    return (status.last_term, status.index, neighbours > 1, instance.endpoint)
--- a/lovagewalk/control/_token_queue.py
+++ b/lovagewalk/control/_token_queue.py
@@ -29,20 +29,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Served:
-    """What became of a customer's queue.
+class DeniedNeed:
+    """A need that no token will come for in time.
 
     Attributes
     ----------
-    admitted : tuple of QueuedNeed
-    denied : tuple of tuple
-        Needs that no token will come for in time, and when one would, in seconds.
-    recalls : tuple of Recall
+    wait_s : float
+        When one would, in seconds.
     """
 
+    need: QueuedNeed
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """What became of a customer's queue."""
+
     ledger: Ledger
     admitted: tuple[QueuedNeed, ...] = ()
-    denied: tuple[tuple[QueuedNeed, float], ...] = ()
+    denied: tuple[DeniedNeed, ...] = ()
     recalls: tuple[_ledger.Recall, ...] = ()
 
 
@@ -107,7 +113,7 @@
     entry = state.catalogue.customer(customer)
     ledger = control.ledgers[customer]
     if entry is None:
-        denied = tuple((need, MAX_RETRY_AFTER_S) for need in ledger.queue)
+        denied = tuple(DeniedNeed(need, MAX_RETRY_AFTER_S) for need in ledger.queue)
         return Served(replace(ledger, queue=()), denied=denied)
     ledger = _ledger.refresh(state, control, ledger, entry, now)
     waiting = list(ledger.queue)
@@ -138,7 +144,7 @@
     """
     free_rate = entry.rate - ledger.held_rate
     kept: tuple[QueuedNeed, ...] = ()
-    denied: tuple[tuple[QueuedNeed, float], ...] = ()
+    denied: tuple[DeniedNeed, ...] = ()
     missing = -ledger.tokens
     for need in ledger.queue:
         missing += need.missing
@@ -149,7 +155,7 @@
         if in_time:
             kept += (need,)
         else:
-            denied += ((need, wait_s),)
+            denied += (DeniedNeed(need, wait_s),)
             missing -= need.missing
     return Served(replace(ledger, queue=kept), denied=denied)
 
@@ -160,7 +166,8 @@
         answer = answers.get(need.peer) or TokenAnswer()
         admission = TokenAdmission(need.req, customer, need.missing)
         answers[need.peer] = replace(answer, admitted=answer.admitted + (admission,))
-    for need, wait_s in served.denied:
-        answer = answers.get(need.peer) or TokenAnswer()
-        denial = TokenDenial(need.req, wait_s)
-        answers[need.peer] = replace(answer, denied=answer.denied + (denial,))
+    for item in served.denied:
+        peer = item.need.peer
+        answer = answers.get(peer) or TokenAnswer()
+        denial = TokenDenial(item.need.req, item.wait_s)
+        answers[peer] = replace(answer, denied=answer.denied + (denial,))
