--- a/lovagewalk/cli/tests/rig.py
+++ b/lovagewalk/cli/tests/rig.py
@@ -6,8 +6,9 @@
 import asyncmy
 from mysql_mimic.auth import NativePasswordAuthPlugin
 
+from lovagewalk.core import Code
 from lovagewalk.demo._fleet import free_port
-from lovagewalk.operators import OperatorClient
+from lovagewalk.operators import OperatorClient, OperatorError
 
 HOST = "127.0.0.1"
 TOKEN = "operator-token"
@@ -116,8 +117,15 @@
                 await asyncio.sleep(0.1)
 
     async def change(self, name, command):
-        async with self.operator(name) as client:
-            return await client.change(command)
+        """Propose a change; where nobody leads yet, come back as the answer says."""
+        async with asyncio.timeout(WAIT_S), self.operator(name) as client:
+            while True:
+                try:
+                    return await client.change(command)
+                except OperatorError as exc:
+                    if exc.code != Code.NOT_LEADER.label:
+                        raise
+                await asyncio.sleep(0.2)
 
     async def connect(self, name, key, secret):
         async with asyncio.timeout(WAIT_S):
