One way to leave a transaction, one way to drop a connection

Four places closed a session's connection, noted how its transaction ended and let waiting requests have the room; two more did the first and the last. They call leave_transaction and _dispatch.drop now. Behaviour is as it was: the same effects in the same order.

--- a/lovagewalk/pools/_reducer.py
+++ b/lovagewalk/pools/_reducer.py
@@ -3,7 +3,8 @@
 from lovagewalk.core import Step, reduces, replace
 from lovagewalk.groups import note_trouble
 from lovagewalk.node import NodeState
-from lovagewalk.routing import _dispatch, _outcome, _place, _recovery, _sweep
+from lovagewalk.routing import _dispatch, _place, _recovery, _sweep
+from lovagewalk.routing._transactions import end_transaction
 from lovagewalk.sessions import TransactionState
 
 from ._effects import CloseConnection
@@ -55,5 +56,5 @@
 def _connection_broken(state: NodeState, event: ConnectionBroken) -> Step[NodeState]:
     pinned = [s for s in state.sessions.values() if s.conn == event.conn]
     for session in pinned:
-        state = _outcome.end_transaction(state, session, TransactionState.LOST)
+        state = end_transaction(state, session, TransactionState.LOST)
     return _dispatch.close(state, event.conn, event.at)
--- a/lovagewalk/routing/_callers.py
+++ b/lovagewalk/routing/_callers.py
@@ -15,8 +15,8 @@
 from ._closing import is_closed
 from ._effects import AcceptCaller, CloseCaller, DropResult
 from ._events import CallerConnected, CallerLeft, CallerReset
-from ._outcome import end_transaction
 from ._state import Phase, Request
+from ._transactions import leave_transaction
 
 # Half of the shortest time that a platform gives a process to end, with room for
 # the statement in progress.
@@ -90,9 +90,7 @@
         step = forget(state, request, now)
     if not session.conn:
         return step
-    endpoint = step.state.conn_endpoints.get(session.conn, "")
-    step = step.then(_dispatch.close(step.state, session.conn, now))
-    return step.then(_dispatch.dispatch(step.state, endpoint, now))
+    return step.then(_dispatch.drop(step.state, session.conn, now))
 
 
 def forget(state: NodeState, request: Request, now: float) -> Step[NodeState]:
@@ -126,14 +124,6 @@
     return replace(state, shares=state.shares.set(request.customer, share))
 
 
-def end_idle(state: NodeState, session: Session, now: float) -> Step[NodeState]:
-    """Roll back a transaction that its caller has left alone."""
-    endpoint = state.conn_endpoints.get(session.conn, "")
-    step = _dispatch.close(state, session.conn, now)
-    lost = end_transaction(step.state, session, TransactionState.LOST)
-    return Step(lost, step.effects).then(_dispatch.dispatch(lost, endpoint, now))
-
-
 def close_idle(state: NodeState, now: float) -> Step[NodeState]:
     """Close sessions with nothing open, as this daemon goes.
 
@@ -174,7 +164,7 @@
     request = state.requests.get(session.req)
     step = Step(state)
     if session.conn and (request is None or request.conn != session.conn):
-        step = end_idle(state, session, now)
+        step = leave_transaction(state, session, TransactionState.LOST, now)
     if request is None:
         closed = CloseCaller(session.caller, refusal)
         return Step(step.state, step.effects + (closed,))
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -287,6 +287,13 @@
     return Step(state, effects)
 
 
+def drop(state: NodeState, conn: int, now: float) -> Step[NodeState]:
+    """Close a connection, and let requests that wait for its endpoint have the room."""
+    endpoint = state.conn_endpoints.get(conn, "")
+    step = close(state, conn, now)
+    return step.then(dispatch(step.state, endpoint, now))
+
+
 def _holder_weight(state: NodeState, pool: Pool, conn: int) -> float:
     connection = pool.connections.get(conn)
     return weight_of(state, connection.customer) if connection else 1.0
--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -14,6 +14,7 @@
 from ._events import Failure, StatementDone, StatementFailed, StreamEnded
 from ._recovery import note_heard, recover
 from ._state import Phase, Request
+from ._transactions import end_transaction, leave_transaction
 from ._types import WRITES, StatementKind
 
 # Each endpoint of a group of three, and the primary again.
@@ -95,14 +96,6 @@
     return _free(state, event.conn, event.at)
 
 
-def end_transaction(
-    state: NodeState, session: Session, outcome: TransactionState
-) -> NodeState:
-    """Unpin a session's connection and note how its transaction ended."""
-    ended = replace(session, conn=0, transaction=outcome)
-    return replace(state, sessions=state.sessions.set(session.caller, ended))
-
-
 def _free(state: NodeState, conn: int, now: float) -> Step[NodeState]:
     endpoint = state.conn_endpoints.get(conn)
     step = _dispatch.put_back(state, conn, now)
@@ -183,9 +176,7 @@
     state: NodeState, session: Session, event: StatementFailed
 ) -> Step[NodeState]:
     if not event.usable:
-        endpoint = state.conn_endpoints.get(event.conn, "")
-        step = _dispatch.close(state, event.conn, event.at)
-        return step.then(_dispatch.dispatch(step.state, endpoint, event.at))
+        return _dispatch.drop(state, event.conn, event.at)
     if session.conn == event.conn:
         return Step(state)
     return _free(state, event.conn, event.at)
@@ -220,25 +211,11 @@
     session = state.sessions[request.caller]
     step = Step(state)
     if session.conn == event.conn:
-        step = _leave_transaction(state, session, event)
+        step = leave_transaction(state, session, TransactionState.LOST, event.at)
     refusal = Refusal(Code.TRANSACTION_LOST, event.detail, errno=event.errno)
     return step.then(answer(step.state, request, refusal))
 
 
-def _leave_transaction(
-    state: NodeState, session: Session, event: StatementFailed
-) -> Step[NodeState]:
-    """Give a transaction up by closing its connection.
-
-    A refused statement leaves the transaction open at the endpoint. The next one
-    on the connection would run inside it, and be rolled back with it.
-    """
-    state = end_transaction(state, session, TransactionState.LOST)
-    endpoint = state.conn_endpoints.get(event.conn, "")
-    step = _dispatch.close(state, event.conn, event.at)
-    return step.then(_dispatch.dispatch(step.state, endpoint, event.at))
-
-
 @on_failure(Failure.DUPLICATE_ID)
 def _duplicate_id(
     state: NodeState, request: Request, event: StatementFailed
@@ -256,7 +233,7 @@
 ) -> Step[NodeState]:
     session = state.sessions[request.caller]
     if session.conn == event.conn:
-        step = _leave_transaction(state, session, event)
+        step = leave_transaction(state, session, TransactionState.LOST, event.at)
         refusal = Refusal(Code.TRANSACTION_LOST, READ_ONLY_DETAIL)
         return step.then(answer(step.state, request, refusal))
     request = replace(request, refused_term=request.sent_term)
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -16,6 +16,7 @@
 from ._answer import answer
 from ._events import Failure, StatementFailed
 from ._state import Phase, Request
+from ._transactions import end_transaction, leave_transaction
 from ._types import StatementKind
 
 # A statement of the users' sites holds a slot for 8 to 40 ms; a full endpoint is asked
@@ -70,8 +71,8 @@
     outcome = TransactionState.BEGUN if request.opens else TransactionState.LOST
     if request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
         outcome = TransactionState.NONE
-    ended = replace(step.state.sessions[request.caller], conn=0, transaction=outcome)
-    state = replace(step.state, sessions=step.state.sessions.set(request.caller, ended))
+    current = step.state.sessions[request.caller]
+    state = end_transaction(step.state, current, outcome)
     step = Step(state, step.effects)
     if request.opens:
         request = replace(request, opens=False)
@@ -118,11 +119,10 @@
 
 def _settle(state: NodeState, event: StatementFailed) -> Step[NodeState]:
     """Put the connection back if it is clean, else close it."""
+    if not event.usable or event.in_transaction:
+        return _dispatch.drop(state, event.conn, event.at)
     endpoint = state.conn_endpoints.get(event.conn, "")
-    if event.usable and not event.in_transaction:
-        step = _dispatch.put_back(state, event.conn, event.at)
-    else:
-        step = _dispatch.close(state, event.conn, event.at)
+    step = _dispatch.put_back(state, event.conn, event.at)
     return step.then(_dispatch.dispatch(step.state, endpoint, event.at))
 
 
@@ -143,14 +143,9 @@
 ) -> Step[NodeState]:
     """Roll a transaction back by closing its connection, and say so."""
     session = state.sessions[request.caller]
-    endpoint = state.conn_endpoints.get(session.conn, "")
-    step = _dispatch.close(state, session.conn, now)
     ends = request.kind is StatementKind.COMMIT
     outcome = TransactionState.NONE if ends else TransactionState.LOST
-    ended = replace(session, conn=0, transaction=outcome)
-    state = replace(step.state, sessions=step.state.sessions.set(ended.caller, ended))
-    step = Step(state, step.effects)
-    step = step.then(_dispatch.dispatch(state, endpoint, now))
+    step = leave_transaction(state, session, outcome, now)
     refusal = Refusal(Code.TRANSACTION_LOST, detail)
     return step.then(answer(step.state, request, refusal))
 
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -13,6 +13,7 @@
 from ._answer import answer
 from ._closing import is_closed
 from ._state import Phase, Request
+from ._transactions import end_transaction, leave_transaction
 from ._types import StatementKind
 
 # What a deadline may be missed by.
@@ -85,7 +86,8 @@
     for session in state.sessions.values():
         left = now - session.idle_since >= limit_s + IDLE_MARGIN_S
         if session.conn and not session.req and left:
-            step = step.then(_callers.end_idle(step.state, session, now))
+            lost = TransactionState.LOST
+            step = step.then(leave_transaction(step.state, session, lost, now))
     return step
 
 
@@ -192,9 +194,8 @@
     endpoint = request.endpoint
     step = _dispatch.close(_recovery.shun(state, endpoint, now), request.conn, now)
     if session.conn:
-        ended = replace(session, conn=0, transaction=TransactionState.NONE)
-        sessions = step.state.sessions.set(session.caller, ended)
-        step = Step(replace(step.state, sessions=sessions), step.effects)
+        ended = end_transaction(step.state, session, TransactionState.NONE)
+        step = Step(ended, step.effects)
     step = step.then(answer(step.state, request, Refusal(code)))
     return step.then(_dispatch.dispatch(step.state, endpoint, now))
 
