Pools are resized once a change of catalogue; a field that nobody read goes

The limits of a pool were computed by taking the pool out of the state, in two places; fresh_pool says them now. A change of endpoints and groups resized all pools twice with the same result. GroupView.served_at was written and never read.

--- a/lovagewalk/daemon/_changes.py
+++ b/lovagewalk/daemon/_changes.py
@@ -17,11 +17,13 @@
         return Step(state)
     state = replace(state, catalogue=catalogue)
     step = Step(state)
-    if catalogue.endpoints is not before.endpoints:
+    endpoints_changed = catalogue.endpoints is not before.endpoints
+    groups_changed = catalogue.groups is not before.groups
+    if endpoints_changed or groups_changed:
         step = Step(resize_pools(state))
+    if endpoints_changed:
         step = step.then(_leave_endpoints(step.state, before, now))
-    if catalogue.groups is not before.groups:
-        step = Step(resize_pools(step.state), step.effects)
+    if groups_changed:
         step = step.then(_change_groups(step.state, before, now))
     if _access_changed(before, catalogue):
         step = step.then(_callers.enforce_keys(step.state, now))
@@ -76,7 +78,7 @@
     """Return the state with each pool's limit as it should be now."""
     pools = state.pools
     for name, pool in state.pools.items():
-        fresh = _place.pool_of(replace(state, pools=pools.delete(name)), name)
+        fresh = _place.fresh_pool(state, name)
         if (pool.limit, pool.fair_limit) != (fresh.limit, fresh.fair_limit):
             resized = replace(pool, limit=fresh.limit, fair_limit=fresh.fair_limit)
             pools = pools.set(name, resized)
--- a/lovagewalk/groups/_notes.py
+++ b/lovagewalk/groups/_notes.py
@@ -30,7 +30,7 @@
     if state.catalogue.group(group).term != term:
         return state
     view = add_proof(view_of(state, group), sent_at, position)
-    view = replace(view, served_at=sent_at, trouble_at=0.0, trouble_since=0.0)
+    view = replace(view, trouble_at=0.0, trouble_since=0.0)
     return _put(state, view)
 
 
--- a/lovagewalk/groups/_reducer.py
+++ b/lovagewalk/groups/_reducer.py
@@ -10,6 +10,7 @@
 
 from ._effects import ForgetInstance, PollInstance
 from ._events import InstanceFailed, InstanceSeen, PollTick
+from ._notes import view_of
 from ._policy import add_proof, add_sample, verify_samples
 from ._state import AgeSample, GroupView, InstanceView, Position, Role
 
@@ -140,7 +141,7 @@
 def reset_group(state: NodeState, group: str, now: float) -> NodeState:
     """Start a group's view afresh for a newly installed term."""
     config = state.catalogue.group(group)
-    view = state.groups.get(group) or GroupView(group)
+    view = view_of(state, group)
     if view.term == config.term:
         return state
     instances = view.instances
--- a/lovagewalk/groups/_state.py
+++ b/lovagewalk/groups/_state.py
@@ -139,8 +139,6 @@
         When this daemon learned that term, in monotonic seconds.
     lacking : Map of str to Lacking
         What endpoints have just been found to lack.
-    served_at : float
-        When the primary last answered as such.
     trouble_at, trouble_since : float
         When the primary last failed a statement, and first since it served one;
         0 if it has answered since.
@@ -154,6 +152,5 @@
     term: int = 0
     term_seen_at: float = 0.0
     lacking: Map = field(default_factory=Map)
-    served_at: float = 0.0
     trouble_at: float = 0.0
     trouble_since: float = 0.0
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -123,9 +123,11 @@
 
 def pool_of(state: NodeState, endpoint: str) -> Pool:
     """Return an endpoint's pool, an empty one if there is none yet."""
-    pool = state.pools.get(endpoint)
-    if pool is not None:
-        return pool
+    return state.pools.get(endpoint) or fresh_pool(state, endpoint)
+
+
+def fresh_pool(state: NodeState, endpoint: str) -> Pool:
+    """Return an empty pool for an endpoint, limited as its pool should be now."""
     announced = state.catalogue.endpoints.get(endpoint)
     group = state.catalogue.group(announced.group) if announced else None
     if group is not None and group.management is Management.PROVIDER:
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -67,7 +67,7 @@
         step = step.then(_dispatch.close(step.state, conn, now))
     if not 0 < pool.narrowed_until <= now:
         return step
-    fresh = _place.pool_of(replace(state, pools=state.pools.delete(endpoint)), endpoint)
+    fresh = _place.fresh_pool(state, endpoint)
     pool = replace(step.state.pools[endpoint], limit=fresh.limit, narrowed_until=0.0)
     state = replace(step.state, pools=step.state.pools.set(endpoint, pool))
     return Step(state, step.effects)
