Setup steps and watched connections: registries, and the product's half moves out

Setup steps were told apart by their types in two chains of conditions; both are registries that decorators fill. Keeping one connection an instance, and opening it anew where it has moved or closed, knew nothing of the platform: it belongs to the runtime's watcher. The identity of an endpoint's data was spelled in three places, and stop signals were hooked a second time.

--- a/lovagewalk/catalogue/_state.py
+++ b/lovagewalk/catalogue/_state.py
@@ -162,6 +162,11 @@
         """Order of announcements: by start, then by sequence."""
         return (self.born, self.sequence)
 
+    @property
+    def incarnation(self) -> str:
+        """Identity of the data, where the instance states its start."""
+        return str(self.born)
+
     def says_same(self, other: "Endpoint") -> bool:
         """Whether two announcements differ in their sequence at most."""
         return replace(self, sequence=other.sequence) == other
@@ -354,6 +359,11 @@
     holders: Map = field(default_factory=Map)
     divided: frozenset[str] = frozenset()
 
+    def incarnation_of(self, name: str) -> str:
+        """Return the identity of an endpoint's data, empty if it is not known."""
+        endpoint = self.endpoints.get(name)
+        return endpoint.incarnation if endpoint else ""
+
     def customer(self, name: str) -> CustomerEntry | None:
         """Return a customer's entry, or None."""
         found = self.customers.get(name)
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -18,6 +18,7 @@
     MetricsPage,
     Peers,
     Ports,
+    on_stop_signals,
 )
 from lovagewalk.settings import Address
 
@@ -121,9 +122,7 @@
 async def run_daemon(cfg: PlatformSettings) -> None:
     """Run one daemon until it is asked to stop."""
     daemon = PlatformDaemon(cfg, TimerService())
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, daemon.drain)
-    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+    on_stop_signals(daemon.drain)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, daemon.reload)
     await daemon.start()
     await daemon.run()
--- a/lovagewalk/platform/_endpoints.py
+++ b/lovagewalk/platform/_endpoints.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from lovagewalk.core import LovageError
+from lovagewalk.core import Handlers, LovageError
 from lovagewalk.groups import InstanceStatus, PollInstance, Receiving
 from lovagewalk.pools import OpenConnection, Refused
 from lovagewalk.routing import (
@@ -189,7 +189,7 @@
         if not self._may_send():
             return
         for step in effect.setup:
-            self._conn.query(self._on_setup, OWN_ID, _setup_text(step))
+            self._conn.query(self._on_setup, OWN_ID, _setup_texts[type(step)](step))
         if effect.vouch:
             self._send_vouched()
         elif effect.begin:
@@ -293,11 +293,21 @@
     return FAILURES.get(answer.error, Failure.ERROR)
 
 
-def _setup_text(step: DiscardSettings | SetValue | PrepareShape) -> str:
-    if isinstance(step, DiscardSettings):
-        return "DISCARD"
-    if isinstance(step, SetValue):
-        return f"SET {step.name} {step.value}"
+_setup_texts: Handlers[type, Callable[..., str]] = Handlers()
+
+
+@_setup_texts.on(DiscardSettings)
+def _discard_text(step: DiscardSettings) -> str:
+    return "DISCARD"
+
+
+@_setup_texts.on(SetValue)
+def _set_text(step: SetValue) -> str:
+    return f"SET {step.name} {step.value}"
+
+
+@_setup_texts.on(PrepareShape)
+def _prepare_text(step: PrepareShape) -> str:
     return prepare_text(step.shape)
 
 
@@ -340,48 +350,27 @@
 
 
 class StatusWatcher(Watcher):
-    """Watches instances, each by a connection that is opened when needed."""
+    """Watches instances over the line protocol."""
 
-    def __init__(self, ports: Ports, limit_s: float) -> None:
-        super().__init__(ports, limit_s)
-        self._conns: dict[str, EndpointConnection] = {}
-        self._addresses: dict[str, tuple[str, int]] = {}
+    async def connect(self, effect: PollInstance) -> EndpointConnection:
+        """Open a connection to an instance."""
+        conn = EndpointConnection(lambda: None)
+        error = await conn.open(effect, WATCHER)
+        if error:
+            raise NoStatusError(error == "TOOMANY", error)
+        return conn
 
-    async def ask(self, effect: PollInstance) -> InstanceStatus:
+    async def ask(
+        self, conn: EndpointConnection, effect: PollInstance
+    ) -> InstanceStatus:
         """Return an instance's status."""
-        conn = self._conns.get(effect.endpoint)
-        address = (effect.host, effect.port)
-        moved = self._addresses.get(effect.endpoint) != address
-        if conn is None or moved or not conn.is_open:
-            conn = await self._connect(effect)
         order = _STATUS_ORDERS[effect.receiving].format(effect.term)
         answer = await conn.ask("QUERY", OWN_ID, order)
         if answer.error or not answer.rows:
             raise NoStatusError(answer.error == "BUSY", answer.error)
-        endpoint = self._ports.state.catalogue.endpoints.get(effect.endpoint)
+        incarnation = self._ports.state.catalogue.incarnation_of(effect.endpoint)
         try:
-            return parse_status(answer.rows[0], str(endpoint.born) if endpoint else "")
+            return parse_status(answer.rows[0], incarnation)
         except LovageError as exc:
             log.warning("endpoints: %s sent a bad status: %s", effect.endpoint, exc)
             raise NoStatusError(False, "malformed") from exc
-
-    async def _connect(self, effect: PollInstance) -> EndpointConnection:
-        self.forget(effect.endpoint)
-        conn = EndpointConnection(lambda: None)
-        error = await conn.open(effect, WATCHER)
-        if error:
-            raise NoStatusError(error == "TOOMANY", error)
-        self._conns[effect.endpoint] = conn
-        self._addresses[effect.endpoint] = (effect.host, effect.port)
-        return conn
-
-    def forget(self, endpoint: str) -> None:
-        """Close the connection by which an instance is watched."""
-        conn = self._conns.pop(endpoint, None)
-        if conn is not None:
-            conn.close()
-
-    def close(self) -> None:
-        """Close all connections."""
-        for endpoint in list(self._conns):
-            self.forget(endpoint)
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -115,7 +115,7 @@
     incarnation = pool.connections[conn].incarnation
     if pool.dedicated:
         endpoint = state.catalogue.endpoints.get(request.endpoint)
-        return endpoint is not None and str(endpoint.born) == incarnation
+        return endpoint is not None and endpoint.incarnation == incarnation
     if request.endpoint == config.primary:
         return _is_voter(config, request.endpoint, incarnation)
     instance = state.groups[request.group].instances.get(request.endpoint)
--- a/lovagewalk/routing/_settings.py
+++ b/lovagewalk/routing/_settings.py
@@ -1,6 +1,10 @@
 """Session values and prepared statements on connections that sessions share."""
 
-from lovagewalk.core import replace
+from collections.abc import Callable
+
+from immutables import Map
+
+from lovagewalk.core import Handlers, replace
 from lovagewalk.pools import PoolConnection
 from lovagewalk.sessions import PreparedShape, Session
 
@@ -32,16 +36,26 @@
 def carry(connection: PoolConnection, steps: tuple[SetupStep, ...]) -> PoolConnection:
     """Return a connection as it is after some steps."""
     for step in steps:
-        if isinstance(step, DiscardSettings):
-            connection = replace(
-                connection,
-                values=type(connection.values)(),
-                prepared=type(connection.prepared)(),
-            )
-        elif isinstance(step, SetValue):
-            values = connection.values.set(step.name, step.value)
-            connection = replace(connection, values=values)
-        else:
-            prepared = connection.prepared.set(step.shape.name, step.shape)
-            connection = replace(connection, prepared=prepared)
+        connection = _carriers[type(step)](connection, step)
     return connection
+
+
+Carrier = Callable[[PoolConnection, SetupStep], PoolConnection]
+_carriers: Handlers[type, Carrier] = Handlers()
+
+
+@_carriers.on(DiscardSettings)
+def _discard(connection: PoolConnection, step: DiscardSettings) -> PoolConnection:
+    return replace(connection, values=Map(), prepared=Map())
+
+
+@_carriers.on(SetValue)
+def _set_value(connection: PoolConnection, step: SetValue) -> PoolConnection:
+    values = connection.values.set(step.name, step.value)
+    return replace(connection, values=values)
+
+
+@_carriers.on(PrepareShape)
+def _prepare(connection: PoolConnection, step: PrepareShape) -> PoolConnection:
+    prepared = connection.prepared.set(step.shape.name, step.shape)
+    return replace(connection, prepared=prepared)
--- a/lovagewalk/runtime/_pool_client.py
+++ b/lovagewalk/runtime/_pool_client.py
@@ -62,8 +62,8 @@
 
     async def open(self, effect: OpenConnection) -> None:
         """Open a pool connection."""
-        endpoint = self._ports.state.catalogue.endpoints.get(effect.endpoint)
-        incarnation = str(endpoint.born) if endpoint else ""
+        catalogue = self._ports.state.catalogue
+        incarnation = catalogue.incarnation_of(effect.endpoint)
         reason, detail = Refused.UNREACHABLE, ""
         try:
             async with asyncio.timeout(self._connect_limit_s):
--- a/lovagewalk/runtime/_watcher.py
+++ b/lovagewalk/runtime/_watcher.py
@@ -1,6 +1,7 @@
 """Asks instances for their status and says what came of it."""
 
 import asyncio
+from typing import Any, Protocol
 
 from lovagewalk.groups import (
     InstanceFailed,
@@ -26,8 +27,21 @@
         self.alive = alive
 
 
+class WatchConnection(Protocol):
+    """A connection by which an instance is watched."""
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a question can still be sent."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
 class Watcher:
-    """Polls instances; subclasses know the protocol.
+    """Polls instances, each by a connection that is opened when needed.
+
+    Subclasses know the protocol: `connect` and `ask`.
 
     Parameters
     ----------
@@ -38,8 +52,19 @@
     def __init__(self, ports: Ports, limit_s: float) -> None:
         self._ports = ports
         self._limit_s = limit_s
+        self._conns: dict[str, WatchConnection] = {}
+        self._addresses: dict[str, tuple[str, int]] = {}
+
+    async def connect(self, effect: PollInstance) -> WatchConnection:
+        """Open a connection to an instance.
 
-    async def ask(self, effect: PollInstance) -> InstanceStatus:
+        Raises
+        ------
+        NoStatusError, OSError
+        """
+        raise NotImplementedError
+
+    async def ask(self, conn: Any, effect: PollInstance) -> InstanceStatus:
         """Return an instance's status.
 
         Raises
@@ -50,14 +75,33 @@
 
     def forget(self, endpoint: str) -> None:
         """Close the connection by which an instance is watched."""
-        raise NotImplementedError
+        conn = self._conns.pop(endpoint, None)
+        if conn is not None:
+            conn.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for endpoint in list(self._conns):
+            self.forget(endpoint)
+
+    async def _connection(self, effect: PollInstance) -> WatchConnection:
+        """Return the connection to an instance, a new one where it has moved."""
+        conn = self._conns.get(effect.endpoint)
+        address = (effect.host, effect.port)
+        moved = self._addresses.get(effect.endpoint) != address
+        if conn is not None and conn.is_open and not moved:
+            return conn
+        self.forget(effect.endpoint)
+        conn = self._conns[effect.endpoint] = await self.connect(effect)
+        self._addresses[effect.endpoint] = address
+        return conn
 
     async def poll(self, effect: PollInstance) -> None:
         """Ask for an instance's status and report the answer."""
         sent_at = self._ports.now()
         try:
             async with asyncio.timeout(self._limit_s):
-                status = await self.ask(effect)
+                status = await self.ask(await self._connection(effect), effect)
         except NoStatusError as exc:
             self._fail(effect, broken=False, alive=exc.alive)
         except TimeoutError:
