Peers' messages in a registry; control's own proposals made in one place

Messages of peers were looked up in a table that named nine functions of five modules. Each module registers its own now, by decorator. The proposal that control makes for itself was built in five places, one of them in consensus. The whole catalogue is the delta since revision 0, so it needs no function of its own.

--- a/lovagewalk/catalogue/__init__.py
+++ b/lovagewalk/catalogue/__init__.py
@@ -20,6 +20,7 @@
     RecordAccess,
     ReplaceConfiguration,
     WithdrawKey,
+    control_proposal,
 )
 from ._configuration import configuration_refusal
 from ._delta import (
@@ -89,6 +90,7 @@
     "apply_delta",
     "apply_proposal",
     "configuration_refusal",
+    "control_proposal",
     "diff_catalogues",
     "is_same_to_followers",
 ]
--- a/lovagewalk/catalogue/_commands.py
+++ b/lovagewalk/catalogue/_commands.py
@@ -213,3 +213,8 @@
     operator: str
     proposed_at: float
     command: Command
+
+
+def control_proposal(command: Command) -> Proposal:
+    """Return a proposal that control itself makes, without an operator's wish."""
+    return Proposal("", "control", 0.0, command)
--- a/lovagewalk/consensus/_election.py
+++ b/lovagewalk/consensus/_election.py
@@ -4,7 +4,12 @@
 
 from immutables import Map
 
-from lovagewalk.catalogue import ChangeControlVoters, ControlVoter, NoChange, Proposal
+from lovagewalk.catalogue import (
+    ChangeControlVoters,
+    ControlVoter,
+    NoChange,
+    control_proposal,
+)
 from lovagewalk.core import replace
 
 from . import _messages as msg
@@ -202,5 +207,4 @@
     command = NoChange()
     if raft.configs[-1].index == 0:
         command = ChangeControlVoters(raft.voters)
-    first = Proposal("", "control", 0.0, command)
-    return append_proposals(raft, (first,), now)
+    return append_proposals(raft, (control_proposal(command),), now)
--- a/lovagewalk/control/_failover.py
+++ b/lovagewalk/control/_failover.py
@@ -16,7 +16,6 @@
     GroupConfig,
     InstallTerm,
     Management,
-    Proposal,
     TermStart,
     Voter,
 )
@@ -40,7 +39,6 @@
 
 # Four times the limit of a connection, 0.5 s.
 ATTEMPT_LIMIT_S = 2.0
-OPERATOR = "control"
 
 
 def tick(state: NodeState, now: float) -> Step[NodeState]:
@@ -116,7 +114,7 @@
         tickets=tickets,
     )
     state = put_failover(state, failover)
-    return _propose(state, AllocateTerm(config.name, term), now)
+    return _proposals.propose_own(state, AllocateTerm(config.name, term), now)
 
 
 def _highest_term_seen(state: NodeState, config: GroupConfig) -> int:
@@ -127,11 +125,6 @@
     return max(terms, default=0)
 
 
-def _propose(state: NodeState, command: object, now: float) -> Step[NodeState]:
-    proposal = Proposal("", OPERATOR, 0.0, command)
-    return _proposals.propose(state, proposal, None, now)
-
-
 def put_failover(state: NodeState, failover: Failover) -> NodeState:
     """Return the state with a failover written."""
     control: ControlState = state.control
@@ -294,7 +287,7 @@
     failover = replace(failover, stage=Stage.INSTALL)
     start = TermStart(failover.term, failover.start_index, failover.prior_term)
     command = InstallTerm(failover.group, failover.term, failover.chosen, voters, start)
-    return _propose(put_failover(state, failover), command, now)
+    return _proposals.propose_own(put_failover(state, failover), command, now)
 
 
 def on_steered(state: NodeState, event: InstanceSteered) -> Step[NodeState]:
--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -9,6 +9,7 @@
 from lovagewalk.shares import Share, expire, grow, shrink
 
 from ._messages import CatalogueUpdate, FollowReply, ShareGrant, ShareRecall
+from ._peer_messages import on_message
 from ._readiness import holds_shares
 from ._reports import has_log, target_after
 from ._state import (
@@ -20,6 +21,7 @@
 )
 
 
+@on_message(FollowReply)
 def on_follow_reply(
     state: NodeState, peer: str, reply: FollowReply, now: float
 ) -> Step[NodeState]:
@@ -142,6 +144,7 @@
     return step
 
 
+@on_message(ShareRecall)
 def on_share_recall(
     state: NodeState, peer: str, message: ShareRecall, now: float
 ) -> Step[NodeState]:
@@ -156,6 +159,7 @@
     return Step(replace(state, follow=follow))
 
 
+@on_message(CatalogueUpdate)
 def on_catalogue_update(
     state: NodeState, peer: str, message: CatalogueUpdate, now: float
 ) -> Step[NodeState]:
--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -3,11 +3,9 @@
 from lovagewalk.catalogue import (
     Catalogue,
     CatalogueDelta,
-    Command,
     Management,
     NoteDivided,
     NoteHolder,
-    Proposal,
     diff_catalogues,
     is_same_to_followers,
 )
@@ -23,6 +21,7 @@
     GroupSample,
     SuspectNotice,
 )
+from ._peer_messages import on_message
 from ._state import ControlState, Follower, PendingFollow
 
 # Ten leases; nothing is held by then.
@@ -33,6 +32,7 @@
 CONFIRM_DELAY_S = 0.01
 
 
+@on_message(FollowRequest)
 def on_follow_request(
     state: NodeState, peer: str, request: FollowRequest, now: float
 ) -> Step[NodeState]:
@@ -86,7 +86,7 @@
         return step
     control = replace(control, noting=control.noting.set(peer, wanted))
     state = replace(state, control=control)
-    return step.then(_propose(state, NoteHolder(peer, wanted), now))
+    return step.then(_proposals.propose_own(state, NoteHolder(peer, wanted), now))
 
 
 def _note_divided(
@@ -105,13 +105,10 @@
         return Step(state)
     control = replace(control, dividing=control.dividing | fresh)
     state = replace(state, control=control)
-    return _propose(state, NoteDivided(tuple(sorted(fresh))), now)
-
-
-def _propose(state: NodeState, command: Command, now: float) -> Step[NodeState]:
-    return _proposals.propose(state, Proposal("", "control", 0.0, command), None, now)
+    return _proposals.propose_own(state, NoteDivided(tuple(sorted(fresh))), now)
 
 
+@on_message(SuspectNotice)
 def on_suspect_notice(
     state: NodeState, peer: str, message: SuspectNotice, now: float
 ) -> Step[NodeState]:
@@ -138,16 +135,14 @@
         leader=raft.leader if raft else "",
         is_latest=False,
         revision=state.catalogue.revision,
-        delta=_whole(state) if _is_owed_catalogue(state, request, now) else None,
+        delta=(
+            _delta_since(state, 0) if _is_owed_catalogue(state, request, now) else None
+        ),
         grants=(),
     )
     return SendPeer(peer, reply)
 
 
-def _whole(state: NodeState) -> CatalogueDelta:
-    return diff_catalogues(Catalogue(), state.catalogue)
-
-
 def _is_owed_catalogue(state: NodeState, request: FollowRequest, now: float) -> bool:
     raft: RaftState = state.consensus
     if raft is None or raft.leader or request.revision:
@@ -155,12 +150,15 @@
     return raft.heard_at > 0 and now - raft.heard_at >= LEADERLESS_S
 
 
-def _delta_since(
-    state: NodeState, control: ControlState, revision: int
-) -> CatalogueDelta:
+def _past_catalogue(state: NodeState, revision: int) -> Catalogue | None:
+    """Return the catalogue of a follower's revision, if it is still known."""
+    return state.control.past.get(revision) if revision else None
+
+
+def _delta_since(state: NodeState, revision: int) -> CatalogueDelta:
     """Return what a follower lacks; the whole where its revision is not known."""
-    past = control.past.get(revision) if revision else None
-    return diff_catalogues(past or Catalogue(), state.catalogue)
+    past = _past_catalogue(state, revision) or Catalogue()
+    return diff_catalogues(past, state.catalogue)
 
 
 def serve_followers(state: NodeState, now: float) -> Step[NodeState]:
@@ -183,7 +181,7 @@
     known = follower.request.revision
     delta = None
     if not follower.request.has_log and known < state.catalogue.revision:
-        delta = _delta_since(state, control, known)
+        delta = _delta_since(state, known)
     granted = _ledger.grant_shares(state, control, pending.peer, now)
     reply = FollowReply(
         seq=pending.seq,
@@ -235,7 +233,7 @@
         if follower.request.has_log or held >= state.catalogue.revision:
             continue
         if held not in updates:
-            updates[held] = _update_since(state, control, held)
+            updates[held] = _update_since(state, held)
         update = updates[held]
         if update is None:
             continue
@@ -246,11 +244,9 @@
     return Step(replace(state, control=control), effects)
 
 
-def _update_since(
-    state: NodeState, control: ControlState, revision: int
-) -> CatalogueUpdate | None:
+def _update_since(state: NodeState, revision: int) -> CatalogueUpdate | None:
     """Return the push for a follower, or None if it can wait or must ask."""
-    past = control.past.get(revision) if revision else None
+    past = _past_catalogue(state, revision)
     if past is None or is_same_to_followers(past, state.catalogue):
         return None
     return CatalogueUpdate(diff_catalogues(past, state.catalogue))
--- a/lovagewalk/control/_members.py
+++ b/lovagewalk/control/_members.py
@@ -6,7 +6,7 @@
 changes one voter, so any two majorities in a row share a VM.
 """
 
-from lovagewalk.catalogue import ChangeControlVoters, ControlVoter, Proposal
+from lovagewalk.catalogue import ChangeControlVoters, ControlVoter
 from lovagewalk.consensus import RaftState, forget_peers
 from lovagewalk.core import Step, replace
 from lovagewalk.node import NodeState
@@ -42,8 +42,7 @@
         before=", ".join(voter.name for voter in raft.voters),
         after=", ".join(voter.name for voter in voters),
     )
-    proposal = Proposal("", "control", 0.0, ChangeControlVoters(voters))
-    step = _proposals.propose(state, proposal, None, now)
+    step = _proposals.propose_own(state, ChangeControlVoters(voters), now)
     return Step(step.state, (noted,) + step.effects)
 
 
--- a/lovagewalk/control/_proposals.py
+++ b/lovagewalk/control/_proposals.py
@@ -1,6 +1,6 @@
 """Changes on their way to the leader and their results on the way back."""
 
-from lovagewalk.catalogue import ChangeResult, Proposal
+from lovagewalk.catalogue import ChangeResult, Command, Proposal, control_proposal
 from lovagewalk.consensus import SendPeer, Standing, append_proposals
 from lovagewalk.core import Code, Refusal, Step, replace
 from lovagewalk.node import NodeState
@@ -9,6 +9,7 @@
 from ._accesses import AUDIT_TICKET, batch_confirmed
 from ._effects import AnswerOperator
 from ._messages import ForwardProposal, ProposalResult
+from ._peer_messages import on_message
 from ._state import Ticket
 
 
@@ -40,6 +41,12 @@
     return _settle.settle(state, appended, now)
 
 
+def propose_own(state: NodeState, command: Command, now: float) -> Step[NodeState]:
+    """Append a change of the leader's own to its log; nobody waits for its result."""
+    return propose(state, control_proposal(command), None, now)
+
+
+@on_message(ForwardProposal)
 def on_forward_proposal(
     state: NodeState, peer: str, message: ForwardProposal, now: float
 ) -> Step[NodeState]:
@@ -52,6 +59,7 @@
     return Step(state, (SendPeer(peer, reply),))
 
 
+@on_message(ProposalResult)
 def on_proposal_result(
     state: NodeState, peer: str, message: ProposalResult, now: float
 ) -> Step[NodeState]:
--- a/lovagewalk/control/_provider.py
+++ b/lovagewalk/control/_provider.py
@@ -13,7 +13,6 @@
     GroupConfig,
     InstallTerm,
     Management,
-    Proposal,
     TermStart,
 )
 from lovagewalk.consensus import has_quorum
@@ -52,7 +51,6 @@
 PROMOTED_LIMIT_S = 2.5
 # Several round trips to the provider between regions.
 REORDER_S = 0.5
-OPERATOR = "control"
 
 
 def tick(state: NodeState, now: float) -> Step[NodeState]:
@@ -153,10 +151,6 @@
     return replace(state, control=replace(control, promotions=promotions))
 
 
-def _propose(state: NodeState, command: object, now: float) -> Step[NodeState]:
-    return _proposals.propose(state, Proposal("", OPERATOR, 0.0, command), None, now)
-
-
 def _begin(state: NodeState, config: GroupConfig, now: float) -> Step[NodeState]:
     """Start a promotion by allocating its fence through the log."""
     promotion = Promotion(config.name, PromotionStage.ALLOCATE, now, config.fence)
@@ -164,7 +158,9 @@
     resumed = control.resumed - {config.name}
     state = replace(state, control=replace(control, resumed=resumed))
     noted = _note_begin(state, config, now)
-    step = _propose(_put(state, promotion), AllocateFence(config.name), now)
+    step = _proposals.propose_own(
+        _put(state, promotion), AllocateFence(config.name), now
+    )
     return Step(step.state, step.effects + (noted,))
 
 
@@ -294,7 +290,7 @@
     )
     start = TermStart(status.term, status.index, status.last_term)
     command = InstallTerm(config.name, status.term, found.endpoint, (), start)
-    return _propose(_put(state, promotion), command, now)
+    return _proposals.propose_own(_put(state, promotion), command, now)
 
 
 def on_promoted(state: NodeState, event: InstancePromoted) -> Step[NodeState]:
--- a/lovagewalk/control/_reducer.py
+++ b/lovagewalk/control/_reducer.py
@@ -1,7 +1,4 @@
-"""Reducers of the control rooms: ticks, peers' messages, operators' wishes."""
-
-from collections.abc import Callable
-from typing import Any
+"""Reducers of control: ticks, peers' messages, operators' wishes."""
 
 from lovagewalk.consensus import (
     RaftStep,
@@ -19,11 +16,7 @@
     _beats,
     _failover,
     _follow,
-    _leader,
     _members,
-)
-from . import _messages as msg
-from . import (
     _proposals,
     _provider,
     _repair,
@@ -48,27 +41,15 @@
     RepairTick,
     SwitchRequested,
 )
+from ._peer_messages import peer_handlers
 from ._state import Ticket
 
-PeerHandler = Callable[[NodeState, str, Any, float], Step[NodeState]]
-_handlers: dict[type, PeerHandler] = {
-    msg.FollowRequest: _leader.on_follow_request,
-    msg.SuspectNotice: _leader.on_suspect_notice,
-    msg.FollowReply: _follow.on_follow_reply,
-    msg.CatalogueUpdate: _follow.on_catalogue_update,
-    msg.ShareRecall: _follow.on_share_recall,
-    msg.TokenAsk: _token_queue.on_token_ask,
-    msg.TokenAnswer: _token_asks.on_token_answer,
-    msg.ForwardProposal: _proposals.on_forward_proposal,
-    msg.ProposalResult: _proposals.on_proposal_result,
-}
-
 
 @reduces(PeerMessage)
 def _peer_message(state: NodeState, event: PeerMessage) -> Step[NodeState]:
     if is_consensus_message(event.message):
         return _consensus_message(state, event)
-    handler = _handlers.get(type(event.message))
+    handler = peer_handlers.get(type(event.message))
     if handler is None:
         return Step(state)
     return handler(state, event.peer, event.message, event.at)
--- a/lovagewalk/control/_token_asks.py
+++ b/lovagewalk/control/_token_asks.py
@@ -8,6 +8,7 @@
 from lovagewalk.shares import level_at, set_aside
 
 from ._messages import TokenAdmission, TokenAnswer, TokenAsk, TokenDenial, TokenNeed
+from ._peer_messages import on_message
 from ._state import LEADERLESS_RETRY_S, FollowState
 
 
@@ -58,6 +59,7 @@
     )
 
 
+@on_message(TokenAnswer)
 def on_token_answer(
     state: NodeState, peer: str, message: TokenAnswer, now: float
 ) -> Step[NodeState]:
--- a/lovagewalk/control/_token_queue.py
+++ b/lovagewalk/control/_token_queue.py
@@ -20,6 +20,7 @@
     TokenAsk,
     TokenDenial,
 )
+from ._peer_messages import on_message
 from ._state import ControlState, Ledger, QueuedNeed
 
 # A round trip between regions.
@@ -52,6 +53,7 @@
     recalls: tuple[_ledger.Recall, ...] = ()
 
 
+@on_message(TokenAsk)
 def on_token_ask(
     state: NodeState, peer: str, message: TokenAsk, now: float
 ) -> Step[NodeState]:
