Entry daemons are counted once a report, not once a customer in it

The leader counted its followers again for every customer of every report, and for every customer whose queue it served; the number is the same for all of them. A daemon that leaves looked through its sessions once for each share it reported.

--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -94,12 +94,13 @@
 ) -> Step[NodeState]:
     control: ControlState = state.control
     known = state.catalogue.divided | control.dividing
+    entry_daemons = _ledger.count_entry_daemons(control, now)
     entries = (state.catalogue.customer(report.customer) for report in request.shares)
     fresh = frozenset(
         entry.name
         for entry in entries
         if entry and entry.name not in known
-        if not _ledger.is_on_demand(control, entry, now)
+        if not _ledger.is_on_demand(entry, entry_daemons)
     )
     if not fresh:
         return Step(state)
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -207,6 +207,7 @@
 ) -> Granted:
     """Decide the shares of one daemon that has just reported."""
     request = control.followers[peer].request
+    entry_daemons = count_entry_daemons(control, now)
     ledgers = control.ledgers
     grants: tuple[ShareGrant, ...] = ()
     for report in request.shares:
@@ -223,7 +224,7 @@
         may_grow = not request.draining and may_grant(
             state, control, report.customer, now
         )
-        if may_grow and is_on_demand(control, entry, now):
+        if may_grow and is_on_demand(entry, entry_daemons):
             grant = ShareGrant(report.customer, 0.0, 0.0, 0.0, on_demand=True)
         else:
             is_divided = report.customer in state.catalogue.divided
@@ -289,13 +290,13 @@
     return Target(entry.rate * share, max(entry.burst * share, floor))
 
 
-def is_on_demand(control: ControlState, entry: CustomerEntry, now: float) -> bool:
-    """Whether a customer's burst is too small to be divided.
+def is_on_demand(entry: CustomerEntry, entry_daemons: int) -> bool:
+    """Whether a customer's burst is too small to be divided between daemons.
 
     Parts of a token admit nothing. The leader then keeps the whole bucket and
     admits each request that a daemon asks for.
     """
-    return entry.burst < count_entry_daemons(control, now) * MIN_PART_TOKENS
+    return entry.burst < entry_daemons * MIN_PART_TOKENS
 
 
 def count_entry_daemons(control: ControlState, now: float) -> int:
--- a/lovagewalk/control/_reports.py
+++ b/lovagewalk/control/_reports.py
@@ -98,16 +98,17 @@
     """Report all shares that are held or may be wanted."""
     follow: FollowState = state.follow
     target = _next_target(state)
-    state = replace(state, shares=_prepare_shares(state, now))
+    leaving = is_leaving(state, now)
+    state = replace(state, shares=_prepare_shares(state, leaving, now))
     reported = [s for s in state.shares.values() if _has_news(s)]
     request = FollowRequest(
         boot=follow.boot,
         seq=follow.seq + 1,
         revision=state.catalogue.revision,
-        draining=is_leaving(state, now),
+        draining=leaving,
         suspects=follow.suspects,
         shares=tuple(_report(share) for share in reported),
-        entry=state.me.entry and not is_leaving(state, now),
+        entry=state.me.entry and not leaving,
         observes=state.me.entry,
         has_log=has_log(state),
     )
@@ -169,7 +170,7 @@
     return (later or names)[0]
 
 
-def _prepare_shares(state: NodeState, now: float) -> Map:
+def _prepare_shares(state: NodeState, leaving: bool, now: float) -> Map:
     """Return the shares as they are to be reported."""
     shares = state.shares
     if state.me.entry and len(state.catalogue.customers) <= MAX_EAGER_CUSTOMERS:
@@ -182,7 +183,7 @@
             share = smooth_demand(share, elapsed_s)
             share = replace(share, reported_at=now)
         share = expire(share, now)
-        if is_leaving(state, now):
+        if leaving:
             share = shrink(share, 0.0, 0.0, now)
         shares = shares.set(customer, share)
     return shares
--- a/lovagewalk/control/_token_queue.py
+++ b/lovagewalk/control/_token_queue.py
@@ -88,12 +88,13 @@
     control: ControlState = state.control
     if not customers or not holds_leader_lease(state.consensus, now):
         return Step(state)
+    entry_daemons = _ledger.count_entry_daemons(control, now)
     answers: dict[str, TokenAnswer] = {}
     effects: tuple[Effect, ...] = ()
     for customer in customers:
         if not _ledger.may_grant(state, control, customer, now):
             continue
-        served = _serve_customer(state, control, customer, now)
+        served = _serve_customer(state, control, customer, entry_daemons, now)
         queued = control.queued
         if not served.ledger.queue:
             queued = queued - {customer}
@@ -110,7 +111,11 @@
 
 
 def _serve_customer(
-    state: NodeState, control: ControlState, customer: str, now: float
+    state: NodeState,
+    control: ControlState,
+    customer: str,
+    entry_daemons: int,
+    now: float,
 ) -> Served:
     entry = state.catalogue.customer(customer)
     ledger = control.ledgers[customer]
@@ -127,7 +132,7 @@
     ledger = replace(ledger, tokens=tokens, queue=tuple(waiting))
     if not waiting:
         return Served(ledger, admitted)
-    on_demand = _ledger.is_on_demand(control, entry, now)
+    on_demand = _ledger.is_on_demand(entry, entry_daemons)
     served = _deny_hopeless(ledger, entry, on_demand, now)
     served = replace(served, admitted=admitted)
     if on_demand or now - ledger.recalled_at < RECALL_PERIOD_S:
