--- a/lovagewalk/catalogue/_configuration.py
+++ b/lovagewalk/catalogue/_configuration.py
@@ -9,6 +9,7 @@
 
 from ._apply import Applied, applies
 from ._commands import ReplaceConfiguration
+from ._patch import patch
 from ._state import Catalogue, ChangeResult, GroupConfig, Management, Versioned
 
 Check = Callable[[ReplaceConfiguration], str]
@@ -114,19 +115,14 @@
 
 
 def _merge(held: Map, entries: dict[str, Any], index: int) -> Map:
-    """Return the entries as a map that shares what has not changed.
-
-    An unchanged map is returned as it is, so that nothing is enforced anew.
-    """
-    merged = held
-    for name in held:
-        if name not in entries:
-            merged = merged.delete(name)
+    """Return the entries as a map that shares what has not changed."""
+    gone = tuple(name for name in held if name not in entries)
+    changed = {}
     for name, entry in entries.items():
         found = held.get(name)
         if found is None or found.entry != entry:
-            merged = merged.set(name, Versioned(entry, index))
-    return merged
+            changed[name] = Versioned(entry, index)
+    return patch(held, changed, gone)
 
 
 def _merge_groups(catalogue: Catalogue, command: ReplaceConfiguration) -> Map:
--- a/lovagewalk/catalogue/_delta.py
+++ b/lovagewalk/catalogue/_delta.py
@@ -11,6 +11,7 @@
 
 from lovagewalk.core import replace
 
+from ._patch import patch
 from ._state import (
     Catalogue,
     ControlVoter,
@@ -111,24 +112,22 @@
         version=delta.version,
         idle_transaction_s=delta.idle_transaction_s,
         control_voters=delta.control_voters,
-        customers=_patched(
+        customers=patch(
             catalogue.customers,
             {item.entry.name: item for item in delta.customers},
             delta.gone_customers,
         ),
-        routes=_patched(
+        routes=patch(
             catalogue.routes,
             {item.entry.name: item for item in delta.routes},
             delta.gone_routes,
         ),
-        keys=_patched(
+        keys=patch(
             catalogue.keys,
             {item.entry.key_id: item for item in delta.keys},
             delta.gone_keys,
         ),
-        groups=_patched(
-            catalogue.groups, {item.name: item for item in delta.groups}, ()
-        ),
+        groups=patch(catalogue.groups, {item.name: item for item in delta.groups}, ()),
     )
     for name in delta.gone_endpoints:
         catalogue = catalogue.without_endpoint(name)
@@ -148,16 +147,3 @@
     if old is new:
         return ()
     return tuple(name for name in old if name not in new)
-
-
-def _patched(held: Map, changed: dict, gone: tuple[str, ...]) -> Map:
-    """Return a map with some entries set and others dropped.
-
-    Without any it is returned as it is, so that nothing is enforced anew.
-    """
-    for name in gone:
-        if name in held:
-            held = held.delete(name)
-    for name, item in changed.items():
-        held = held.set(name, item)
-    return held
