The explainer takes sentences from the records; one way to render metrics

Its own type had the records' name; it is LogLine now. Both pages of metrics gathered the state and rendered it by themselves. The trail's fields for commands with keys are a registry.

--- a/lovagewalk/edge/_operators.py
+++ b/lovagewalk/edge/_operators.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from aiohttp import web
-from aioprometheus import render
 
 from lovagewalk.catalogue import AnnounceEndpoint, ChangeResult, Endpoint, Proposal
 from lovagewalk.codec import command_from_plain, to_plain
@@ -19,7 +18,7 @@
     is_ready,
 )
 from lovagewalk.core import Code, LovageError, Refusal
-from lovagewalk.runtime import Ports
+from lovagewalk.runtime import Ports, render_metrics
 
 # The letter's limit for a change to be in force.
 CHANGE_TIMEOUT_S = 5.0
@@ -109,11 +108,8 @@
         )
 
     async def _metrics(self, req: web.Request) -> web.Response:
-        ports = self._ports
-        ports.metrics.collect_state(ports.state, ports.now(), ports.peers.sent_bytes)
-        body, headers = render(
-            self._ports.metrics.registry, req.headers.getall("Accept", [])
-        )
+        accepts = req.headers.getall("Accept", [])
+        body, headers = render_metrics(self._ports, accepts)
         return web.Response(body=body, headers=headers)
 
     async def _status(self, req: web.Request) -> web.Response:
--- a/lovagewalk/explain/_causes.py
+++ b/lovagewalk/explain/_causes.py
@@ -4,31 +4,45 @@
 from dataclasses import dataclass
 
 from lovagewalk.core import Code, Handlers
+from lovagewalk.records import (
+    ConfigurationInForce,
+    EndpointRefused,
+    LeadershipGained,
+    LeadershipLost,
+    LeaseGained,
+    LeaseLost,
+    PrimaryInstalled,
+    PromotionBegun,
+    PromotionOrdered,
+    RequestAnswered,
+    StatementFailedThere,
+    sentence_of,
+)
 
-from ._records import LogRecord
+from ._lines import LogLine
 
-ANSWERED = "request answered"
-FAILED = "statement failed at an endpoint"
+ANSWERED = sentence_of(RequestAnswered)
 # Beliefs of the same VM or group that may stand behind an answer.
 BELIEFS = frozenset(
-    (
-        "lease lost",
-        "lease regained",
-        "configuration in force",
-        "primary installed",
-        "promotion begins",
-        "promotion ordered",
-        "this VM leads",
-        "this VM no longer leads",
-        "daemon started",
-        "daemon drains",
-        "endpoint refused a connection",
+    map(
+        sentence_of,
+        (
+            LeaseLost,
+            LeaseGained,
+            ConfigurationInForce,
+            PrimaryInstalled,
+            PromotionBegun,
+            PromotionOrdered,
+            LeadershipGained,
+            LeadershipLost,
+            EndpointRefused,
+        ),
     )
-)
+) | {"daemon started", "daemon drains"}
 # Fits on a screen with the request's own lines.
 MAX_BELIEFS = 12
 
-Cause = Callable[[LogRecord, Sequence[LogRecord]], str]
+Cause = Callable[[LogLine, Sequence[LogLine]], str]
 _causes: Handlers[Code, Cause] = Handlers()
 causes = _causes.on
 _codes = {code.label: code for code in Code}
@@ -40,20 +54,20 @@
 
     Attributes
     ----------
-    lines : tuple of LogRecord
+    lines : tuple of LogLine
         The request's own lines, oldest first.
-    beliefs : tuple of LogRecord
+    beliefs : tuple of LogLine
         What the daemon and the control VMs believed before its answer.
     cause : str
         One sentence.
     """
 
-    lines: tuple[LogRecord, ...]
-    beliefs: tuple[LogRecord, ...]
+    lines: tuple[LogLine, ...]
+    beliefs: tuple[LogLine, ...]
     cause: str
 
 
-def explain(request: str, records: Sequence[LogRecord]) -> Explanation | None:
+def explain(request: str, records: Sequence[LogLine]) -> Explanation | None:
     """Return what became of a request, or None if no line names it."""
     ordered = sorted(records, key=lambda record: record.time)
     lines = tuple(r for r in ordered if r.get("request") == request)
@@ -69,9 +83,7 @@
     return Explanation(lines, beliefs, cause(last, lines + beliefs))
 
 
-def _beliefs_before(
-    answer: LogRecord, ordered: Sequence[LogRecord]
-) -> tuple[LogRecord, ...]:
+def _beliefs_before(answer: LogLine, ordered: Sequence[LogLine]) -> tuple[LogLine, ...]:
     found = [
         record
         for record in ordered
@@ -82,15 +94,16 @@
     return tuple(found[-MAX_BELIEFS:])
 
 
-def _last(records: Sequence[LogRecord], message: str) -> LogRecord:
-    """Return the latest record with a message; an empty one if there is none."""
+def _last(records: Sequence[LogLine], record_type: type) -> LogLine:
+    """Return the latest line of a type; an empty one if there is none."""
+    sentence = sentence_of(record_type)
     for record in reversed(records):
-        if record.message == message:
+        if record.message == sentence:
             return record
-    return LogRecord("", "", "", "")
+    return LogLine("", "", "", "")
 
 
-def _other(answer: LogRecord, records: Sequence[LogRecord]) -> str:
+def _other(answer: LogLine, records: Sequence[LogLine]) -> str:
     if answer.get("outcome") == "ok":
         return (
             f"Answered in {answer.get('elapsed_ms')} ms by {answer.get('endpoint')} "
@@ -100,7 +113,7 @@
 
 
 @causes(Code.RATE_EXCEEDED)
-def _rate(answer: LogRecord, records: Sequence[LogRecord]) -> str:
+def _rate(answer: LogLine, records: Sequence[LogLine]) -> str:
     return (
         f"Customer {answer.get('customer')} had used up its rate and burst on "
         f"{answer.vm} for {answer.get('elapsed_ms')} ms: {answer.get('detail')}."
@@ -108,8 +121,8 @@
 
 
 @causes(Code.CONFIG_STALE)
-def _stale(answer: LogRecord, records: Sequence[LogRecord]) -> str:
-    lost = _last([r for r in records if r.vm == answer.vm], "lease lost")
+def _stale(answer: LogLine, records: Sequence[LogLine]) -> str:
+    lost = _last([r for r in records if r.vm == answer.vm], LeaseLost)
     since = f"since {lost.time}" if lost.time else "since before its log begins"
     return (
         f"{answer.vm} had no lease {since}: control had not answered it for "
@@ -119,7 +132,7 @@
 
 
 @causes(Code.KEY_UNKNOWN, Code.KEY_WITHDRAWN, Code.ROUTE_UNKNOWN, Code.ROUTE_FORBIDDEN)
-def _configured(answer: LogRecord, records: Sequence[LogRecord]) -> str:
+def _configured(answer: LogLine, records: Sequence[LogLine]) -> str:
     return (
         f"Configuration version {answer.get('version')} does not admit it: "
         f"{answer.get('detail')}."
@@ -127,9 +140,9 @@
 
 
 @causes(Code.NO_ENDPOINT, Code.OVERLOADED)
-def _no_endpoint(answer: LogRecord, records: Sequence[LogRecord]) -> str:
-    begun = _last(records, "promotion begins")
-    installed = _last(records, "primary installed")
+def _no_endpoint(answer: LogLine, records: Sequence[LogLine]) -> str:
+    begun = _last(records, PromotionBegun)
+    installed = _last(records, PrimaryInstalled)
     if begun.time and begun.time > installed.time:
         return (
             f"The primary {begun.get('primary')} of {begun.get('group')} was being "
@@ -149,8 +162,8 @@
 
 
 @causes(Code.CONNECTION_LOST, Code.TIMED_OUT, Code.UNCONFIRMED)
-def _in_doubt(answer: LogRecord, records: Sequence[LogRecord]) -> str:
-    failed = _last(records, FAILED)
+def _in_doubt(answer: LogLine, records: Sequence[LogLine]) -> str:
+    failed = _last(records, StatementFailedThere)
     how = failed.get("failure") or "no answer in time"
     return (
         f"{answer.get('endpoint')} may have run the {answer.get('kind')}: it was sent "
@@ -159,8 +172,8 @@
 
 
 @causes(Code.TRANSACTION_LOST)
-def _lost(answer: LogRecord, records: Sequence[LogRecord]) -> str:
-    failed = _last(records, FAILED)
+def _lost(answer: LogLine, records: Sequence[LogLine]) -> str:
+    failed = _last(records, StatementFailedThere)
     how = failed.get("failure") or answer.get("detail")
     return (
         f"Its transaction at {answer.get('endpoint') or failed.get('endpoint')} was "
@@ -169,5 +182,5 @@
 
 
 @causes(Code.DRAINING)
-def _draining(answer: LogRecord, records: Sequence[LogRecord]) -> str:
+def _draining(answer: LogLine, records: Sequence[LogLine]) -> str:
     return f"{answer.vm} was being stopped and took no new operations any more."
--- a/lovagewalk/explain/_records.py
+++ b/lovagewalk/explain/_lines.py
@@ -1,4 +1,4 @@
-"""Log lines as records."""
+"""Lines of logs as they were written."""
 
 import json
 from collections.abc import Iterable, Mapping
@@ -7,7 +7,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LogRecord:
+class LogLine:
     """One line of a daemon's log.
 
     Attributes
@@ -31,8 +31,8 @@
         return self.fields.get(name, default)
 
 
-def parse_log(vm: str, lines: Iterable[str]) -> list[LogRecord]:
-    """Return the records of a log; lines that are none are passed over.
+def parse_log(vm: str, lines: Iterable[str]) -> list[LogLine]:
+    """Return the lines of a log that hold a record; others are passed over.
 
     A line may have a prefix, as collectors of logs add; its last word then
     names the VM.
@@ -44,7 +44,7 @@
             raw = json.loads(brace + rest)
             names = prefix.split()
             records.append(
-                LogRecord(
+                LogLine(
                     vm=names[-1] if names else vm,
                     time=raw.pop("time"),
                     part=raw.pop("part"),
--- a/lovagewalk/records/__init__.py
+++ b/lovagewalk/records/__init__.py
@@ -1,6 +1,6 @@
 """What daemons log of their decisions and beliefs, as typed records."""
 
-from ._kinds import LogRecord, RecordKind, fields_of, kind_of, record_types
+from ._kinds import LogRecord, RecordKind, fields_of, kind_of, record_types, sentence_of
 from ._records import (
     CallerClosed,
     ConfigurationInForce,
@@ -36,4 +36,5 @@
     "fields_of",
     "kind_of",
     "record_types",
+    "sentence_of",
 ]
--- a/lovagewalk/records/_kinds.py
+++ b/lovagewalk/records/_kinds.py
@@ -55,6 +55,11 @@
     return _kinds[type(record)]
 
 
+def sentence_of(record_type: type) -> str:
+    """Return the sentence by which lines of a type of records are found."""
+    return _kinds[record_type].sentence
+
+
 def fields_of(record: LogRecord) -> dict[str, Any]:
     """Return a record's fields by name."""
     return {name: getattr(record, name) for name in kind_of(record).names}
--- a/lovagewalk/runtime/__init__.py
+++ b/lovagewalk/runtime/__init__.py
@@ -20,7 +20,7 @@
 from ._lines import LINE_END, LineSplitter
 from ._logs import BoundedHandler, JsonFormatter, set_up_structured_logs
 from ._metrics import Metrics
-from ._metrics_page import MetricsPage
+from ._metrics_page import MetricsPage, render_metrics
 from ._network import Network
 from ._peers import Peers
 from ._pool_client import OpenRefusedError, PoolClient
@@ -62,5 +62,6 @@
     "limit_silence",
     "settle",
     "on_stop_signals",
+    "render_metrics",
     "set_up_structured_logs",
 ]
--- a/lovagewalk/runtime/_metrics_page.py
+++ b/lovagewalk/runtime/_metrics_page.py
@@ -1,5 +1,7 @@
 """The page of a daemon's metrics."""
 
+from collections.abc import Mapping, Sequence
+
 from aioprometheus import render
 
 from ._http import HttpRequest, HttpResponse
@@ -8,6 +10,20 @@
 METRICS_PATH = "/metrics"
 
 
+def render_metrics(
+    ports: Ports, accepts: Sequence[str] = ()
+) -> tuple[bytes, Mapping[str, str]]:
+    """Return the metrics as of now in their usual text form, and its headers.
+
+    Parameters
+    ----------
+    accepts : sequence of str
+        What forms the reader says it takes.
+    """
+    ports.metrics.collect_state(ports.state, ports.now(), ports.peers.sent_bytes)
+    return render(ports.metrics.registry, accepts)
+
+
 class MetricsPage:
     """Answers whoever reads metrics."""
 
@@ -18,7 +34,5 @@
         """Return the metrics in their usual text form."""
         if request.path != METRICS_PATH:
             return HttpResponse(404)
-        ports = self._ports
-        ports.metrics.collect_state(ports.state, ports.now(), ports.peers.sent_bytes)
-        body, headers = render(ports.metrics.registry, [])
+        body, headers = render_metrics(self._ports)
         return HttpResponse(200, body, headers["Content-Type"])
--- a/lovagewalk/runtime/_storage.py
+++ b/lovagewalk/runtime/_storage.py
@@ -1,6 +1,7 @@
 """Performs persisting effects: journal, snapshots, audit trail."""
 
 import logging
+from collections.abc import Callable
 from hashlib import sha256
 from typing import Any
 
@@ -13,7 +14,7 @@
     PersistVoters,
 )
 from lovagewalk.control import JournalFilled, RecordAudit
-from lovagewalk.core import Code, LovageError, performs
+from lovagewalk.core import Code, Handlers, LovageError, performs
 
 from ._ports import Ports
 
@@ -54,18 +55,27 @@
 
 def _detail(command: Command) -> dict[str, Any]:
     """Return a command's fields for the trail, without keys."""
-    if isinstance(command, ReplaceConfiguration):
-        return {
-            "version": command.version,
-            "routes": len(command.routes),
-            "customers": sorted(customer.name for customer in command.customers),
-            "keys": len(command.keys),
-            "document_sha256": sha256(command.document).hexdigest(),
-        }
-    detail = to_plain(command)
-    if isinstance(command, IssueKey):
-        detail["digest"] = "left out"
-    return detail
+    build = _details.get(type(command)) or to_plain
+    return build(command)
+
+
+_details: Handlers[type, Callable[[Any], dict[str, Any]]] = Handlers()
+
+
+@_details.on(ReplaceConfiguration)
+def _detail_configuration(command: ReplaceConfiguration) -> dict[str, Any]:
+    return {
+        "version": command.version,
+        "routes": len(command.routes),
+        "customers": sorted(customer.name for customer in command.customers),
+        "keys": len(command.keys),
+        "document_sha256": sha256(command.document).hexdigest(),
+    }
+
+
+@_details.on(IssueKey)
+def _detail_key(command: IssueKey) -> dict[str, Any]:
+    return {**to_plain(command), "digest": "left out"}
 
 
 @performs(RecordAudit)
