Soak: one way to end, harm and start a process; a pause has a name; words

Three faults ended a process, waited and started it again by themselves. A documented field that was never there goes. Comments call packages packages.

--- a/lovagewalk/control/_effects.py
+++ b/lovagewalk/control/_effects.py
@@ -1,4 +1,4 @@
-"""Effects of the control rooms."""
+"""Effects of the control."""
 
 from dataclasses import dataclass
 
--- a/lovagewalk/control/_events.py
+++ b/lovagewalk/control/_events.py
@@ -1,4 +1,4 @@
-"""Events of the control rooms."""
+"""Events of the control."""
 
 from dataclasses import dataclass
 from enum import Enum
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -1,4 +1,4 @@
-"""State of the control rooms: following, leading, failovers, share ledgers."""
+"""State of control: following, leading, failovers, share ledgers."""
 
 from dataclasses import dataclass, field
 from enum import Enum
--- a/lovagewalk/node/__init__.py
+++ b/lovagewalk/node/__init__.py
@@ -1,4 +1,4 @@
-"""The state of one daemon, shared by all rooms."""
+"""The state of one daemon, shared by all packages."""
 
 from ._state import AccessKey, Identity, NodeState
 
--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -1,6 +1,6 @@
 """The whole state of one daemon.
 
-All rooms share this one state, so that a reducer may use what another room
+All packages share this one state, so that a reducer may use what another one
 knows without messages between parts.
 """
 
@@ -69,7 +69,7 @@
     draining_since : float
         When draining began, in monotonic seconds.
     consensus, control, follow
-        Set by the control rooms; None where a daemon has no such role.
+        Set by the control package; None where a daemon has no such role.
     """
 
     me: Identity
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -3,6 +3,8 @@
 import asyncio
 import shutil
 import signal
+from collections.abc import Callable
+from pathlib import Path
 
 from lovagewalk.cli.tests.rig import HOST, Rig, daemon_ini, standin_ini
 from lovagewalk.core import performs
@@ -97,8 +99,16 @@
         self.faults.clear()
 
 
-async def _restart_after(fleet: SoakFleet, fault: Fault, number: int) -> None:
+async def _restart_after(
+    fleet: SoakFleet,
+    fault: Fault,
+    number: int,
+    harm_disk: Callable[[Path], None] | None = None,
+) -> None:
+    """End a process, harm its data folder meanwhile, and start it again."""
     await fleet.end(fault.target, number)
+    if harm_disk is not None:
+        harm_disk(fleet.folder / fault.target)
     await asyncio.sleep(fault.for_s)
     await fleet.launch(fault.target)
 
@@ -130,29 +140,23 @@
 
 @performs(LoseDisk)
 def _lose_disk(fleet: SoakFleet, fault: LoseDisk) -> None:
-    fleet.happen(fault, _empty_disk(fleet, fault))
+    fleet.happen(fault, _restart_after(fleet, fault, signal.SIGKILL, _empty))
 
 
-async def _empty_disk(fleet: SoakFleet, fault: LoseDisk) -> None:
-    await fleet.end(fault.target, signal.SIGKILL)
-    shutil.rmtree(fleet.folder / fault.target, ignore_errors=True)
-    await asyncio.sleep(fault.for_s)
-    await fleet.launch(fault.target)
+def _empty(folder: Path) -> None:
+    shutil.rmtree(folder, ignore_errors=True)
 
 
 @performs(TearLog)
 def _tear_log(fleet: SoakFleet, fault: TearLog) -> None:
-    fleet.happen(fault, _write_rubbish(fleet, fault))
+    fleet.happen(fault, _restart_after(fleet, fault, signal.SIGKILL, _tear))
 
 
-async def _write_rubbish(fleet: SoakFleet, fault: TearLog) -> None:
-    await fleet.end(fault.target, signal.SIGKILL)
-    path = fleet.folder / fault.target / "journal"
+def _tear(folder: Path) -> None:
+    path = folder / "journal"
     if path.exists():
         with path.open("ab") as file:
             file.write(TORN_RECORD)
-    await asyncio.sleep(fault.for_s)
-    await fleet.launch(fault.target)
 
 
 @performs(HarmLink)
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -37,8 +37,6 @@
 
     Attributes
     ----------
-    since : int
-        The session's finished writes when the read was sent.
     final : bool
         Whether it is the read after all has healed.
     """
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -32,7 +32,10 @@
 LIMITED_RATE, LIMITED_BURST = 15.0, 12.0
 # After the last fault: a lease of shares, an election and a failover, twice over.
 RECOVERY_LIMIT_S = 20.0
+# Of the run; the key is in use before, and faults go on after.
 WITHDRAW_PART = 0.4
+# Between two tries to read everything back; short beside the limit above.
+READ_BACK_PAUSE_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +122,7 @@
     try:
         async with asyncio.timeout(RECOVERY_LIMIT_S):
             while not await _is_read_back(fleet, operator, shell, timer):
-                await asyncio.sleep(0.2)
+                await timer.sleep(READ_BACK_PAUSE_S)
     except TimeoutError:
         shell.feed(NotRecovered(timer.now(), RECOVERY_LIMIT_S))
 
