--- a/lovagewalk/control/_effects.py
+++ b/lovagewalk/control/_effects.py
@@ -1,4 +1,4 @@
-"""Effects of the control."""
+"""Effects of control."""
 
 from dataclasses import dataclass
 
--- a/lovagewalk/control/_events.py
+++ b/lovagewalk/control/_events.py
@@ -1,4 +1,4 @@
-"""Events of the control."""
+"""Events of control."""
 
 from dataclasses import dataclass
 from enum import Enum
