Stand-in: a demotion ends open transactions; rows that cannot be applied stop it

Cause: a client's transaction that was open when its instance was demoted kept the write lock of sqlite. Entries of the new primary failed at that lock, the position counted on, and the first failure left a transaction open in which all later ones failed. The instance was then promoted with a position whose rows it lacked.

Ruled out: the proxy. It acknowledged what the primary had committed and a replica had confirmed by position; the trace has no order that came late.

Mend: a new term rolls open transactions back (effect EndTransactions); the client's next statements fail until it ends the transaction, so a second half cannot commit by itself. An instance whose log cannot be applied leaves with LW2201 instead of counting on.

--- a/lovagewalk/cli/_processes.py
+++ b/lovagewalk/cli/_processes.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from lovagewalk.core import TimerService
+from lovagewalk.core import LovageError, TimerService
 from lovagewalk.edge import Daemon, on_stop_signals
 from lovagewalk.settings import DaemonSettings, StandinFileSettings
 from lovagewalk.standin import (
@@ -29,7 +29,13 @@
 
 
 async def run_standin(cfg: StandinFileSettings) -> None:
-    """Run a stand-in instance; a stop signal makes it leave first."""
+    """Run a stand-in instance; a stop signal makes it leave first.
+
+    Raises
+    ------
+    LovageError
+        ``DISK_FAILED`` if its rows no longer agree with its log.
+    """
     timer = TimerService()
     section = cfg.instance
     settings = StandinSettings(
@@ -44,7 +50,13 @@
         connect_s=section.connect_ms / MS,
         lag_s=section.lag_ms / MS,
     )
-    instance = Standin(settings, timer)
+    stopped = asyncio.get_running_loop().create_future()
+
+    def stop(failure: LovageError | None = None) -> None:
+        if not stopped.done():
+            stopped.set_result(failure)
+
+    instance = Standin(settings, timer, stop)
     await instance.start()
     announcing = asyncio.create_task(
         announce_always(
@@ -54,9 +66,8 @@
             timer,
         )
     )
-    stopped = asyncio.Event()
-    on_stop_signals(stopped.set)
-    await stopped.wait()
+    on_stop_signals(stop)
+    failure = await stopped
     announcing.cancel()
     leaving = build_announcement(cfg, instance.port, leaving=True)
     for daemon in cfg.announce.daemons:
@@ -64,6 +75,8 @@
             await timer.sleep(LEAVE_GRACE_S)
             break
     await instance.close()
+    if failure is not None:
+        raise failure
 
 
 def build_announcement(
--- a/lovagewalk/standin/_database.py
+++ b/lovagewalk/standin/_database.py
@@ -103,7 +103,13 @@
         return conn
 
     def apply(self, transactions: Iterable[tuple[str, ...]]) -> None:
-        """Run committed transactions of the log."""
+        """Run committed transactions of the log.
+
+        Raises
+        ------
+        sqlite3.Error
+            If one fails; the rows are then behind the log.
+        """
         for statements in transactions:
             self.main.execute("BEGIN")
             for text in statements:
--- a/lovagewalk/standin/_reducer.py
+++ b/lovagewalk/standin/_reducer.py
@@ -53,10 +53,12 @@
 def _fence(state: StandinState, event: types.FenceWanted) -> Step[StandinState]:
     if event.term < state.term:
         return _reply(state, event.ticket, event.at, accepted=False)
+    step = Step(state)
     if event.term > state.term:
         state = replace(state, term=event.term, role=Role.FENCED, delayed=())
         state = replace(state, source_host="")
-    step = _settle(state, event.at)
+        step = Step(state, (types.EndTransactions(),))
+    step = step.then(_settle(step.state, event.at))
     return step.then(_reply(step.state, event.ticket, event.at))
 
 
@@ -84,6 +86,7 @@
         and state.role is Role.REPLICA
         and (event.host, event.port) == (state.source_host, state.source_port)
     )
+    step = Step(state)
     if not unchanged:
         state = replace(
             state,
@@ -93,7 +96,8 @@
             source_port=event.port,
             delayed=(),
         )
-    step = _settle(state, event.at)
+        step = Step(state, (types.EndTransactions(),))
+    step = step.then(_settle(step.state, event.at))
     step = step.then(_reply(step.state, event.ticket, event.at))
     return step.then(_fetch(step.state))
 
--- a/lovagewalk/standin/_server.py
+++ b/lovagewalk/standin/_server.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import json
+import sqlite3
 import uuid
 from collections import deque
 from collections.abc import Callable
@@ -15,7 +16,7 @@
 
 import asyncmy
 
-from lovagewalk.core import Shell, TimerService, performs
+from lovagewalk.core import Code, LovageError, Shell, TimerService, performs
 from lovagewalk.edge._mysql_server import MysqlListener
 
 from . import _state as types
@@ -52,10 +53,24 @@
 
 
 class Standin:
-    """A running instance."""
+    """A running instance.
 
-    def __init__(self, cfg: StandinSettings, timer: TimerService) -> None:
+    Parameters
+    ----------
+    cfg : StandinSettings
+    timer : TimerService
+    on_fatal : callable, optional
+        Told why the instance left: its rows no longer agree with its log.
+    """
+
+    def __init__(
+        self,
+        cfg: StandinSettings,
+        timer: TimerService,
+        on_fatal: Callable[[LovageError], None] | None = None,
+    ) -> None:
         self.cfg = cfg
+        self.on_fatal = on_fatal
         self.database = Database()
         self.received: deque[str] = deque(maxlen=100_000)
         self.tickets = itertools.count(1)
@@ -67,17 +82,26 @@
         self.stalled = asyncio.Event()
         self.stalled.set()
         self.tasks: set[asyncio.Task] = set()
+        self.sessions: set[StandinSession] = set()
         self._source: Any = None
         self._source_address = ("", 0)
         self._timer = timer
         self._listener: MysqlListener | None = None
-        self.shell: Shell[StandinState] = Shell(self._first_state(), self, timer)
+        self.shell = self._new_shell()
         self.port = cfg.port
 
+    def _new_shell(self) -> Shell[StandinState]:
+        return Shell(self._first_state(), self, self._timer, self._fail)
+
     def _first_state(self) -> StandinState:
         incarnation = uuid.uuid4().hex[:12]
         return StandinState(self.cfg.name, incarnation, lag_s=self.cfg.lag_s)
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether clients can connect."""
+        return self._listener is not None
+
     @property
     def state(self) -> StandinState:
         """The instance's present state."""
@@ -98,10 +122,18 @@
         if lose_rows:
             self.database.close()
             self.database = Database()
-            self.shell = Shell(self._first_state(), self, self._timer)
+            self.shell = self._new_shell()
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
+        self._leave()
+
+    def _fail(self, exc: LovageError) -> None:
+        self._leave()
+        if self.on_fatal is not None:
+            self.on_fatal(exc)
+
+    def _leave(self) -> None:
         if self._listener is not None:
             self._listener.close()
             self._listener = None
@@ -203,7 +235,16 @@
 
 @performs(types.ApplyEntries)
 def _apply_entries(standin: Standin, effect: types.ApplyEntries) -> None:
-    standin.database.apply(entry.statements for entry in effect.entries)
+    try:
+        standin.database.apply(entry.statements for entry in effect.entries)
+    except sqlite3.Error as exc:
+        raise LovageError(Code.DISK_FAILED, f"applying the log: {exc}") from exc
+
+
+@performs(types.EndTransactions)
+def _end_transactions(standin: Standin, effect: types.EndTransactions) -> None:
+    for session in list(standin.sessions):
+        session.end_by_server()
 
 
 @performs(types.RebuildDatabase)
--- a/lovagewalk/standin/_session.py
+++ b/lovagewalk/standin/_session.py
@@ -61,6 +61,7 @@
         super().__init__()
         self.standin = standin
         self.lent: Lent | None = None
+        self.was_ended = False
         self.statements: list[str] = []
         self.holds_lock = False
         self.counted = False
@@ -84,6 +85,15 @@
     async def reset(self) -> None:
         """Roll back."""
         self._end_transaction(commit=False)
+        self.was_ended = False
+
+    def end_by_server(self) -> None:
+        """Roll back, and let the client know at its next statement.
+
+        Until it ends the transaction itself, nothing of it may run.
+        """
+        self._end_transaction(commit=False)
+        self.was_ended = True
 
     async def run(self, sql: str, attrs: dict[str, str]) -> Reply:
         """Run a statement: the group's own, transaction control, or SQL."""
@@ -112,11 +122,19 @@
 
     def _begin(self) -> Reply:
         self._end_transaction(commit=False)
-        self.lent = self.standin.database.take()
+        self.was_ended = False
+        self._take()
         self.lent.conn.execute("BEGIN")
         return Reply(in_transaction=True)
 
+    def _take(self) -> None:
+        self.lent = self.standin.database.take()
+        self.standin.sessions.add(self)
+
     def _end(self, commit: bool) -> Reply:
+        was_ended, self.was_ended = self.was_ended, False
+        if was_ended and commit:
+            raise SqlError(READ_ONLY_ERRNO, "rolled back: the instance was demoted")
         wrote = bool(self.statements)
         if commit and wrote and self.standin.state.role is not Role.PRIMARY:
             self._end_transaction(commit=False)
@@ -127,6 +145,7 @@
     def _end_transaction(self, commit: bool) -> None:
         lent, self.lent = self.lent, None
         statements, self.statements = tuple(self.statements), []
+        self.standin.sessions.discard(self)
         if lent is not None:
             if lent.conn.in_transaction:
                 lent.conn.execute("COMMIT" if commit else "ROLLBACK")
@@ -142,6 +161,7 @@
         async with self.standin.slots:
             if self.standin.cfg.service_s:
                 await asyncio.sleep(self.standin.cfg.service_s)
+            self._require_open()
             if _WRITE.match(text):
                 return await self._write(text)
             return self._read(text)
@@ -155,11 +175,12 @@
     async def _write(self, text: str) -> Reply:
         self._require_primary()
         if self.lent is None:
-            self.lent = self.standin.database.take()
+            self._take()
             try:
                 return await self._write_single(text)
             finally:
                 self._end_transaction(commit=False)
+                self.was_ended = False
         return await self._write_in_transaction(text)
 
     async def _write_single(self, text: str) -> Reply:
@@ -177,6 +198,9 @@
             except TimeoutError as exc:
                 raise SqlError(LOCK_WAIT_ERRNO, "lock wait timeout") from exc
             self.holds_lock = True
+            if self.was_ended:
+                self._end_transaction(commit=False)
+        self._require_open()
         self._require_primary()
         result = self._execute(self.lent.conn, text)
         self.statements.append(text)
@@ -186,6 +210,10 @@
             in_transaction=True,
         )
 
+    def _require_open(self) -> None:
+        if self.was_ended:
+            raise SqlError(READ_ONLY_ERRNO, "rolled back: the instance was demoted")
+
     def _require_primary(self) -> None:
         if self.standin.state.role is not Role.PRIMARY:
             raise SqlError(READ_ONLY_ERRNO, "instance is read only")
--- a/lovagewalk/standin/_state.py
+++ b/lovagewalk/standin/_state.py
@@ -191,6 +191,15 @@
     entries: tuple[LogEntry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class EndTransactions(Effect):
+    """Roll back what clients left open in a term that is over.
+
+    An open transaction may hold the database's write lock, which entries of
+    the new primary need.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class RebuildDatabase(Effect):
     """Empty the database and run entries in it."""
