Urgent routes go first where a customer's rate or an endpoint's room is short

The priorities of routes were read and not used.

Ruled out: a rate that is given out late (tokens never lay idle; the queue was never empty) and requests denied by a daemon's own limit (1,048 of 1,048 refusals came from the leader).

Change: needs wait by priority at the leader, requests by priority in a share's queue and in a customer's queue for a connection. What a queue's length turns away is counted over requests that are as urgent.

--- a/lovagewalk/control/_messages.py
+++ b/lovagewalk/control/_messages.py
@@ -169,12 +169,15 @@
         How long it may wait for it, in seconds.
     paid : float
         Part of the token that its daemon has set aside.
+    priority : int
+        Its route's; 0 goes first.
     """
 
     req: int
     customer: str
     wait_s: float
     paid: float = 0.0
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -141,12 +141,15 @@
         When it is given up, in monotonic seconds.
     missing : float
         Part of a token that it still needs.
+    priority : int
+        Its route's; 0 goes first.
     """
 
     peer: str
     req: int
     until: float
     missing: float = 1.0
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,7 +174,7 @@
     recalled_at : float
         When shares were last asked back.
     queue : tuple of QueuedNeed
-        Requests that wait for `tokens`, oldest first.
+        Requests that wait for `tokens`: urgent ones first, then the oldest.
     """
 
     customer: str
--- a/lovagewalk/control/_token_asks.py
+++ b/lovagewalk/control/_token_asks.py
@@ -28,7 +28,9 @@
         left_s = min(left_s, _admit.token_wait_s(request))
         state = _set_aside(state, request, now)
         paid = state.requests[request.req].paid
-        needs += (TokenNeed(request.req, request.customer, left_s, paid),)
+        needs += (
+            TokenNeed(request.req, request.customer, left_s, paid, request.priority),
+        )
     if not needs:
         return Step(state)
     return Step(state, (SendPeer(follow.target, TokenAsk(needs)),))
--- a/lovagewalk/control/_token_queue.py
+++ b/lovagewalk/control/_token_queue.py
@@ -69,22 +69,35 @@
         ledger = ledgers.get(need.customer)
         if ledger is None:
             ledger = _ledger.ledger_of(state, control, need.customer, now)
-        queued = QueuedNeed(peer, need.req, now + need.wait_s, 1.0 - need.paid)
+        queued = QueuedNeed(
+            peer, need.req, now + need.wait_s, 1.0 - need.paid, need.priority
+        )
         ledger = _ledger.note_need(ledger, peer)
-        ledger = replace(ledger, queue=ledger.queue + (queued,))
+        ledger = replace(ledger, queue=_insert(ledger.queue, queued))
         ledgers = ledgers.set(need.customer, ledger)
     customers = frozenset(need.customer for need in message.needs)
     control = replace(control, ledgers=ledgers, queued=control.queued | customers)
     return serve(replace(state, control=control), customers, now)
 
 
+def _insert(queue: tuple[QueuedNeed, ...], need: QueuedNeed) -> tuple[QueuedNeed, ...]:
+    """Queue a need behind those that are as urgent.
+
+    Needs may wait for different times. In the order of their arrival, a customer
+    above its rate would keep the queue as long as the longest of these, and all
+    that may wait less would be turned away.
+    """
+    ahead = sum(other.priority <= need.priority for other in queue)
+    return queue[:ahead] + (need,) + queue[ahead:]
+
+
 def tick(state: NodeState, now: float) -> Step[NodeState]:
     """Serve what waits for tokens."""
     return serve(state, state.control.queued, now)
 
 
 def serve(state: NodeState, customers: Iterable[str], now: float) -> Step[NodeState]:
-    """Give tokens to the oldest needs of some customers."""
+    """Give tokens to the first needs of some customers."""
     control: ControlState = state.control
     if not customers or not holds_leader_lease(state.consensus, now):
         return Step(state)
--- a/lovagewalk/control/tests/test_token_queue.py
+++ b/lovagewalk/control/tests/test_token_queue.py
@@ -33,9 +33,11 @@
     return next(n for n in NAMES if not fleet.states[n].consensus.is_leader)
 
 
-def _ask(fleet, name, count, wait_s=0.4, first=1000, customer=CUSTOMER):
+def _ask(fleet, name, count, wait_s=0.4, first=1000, customer=CUSTOMER, priority=0):
     """Ask a VM for tokens and return its answer to the asker."""
-    needs = tuple(TokenNeed(first + n, customer, wait_s) for n in range(count))
+    needs = tuple(
+        TokenNeed(first + n, customer, wait_s, priority=priority) for n in range(count)
+    )
     message = PeerMessage(fleet.now, _other(fleet), TokenAsk(needs))
     step = reduce(fleet.states[name], message)
     fleet.states[name] = step.state
@@ -71,6 +73,28 @@
     assert [need.req for need in queue] == [3000]
 
 
+def test_an_urgent_need_gets_the_next_token_of_a_customer_above_its_rate(fleet):
+    """A queue of needs that may wait long would turn away what may not."""
+    leader = _leader(fleet)
+    _ask(fleet, leader, int(BURST))
+    _ask(fleet, leader, 20, wait_s=0.4, first=2000, priority=2)
+    answers = _ask(fleet, leader, 1, wait_s=0.2, first=3000, priority=1)
+    assert all(d.req != 3000 for answer in answers for d in answer.denied)
+    fleet.run(1.1 / RATE)
+    queue = fleet.states[leader].control.ledgers[CUSTOMER].queue
+    assert 3000 not in [need.req for need in queue]
+    assert {need.priority for need in queue} == {2}
+
+
+def test_what_an_urgent_need_leaves_no_token_for_is_denied_at_once(fleet):
+    leader = _leader(fleet)
+    _ask(fleet, leader, int(BURST))
+    _ask(fleet, leader, 20, wait_s=0.4, first=2000, priority=2)
+    (answer,) = _ask(fleet, leader, 1, wait_s=0.4, first=3000, priority=1)
+    (denial,) = answer.denied
+    assert 2000 <= denial.req < 3000 and denial.retry_after_s >= 0.4 - 1 / RATE
+
+
 def test_a_leader_that_is_cut_off_gives_nothing(fleet):
     """It may have been replaced, though it has not heard so."""
     leader = _leader(fleet)
--- a/lovagewalk/pools/_policy.py
+++ b/lovagewalk/pools/_policy.py
@@ -49,13 +49,20 @@
     conn: int = 0
 
 
-def enqueue(pool: Pool, customer: str, req: int, front: bool = False) -> Pool:
-    """Add a request to its customer's queue."""
+def enqueue(pool: Pool, customer: str, req: int, ahead: int | None = None) -> Pool:
+    """Add a request to its customer's queue.
+
+    Parameters
+    ----------
+    ahead : int, optional
+        How many of the customer's requests go before it; all, if not given.
+    """
     queue = pool.queues.get(customer) or CustomerQueue(customer)
     if not queue.reqs and not queue.held:
         start = max(queue.virtual_time, pool.virtual_time)
         queue = replace(queue, virtual_time=start)
-    reqs = (req,) + queue.reqs if front else queue.reqs + (req,)
+    place = len(queue.reqs) if ahead is None else ahead
+    reqs = queue.reqs[:place] + (req,) + queue.reqs[place:]
     queues = pool.queues.set(customer, replace(queue, reqs=reqs))
     return replace(pool, queues=queues, waiting=pool.waiting + 1)
 
--- a/lovagewalk/pools/_state.py
+++ b/lovagewalk/pools/_state.py
@@ -47,7 +47,7 @@
     Attributes
     ----------
     reqs : tuple of int
-        Waiting requests, oldest first.
+        Waiting requests, in the order in which they are to run.
     virtual_time : float
         Weighted connection seconds used so far.
     held : int
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -202,11 +202,13 @@
 def _wait_for_tokens(
     state: NodeState, share: Share, request: Request
 ) -> Step[NodeState]:
-    if len(share.waiting) >= max_waiting(state, share):
+    ahead = _place.count_ahead(state, share.waiting, request)
+    if ahead >= max_waiting(state, share):
         state = replace(state, shares=state.shares.set(request.customer, share))
         return answer(state, request, rate_refusal(state, request))
     request = replace(request, phase=Phase.TOKENS)
-    share = replace(share, waiting=share.waiting + (request.req,))
+    waiting = share.waiting[:ahead] + (request.req,) + share.waiting[ahead:]
+    share = replace(share, waiting=waiting)
     state = replace(state, shares=state.shares.set(request.customer, share))
     return Step(_place.put_request(state, request), (HurryReport(),))
 
@@ -227,7 +229,7 @@
 
 
 def max_waiting(state: NodeState, share: Share) -> float:
-    """Return how many requests of a customer may wait for tokens here.
+    """Return how many requests of a customer may wait before another one here.
 
     A customer within its rate never has more waiting than its burst, or than
     its share gains while a request may wait; more is refused at once.
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -16,7 +16,13 @@
     translate,
 )
 from lovagewalk.node import NodeState
-from lovagewalk.pools import Pool, enqueue, estimate_wait, take_idle
+from lovagewalk.pools import (
+    CustomerQueue,
+    Pool,
+    enqueue,
+    estimate_wait,
+    take_idle,
+)
 from lovagewalk.sessions import Session, TransactionState
 
 from . import _dispatch, _recovery
@@ -110,12 +116,29 @@
         pools = state.pools.set(request.endpoint, taken.pool)
         state = replace(state, pools=pools)
         return _dispatch.start(state, request, taken.conn, now)
-    pool = enqueue(pool, request.customer, request.req, front=request.attempts > 0)
+    queue = pool.queues.get(request.customer) or CustomerQueue(request.customer)
+    ahead = count_ahead(state, queue.reqs, request)
+    pool = enqueue(pool, request.customer, request.req, ahead)
     pools = state.pools.set(request.endpoint, pool)
     state = replace(put_request(state, request), pools=pools)
     return _dispatch.dispatch(state, request.endpoint, now)
 
 
+def count_ahead(state: NodeState, queue: tuple[int, ...], request: Request) -> int:
+    """Return how many of a customer's queued requests go before another one.
+
+    The more urgent ones do, and those as urgent that came earlier; a request that
+    has been sent before goes before these.
+    """
+    for place, req in enumerate(queue):
+        other = state.requests.get(req)
+        if other is None or other.priority < request.priority:
+            continue
+        if other.priority > request.priority or request.attempts:
+            return place
+    return len(queue)
+
+
 def put_request(state: NodeState, request: Request) -> NodeState:
     """Return the state with a request written."""
     return replace(state, requests=state.requests.set(request.req, request))
--- a/lovagewalk/routing/_state.py
+++ b/lovagewalk/routing/_state.py
@@ -117,3 +117,8 @@
     def reads(self) -> bool:
         """Whether it reads only."""
         return self.kind is StatementKind.READ
+
+    @property
+    def priority(self) -> int:
+        """Its route's priority; 0 goes first."""
+        return self.route.priority if self.route is not None else 0
--- /dev/null
+++ b/lovagewalk/routing/tests/test_priorities.py
@@ -0,0 +1,67 @@
+"""Urgent routes go first where a customer's rate or an endpoint's room is short."""
+
+from dataclasses import replace
+
+from lovagewalk import catalogue as cat
+from lovagewalk.core import Code
+from lovagewalk.shares import Share
+
+from .stated_site import CUSTOMER, PRIMARY, ROUTES, Site, route
+
+URGENT, LATER = "urgent", "later"
+PRIORITIES = (
+    route(URGENT, cat.Consistency.PRIMARY, priority=1),
+    route(LATER, cat.Consistency.PRIMARY, priority=2),
+)
+
+
+def _site(connections=46, tokens=1e6, rate=1e6, burst=1e6):
+    site = Site(connections)
+    site.configure(2, routes=ROUTES + PRIORITIES, connections=connections)
+    site.change(
+        cat.PutCustomer(
+            cat.CustomerEntry(CUSTOMER, "op", rate, burst),
+            site.state.catalogue.customers[CUSTOMER].revision,
+        )
+    )
+    share = Share(CUSTOMER, rate, burst, tokens, site.now, 1e9)
+    site.state = replace(site.state, shares=site.state.shares.set(CUSTOMER, share))
+    return site
+
+
+def _read(site, name):
+    return site.read(site.connect(name))
+
+
+def test_the_next_token_goes_to_the_urgent_request():
+    site = _site(tokens=0.0, rate=10.0, burst=3.0)
+    late = [_read(site, LATER) for _ in range(2)]
+    urgent = _read(site, URGENT)
+    site.sweep(0.11)
+    (run,) = site.runs
+    assert run.req == urgent and not set(late) & set(site.answers)
+
+
+def test_a_full_queue_of_others_does_not_turn_an_urgent_request_away():
+    site = _site(tokens=0.0, rate=10.0, burst=3.0)
+    late = [_read(site, LATER) for _ in range(20)]
+    refused = [req for req in late if req in site.answers]
+    assert refused and site.refusal(refused[0]) is Code.RATE_EXCEEDED
+    urgent = _read(site, URGENT)
+    assert urgent not in site.answers
+    site.sweep(0.11)
+    assert [run.req for run in site.runs] == [urgent]
+
+
+def test_the_next_connection_goes_to_the_urgent_request():
+    site = _site(connections=2)
+    held = _read(site, LATER)
+    (run,) = site.runs
+    assert run.req == held
+    later, urgent = _read(site, LATER), _read(site, URGENT)
+    assert len(site.runs) == 1, "the endpoint takes one connection of this daemon"
+    site.done(run)
+    assert site.where(run) == PRIMARY
+    assert [run.req for run in site.runs] == [held, urgent]
+    site.done(site.runs[-1])
+    assert site.runs[-1].req == later
--- a/lovagewalk/shares/_state.py
+++ b/lovagewalk/shares/_state.py
@@ -18,7 +18,7 @@
     lease_until : float
         The share admits nothing from then on, in monotonic seconds.
     waiting : tuple of int
-        Requests that wait for tokens, oldest first.
+        Requests that wait for tokens, in the order in which they get them.
     demand : float
         Smoothed arrivals a second.
     arrivals : int
