--- a/lovagewalk/core/_errors.py
+++ b/lovagewalk/core/_errors.py
@@ -49,6 +49,7 @@
     DISK_FAILED = (2201, Outcome.FAILED, 1105, "data folder write failed")
     DISK_CORRUPT = (2202, Outcome.FAILED, 1105, "data folder damaged")
     DISK_FULL = (2203, Outcome.FAILED, 1105, "data folder is full")
+    DISK_TAKEN = (2204, Outcome.FAILED, 1105, "data folder is used by another process")
     FRAME_BAD = (2301, Outcome.NOT_RUN, 1105, "peer frame not accepted")
 
     def __init__(self, number: int, outcome: Outcome, errno: int, text: str) -> None:
--- a/lovagewalk/journal/_journal.py
+++ b/lovagewalk/journal/_journal.py
@@ -9,6 +9,7 @@
 changed, and the VM must not vote on it.
 """
 
+import fcntl
 import logging
 import os
 import struct
@@ -165,6 +166,7 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._file: BinaryIO | None = None
+        self._lock: BinaryIO | None = None
         folder.mkdir(parents=True, exist_ok=True)
 
     @property
@@ -177,8 +179,10 @@
         Raises
         ------
         LovageError
-            ``DISK_CORRUPT`` if synced data is damaged.
+            ``DISK_CORRUPT`` if synced data is damaged; ``DISK_TAKEN`` if another
+            process uses the folder.
         """
+        self._take_folder()
         stored = StoredState(self._load_identity())
         stored = self._load_snapshot(stored)
         if self._journal_path.exists():
@@ -187,6 +191,19 @@
         self._sync_folder()
         return stored
 
+    def _take_folder(self) -> None:
+        """Keep other processes out, until this one closes the journal or ends.
+
+        A second process would vote as the same voter, and cut off what the first
+        one is about to write.
+        """
+        self._lock = open(self._folder / "lock", "wb")
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as exc:
+            self._lock.close()
+            raise LovageError(Code.DISK_TAKEN) from exc
+
     def _load_identity(self) -> str:
         path = self._folder / "identity"
         if not path.exists():
@@ -303,6 +320,7 @@
             os.close(handle)
 
     def close(self) -> None:
-        """Close the journal."""
-        if self._file is not None:
-            self._file.close()
+        """Close the journal, and leave the folder to others."""
+        for file in (self._file, self._lock):
+            if file is not None:
+                file.close()
--- a/lovagewalk/journal/tests/test_journal.py
+++ b/lovagewalk/journal/tests/test_journal.py
@@ -56,7 +56,10 @@
 
 
 def test_identity_is_kept(tmp_path):
-    assert Journal(tmp_path).load().disk == Journal(tmp_path).load().disk
+    first = Journal(tmp_path)
+    disk = first.load().disk
+    first.close()
+    assert Journal(tmp_path).load().disk == disk
 
 
 @pytest.mark.parametrize("cut", [1, 5, 11, 12, 13, 40])
@@ -189,3 +192,19 @@
     journal.append(PersistVote(3, "c"))
     journal.close()
     assert Journal(tmp_path).load().term == 3
+
+
+def test_a_second_process_on_the_folder_is_refused_and_changes_nothing(tmp_path):
+    first = Journal(tmp_path)
+    first.load()
+    first.append(PersistVote(7, "a"))
+    path = tmp_path / "journal"
+    before = path.read_bytes()
+    with open(path, "ab") as file:
+        file.write(before[:5])
+    with pytest.raises(LovageError) as caught:
+        Journal(tmp_path).load()
+    assert caught.value.code is Code.DISK_TAKEN
+    assert path.read_bytes() == before + before[:5], "it may be a record under way"
+    first.close()
+    assert Journal(tmp_path).load().term == 7
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -105,12 +105,17 @@
     number: int,
     harm_disk: Callable[[Path], None] | None = None,
 ) -> None:
-    """End a process, harm its data folder meanwhile, and start it again."""
+    """End a process, harm its data folder meanwhile, and start it again.
+
+    Another fault may have ended the same process and started it again already.
+    """
+    process = fleet.processes[fault.target]
     await fleet.end(fault.target, number)
     if harm_disk is not None:
         harm_disk(fleet.folder / fault.target)
     await asyncio.sleep(fault.for_s)
-    await fleet.launch(fault.target)
+    if fleet.processes[fault.target] is process:
+        await fleet.launch(fault.target)
 
 
 @performs(Kill)
