An endpoint that says it is full is sent less by each daemon

No daemon had a proof of what the new primary held, so all reads went to it. What it refused with BUSY came again after 15 ms on the next free connection, its connection went to another customer's request, for which a new one was opened, 12 ms of a slot each. The three slots did nothing but open connections; so no statement ran, and no proof came that would have sent reads to the replicas.

Ruled out: leases (46 daemons lost theirs, by the cut of 2.5 to 9.5 s, and had it back by 10.5 s); the daemons' links; control (the primary was installed on all VMs within 30 ms).

Change: a pool counts refusals as strikes. While there are any, it sends one statement or opens one connection, then waits 15 ms, twice that with each strike up to 0.24 s; an answer takes a strike off and lets the next leave at once. A refused request waits at the head of its customer's queue, so its connection stays with it. Reads prefer endpoints without strikes, queues that would take too long are refused at once with their time, and transactions that are refused ask again after waits that double. Connections above the even part close at once.

Tried and dropped: one read of a daemon brings the proof for all that lack it.

--- a/lovagewalk/pools/__init__.py
+++ b/lovagewalk/pools/__init__.py
@@ -1,5 +1,6 @@
 """Connection pools with a fair queue over customers."""
 
+from ._crowding import FIRST_PAUSE_S, may_send, note_full, note_served, pace, pause_of
 from ._effects import CloseConnection, OpenConnection
 from ._events import ConnectionBroken, ConnectionOpened, ConnectionRefused, Refused
 from ._policy import (
@@ -25,6 +26,7 @@
 from ._state import CustomerQueue, Pool, PoolConnection
 
 __all__ = [
+    "FIRST_PAUSE_S",
     "MAX_WAITING",
     "CloseConnection",
     "ConnectionBroken",
@@ -43,9 +45,14 @@
     "estimate_wait",
     "grant",
     "is_slow",
+    "may_send",
     "narrow",
+    "note_full",
+    "note_served",
     "open_failed",
     "opened",
+    "pace",
+    "pause_of",
     "plan_openings",
     "release",
     "remove_waiting",
--- a/lovagewalk/pools/_policy.py
+++ b/lovagewalk/pools/_policy.py
@@ -9,6 +9,7 @@
 
 from lovagewalk.core import replace
 
+from ._crowding import may_send, pace, pause_of
 from ._state import CustomerQueue, Pool, PoolConnection
 
 # Charged for a statement until it ends; a quick read of the stand-in.
@@ -82,7 +83,7 @@
     conn = _idle_for(pool, customer)
     queue = pool.queues.get(customer) or CustomerQueue(customer)
     ahead = len(queue.reqs) if pool.dedicated else pool.waiting
-    if not conn or ahead:
+    if not conn or ahead or not may_send(pool, now):
         return Grant(pool)
     start = max(queue.virtual_time, pool.virtual_time)
     return _hand_out(pool, replace(queue, virtual_time=start), conn, 0, now)
@@ -118,7 +119,7 @@
         waiting=pool.waiting - taken,
         virtual_time=max(pool.virtual_time, queue.virtual_time),
     )
-    return Grant(granted, req, conn)
+    return Grant(pace(granted, now), req, conn)
 
 
 def grant(pool: Pool, weight_of: Callable[[str], float], now: float) -> Grant:
@@ -129,7 +130,7 @@
     weight_of : callable
         Returns a customer's weight.
     """
-    if not pool.idle or not pool.waiting:
+    if not pool.idle or not pool.waiting or not may_send(pool, now):
         return Grant(pool)
     queue = _next_queue(pool, weight_of)
     if queue is None:
@@ -251,12 +252,15 @@
 
 def estimate_wait(pool: Pool | None, now: float) -> float:
     """Return how long a new request would wait for a connection, in seconds."""
-    if pool is None or pool.busy < pool.limit:
+    if pool is None:
         return 0.0
+    paced_s = (pool.waiting + 1) * pause_of(pool.strikes) if pool.strikes else 0.0
+    if pool.busy < pool.limit:
+        return paced_s
     service_s = READ_ESTIMATE_S
     if pool.latency_s and now - pool.timed_at < SLOW_FOR_S:
         service_s = pool.latency_s
-    return (pool.busy - pool.limit + 1) / pool.limit * service_s
+    return max((pool.busy - pool.limit + 1) / pool.limit * service_s, paced_s)
 
 
 def narrow(pool: Pool, now: float) -> Pool:
@@ -273,14 +277,17 @@
 
 
 def surplus(pool: Pool, now: float) -> tuple[int, ...]:
-    """Return idle connections beyond the fair limit that nobody has used lately."""
+    """Return idle connections beyond the fair limit that nobody has used lately.
+
+    An endpoint that is full needs their room at once.
+    """
     count = len(pool.connections) - pool.fair_limit
     if not pool.dedicated or count <= 0:
         return ()
     unused = [
         conn
         for conn in pool.idle
-        if now - pool.connections[conn].held_since >= SURPLUS_IDLE_S
+        if pool.strikes or now - pool.connections[conn].held_since >= SURPLUS_IDLE_S
     ]
     return tuple(unused[:count])
 
@@ -302,11 +309,18 @@
 
 
 def plan_openings(pool: Pool, now: float) -> Openings:
-    """Decide which connections a dedicated pool opens, and which make room."""
-    if now < pool.retry_at or not pool.waiting:
+    """Decide which connections a dedicated pool opens, and which make room.
+
+    Opening one takes a slot of its endpoint as a statement does.
+    """
+    if now < pool.retry_at or not pool.waiting or not may_send(pool, now):
         return Openings()
     customers = _wanted_customers(pool)
-    room = max(pool.limit - pool.size, 0)
+    limit = pool.limit
+    if pool.strikes:
+        limit = min(limit, pool.fair_limit)
+        customers = customers[:1]
+    room = max(limit - pool.size, 0)
     idle = [
         conn for conn in pool.idle if not _has_waiting(pool, pool.connections[conn])
     ]
--- a/lovagewalk/pools/_state.py
+++ b/lovagewalk/pools/_state.py
@@ -92,6 +92,13 @@
         as long as the endpoint takes them and they are in use.
     narrowed_until : float
         Until then `limit` is narrowed, since the endpoint had too many.
+    strikes : int
+        Statements in a row that the endpoint refused, since it was full; each one
+        that it runs takes one off.
+    struck_at : float
+        When it last refused one.
+    paced_until : float
+        While there are strikes, nothing is sent to it before this time.
     """
 
     endpoint: str
@@ -111,6 +118,9 @@
     timed_at: float = 0.0
     fair_limit: int = 0
     narrowed_until: float = 0.0
+    strikes: int = 0
+    struck_at: float = 0.0
+    paced_until: float = 0.0
 
     @property
     def busy(self) -> int:
--- a/lovagewalk/routing/_consistency.py
+++ b/lovagewalk/routing/_consistency.py
@@ -11,7 +11,7 @@
 from lovagewalk.core import Handlers, replace
 from lovagewalk.groups import GroupView, Position, sample_since
 from lovagewalk.node import NodeState
-from lovagewalk.pools import estimate_wait, is_slow
+from lovagewalk.pools import estimate_wait, is_slow, may_send
 from lovagewalk.sessions import Session, TransactionState
 
 from ._state import Request
@@ -132,6 +132,7 @@
         return (
             pool is not None and now < pool.shunned_until,
             is_slow(pool, _best_latency(state, endpoints, endpoint), now),
+            not may_send(pool, now),
             *_rank(state, config, view, request, endpoint, now),
         )
 
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -11,6 +11,7 @@
     count_to_open,
     discard,
     grant,
+    pace,
     plan_openings,
     release,
 )
@@ -59,6 +60,8 @@
     for conn in openings.evicted:
         step = step.then(close(step.state, conn, now))
     pool = _place.pool_of(step.state, endpoint)
+    if openings.customers:
+        pool = pace(pool, now)
     return step.then(_open(step.state, pool, announced, openings.customers))
 
 
--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -5,7 +5,7 @@
 from lovagewalk.core import Code, Handlers, Refusal, Step, reduces, replace
 from lovagewalk.groups import ConfirmWaiter, is_confirmed, note_proof, resolve
 from lovagewalk.node import NodeState
-from lovagewalk.pools import time_read
+from lovagewalk.pools import note_served, time_read
 from lovagewalk.sessions import Session, TransactionState
 
 from . import _dispatch, _place
@@ -52,6 +52,7 @@
     request = replace(request, position=event.position)
     session = state.sessions[request.caller]
     state = note_heard(state, request.endpoint, event.at)
+    state = _note_served(state, request.endpoint)
     if request.reads and not request.opens:
         state = _time_read(state, request, event.at)
     if _proves_primary(request, session) and event.position is not None:
@@ -65,6 +66,13 @@
     return step.then(answer(step.state, request))
 
 
+def _note_served(state: NodeState, endpoint: str) -> NodeState:
+    pool = state.pools.get(endpoint)
+    if pool is None or not pool.strikes:
+        return state
+    return replace(state, pools=state.pools.set(endpoint, note_served(pool)))
+
+
 def _time_read(state: NodeState, request: Request, now: float) -> NodeState:
     pool = state.pools.get(request.endpoint)
     if pool is None:
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -9,6 +9,7 @@
 from lovagewalk.core import Code, Effect, Handlers, Refusal, Step, replace
 from lovagewalk.groups import note_lacking, note_trouble
 from lovagewalk.node import NodeState
+from lovagewalk.pools import FIRST_PAUSE_S, note_full, pause_of
 from lovagewalk.records import StatementFailedThere
 from lovagewalk.sessions import Session, TransactionState
 
@@ -19,9 +20,6 @@
 from ._transactions import end_transaction, leave_transaction
 from ._types import StatementKind
 
-# A statement of the users' sites holds a slot for 8 to 40 ms; a full endpoint is asked
-# again after about half of that.
-BUSY_BACKOFF_S = 0.015
 # Runs of one statement: every endpoint of a group of three twice over.
 MAX_RUNS = 6
 # Statements that were refused without a run, before the caller is told.
@@ -89,6 +87,8 @@
         state = shun(state, request.endpoint, event.at)
     if event.failure not in (Failure.LOST, Failure.NOT_SENT):
         state = note_heard(state, request.endpoint, event.at)
+    if event.failure is Failure.BUSY:
+        state = _note_full(state, request, event.at)
     config = state.catalogue.group(request.group)
     is_primary = request.endpoint == config.primary
     if is_primary and event.failure in (Failure.LOST, Failure.READ_ONLY):
@@ -100,6 +100,15 @@
     return state
 
 
+def _note_full(state: NodeState, request: Request, now: float) -> NodeState:
+    """Send less to an endpoint all whose slots are taken."""
+    pool = state.pools.get(request.endpoint)
+    if pool is None:
+        return state
+    pool = note_full(pool, request.sent_at, now)
+    return replace(state, pools=state.pools.set(request.endpoint, pool))
+
+
 def note_heard(state: NodeState, endpoint: str, now: float) -> NodeState:
     """Note that an endpoint has answered something."""
     pool = state.pools.get(endpoint)
@@ -131,7 +140,8 @@
 ) -> Step[NodeState]:
     """Go on in a transaction that the endpoint has kept open."""
     if event.failure is Failure.BUSY and _may_rerun(request, event.at):
-        return Step(_back_off(state, request, event.at))
+        wait_s = pause_of(request.attempts)
+        return Step(_back_off(state, request, event.at, wait_s))
     if event.failure is Failure.ERROR and request.kind is not StatementKind.COMMIT:
         refusal = Refusal(Code.ENDPOINT_ERROR, event.detail)
         return answer(state, request, refusal)
@@ -183,10 +193,10 @@
     return request.attempts < MAX_REFUSED_RUNS and now < request.deadline
 
 
-def _back_off(state: NodeState, request: Request, now: float) -> NodeState:
-    waiting = replace(
-        request, phase=Phase.BACKOFF, retry_at=now + BUSY_BACKOFF_S, tried=()
-    )
+def _back_off(
+    state: NodeState, request: Request, now: float, wait_s: float = FIRST_PAUSE_S
+) -> NodeState:
+    waiting = replace(request, phase=Phase.BACKOFF, retry_at=now + wait_s, tried=())
     return _place.put_request(state, waiting)
 
 
@@ -230,7 +240,7 @@
     state: NodeState, request: Request, event: StatementFailed
 ) -> Step[NodeState]:
     if request.at_primary:
-        return back_off(state, request, event.at)
+        return place_again(state, request, event.at)
     return place_again(state, note_tried(request), event.at)
 
 
--- /dev/null
+++ b/lovagewalk/routing/tests/test_crowded_primary.py
@@ -0,0 +1,213 @@
+"""Many daemons before one primary whose slots are all taken.
+
+The pattern: a promotion sends all reads of a group to its new primary, since no
+daemon has a proof yet of what it holds. What it refuses comes again, and its slots
+go to new connections and to answers that nobody waits for any more.
+"""
+
+from dataclasses import replace
+
+import pytest
+from immutables import Map
+
+from lovagewalk import catalogue as cat
+from lovagewalk.core import Code
+from lovagewalk.daemon._changes import resize_pools
+from lovagewalk.groups import Position
+from lovagewalk.pools import (
+    CloseConnection,
+    ConnectionOpened,
+    ConnectionRefused,
+    Refused,
+)
+from lovagewalk.routing import Failure
+from lovagewalk.shares import Share
+
+from .stated_site import FAR, GROUP, NEAR, PRIMARY, ROUTES, STALENESS_S, Site
+
+DAEMONS = 80
+CUSTOMERS = tuple(f"customer-{number}" for number in range(80))
+# Connections that an endpoint takes, three for each daemon and a few.
+CAP = 270
+SLOTS = 3
+QUEUE = 24
+SERVICE_S = 0.018
+CONNECT_S = 0.012
+WAY_S = 0.01
+STEP_S = 0.005
+SWEEP_STEPS = 4
+# All daemons together ask for twice what the primary alone can serve.
+READS_A_S = 2 * SLOTS / SERVICE_S
+
+
+class Endpoint:
+    """Slots that statements and new connections take, and a queue before them."""
+
+    def __init__(self):
+        self.free_at = [0.0] * SLOTS
+        self.connections = set()
+        self.queue = []
+        self.arrived = self.refused = 0
+
+    def arrive(self, takes_s, done, refuse=None):
+        self.arrived += 1
+        if refuse is not None and len(self.queue) >= QUEUE:
+            self.refused += 1
+            refuse()
+            return
+        self.queue.append((takes_s, done))
+
+    def step(self, now):
+        for slot, free_at in enumerate(self.free_at):
+            while free_at <= now and self.queue:
+                takes_s, done = self.queue.pop(0)
+                free_at = max(free_at, now - STEP_S) + takes_s
+                done(free_at)
+            self.free_at[slot] = free_at
+
+
+class Daemon(Site):
+    """One of many daemons, over links with a delay."""
+
+    def __init__(self, fleet):
+        self.fleet = None
+        super().__init__()
+        self.change(
+            cat.ReplaceConfiguration(
+                2,
+                ROUTES,
+                tuple(cat.CustomerEntry(name, "op", 1e6, 1e6) for name in CUSTOMERS),
+                tuple(cat.KeyEntry(f"key-{name}", name, "") for name in CUSTOMERS),
+                (cat.GroupLimits(GROUP, CAP),),
+            )
+        )
+        shares = {name: Share(name, 1e6, 1e6, 1e6, 0.0, 1e9) for name in CUSTOMERS}
+        self.state = replace(self.state, shares=Map(shares), entry_daemons=DAEMONS)
+        self.state = resize_pools(self.state)
+        self.fleet = fleet
+        self.now += STALENESS_S + 0.1
+
+    def open(self, effect):
+        if self.fleet is None:
+            super().open(effect)
+            return
+        self.opened.append(effect)
+        name, conn = effect.endpoint, effect.conn
+        endpoint = self.fleet.endpoints[name]
+        if len(endpoint.connections) >= CAP:
+            reason = Refused.TOO_MANY
+            self.fleet.later(
+                self.fleet.now + 2 * WAY_S,
+                lambda: self.feed(ConnectionRefused(self.now, conn, name, reason)),
+            )
+            return
+        endpoint.connections.add((self, conn))
+        born = str(self.state.catalogue.endpoints[name].born)
+        self.fleet.send(
+            name,
+            CONNECT_S,
+            lambda: self.feed(ConnectionOpened(self.now, conn, name, born)),
+        )
+
+    def adopt(self, step):
+        super().adopt(step)
+        for effect in step.effects:
+            if isinstance(effect, CloseConnection):
+                for endpoint in self.fleet.endpoints.values():
+                    endpoint.connections.discard((self, effect.conn))
+
+    def send_runs(self):
+        runs, self.runs = self.runs, []
+        for run in runs:
+            name = self.state.conn_endpoints[run.conn]
+            self.fleet.send(
+                name,
+                SERVICE_S,
+                lambda run=run: self.done(run, Position(1, 10)),
+                lambda run=run: self.fail(run, Failure.BUSY),
+            )
+
+
+class Fleet:
+    """Daemons and the endpoints that they share."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.due = []
+        self.endpoints = {name: Endpoint() for name in (PRIMARY, NEAR, FAR)}
+        self.daemons = [Daemon(self) for _ in range(DAEMONS)]
+        self.steps = self.asked = 0
+        self.owed = 0.0
+
+    def later(self, at, call):
+        self.due.append((at, call))
+
+    def send(self, name, takes_s, done, refused=None):
+        endpoint = self.endpoints[name]
+
+        def refuse():
+            self.later(self.now + WAY_S, refused)
+
+        self.later(
+            self.now + WAY_S,
+            lambda: endpoint.arrive(
+                takes_s,
+                lambda at: self.later(at + WAY_S, done),
+                refuse if refused else None,
+            ),
+        )
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self._step()
+
+    def _step(self):
+        self.steps += 1
+        self.now += STEP_S
+        for daemon in self.daemons:
+            daemon.now += STEP_S
+        calls = [call for at, call in self.due if at <= self.now]
+        self.due = [item for item in self.due if item[0] > self.now]
+        for call in calls:
+            call()
+        for endpoint in self.endpoints.values():
+            endpoint.step(self.now)
+        self.owed += READS_A_S * STEP_S
+        while self.owed >= 1:
+            self.owed -= 1
+            daemon = self.daemons[self.asked * 11 % DAEMONS]
+            self.asked += 1
+            customer = CUSTOMERS[self.asked * 7 % len(CUSTOMERS)]
+            daemon.read(daemon.connect("board", f"key-{customer}"))
+        for number, daemon in enumerate(self.daemons):
+            if (self.steps + number) % SWEEP_STEPS == 0:
+                daemon.sweep(0.0)
+            daemon.send_runs()
+
+    def outcomes(self):
+        """Return how many reads were served, and how many refused."""
+        answers = [a for daemon in self.daemons for a in daemon.answers.values()]
+        refused = [a for a in answers if a.refusal is not None]
+        assert all(a.refusal.code is Code.OVERLOADED for a in refused)
+        return len(answers) - len(refused), len(refused)
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+def test_reads_leave_a_crowded_primary_for_its_replicas(fleet):
+    fleet.run(1.5)
+    served, refused = fleet.outcomes()
+    fleet.run(1.0)
+    later_served, later_refused = fleet.outcomes()
+    assert later_refused == refused
+    assert later_served - served >= 0.95 * READS_A_S
+
+
+def test_a_crowded_primary_is_not_asked_again_and_again(fleet):
+    fleet.run(1.0)
+    primary = fleet.endpoints[PRIMARY]
+    asked = READS_A_S * 1.0
+    assert primary.refused <= asked, "each read is refused once at most, on the mean"
