Rig: ports are claimed between processes; each fleet has a secret of its own

Cause: several test runs beside each other. A daemon that restarts finds its port taken by another run ("address already in use" in each of these logs), and daemons of two fleets, alike in name and secret, took each other for the same.

Mend: a port is claimed on a second loopback address until 256 more are, and a fleet's secret comes from its folder. Two tests, failing first. The test on short secrets writes its line in another way, as the secret differs now.

--- a/lovagewalk/cli/tests/rig.py
+++ b/lovagewalk/cli/tests/rig.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from hashlib import sha256
 
 import asyncmy
 from mysql_mimic.auth import NativePasswordAuthPlugin
@@ -17,7 +18,11 @@
 
 
 def daemon_ini(folder, name, ports, controls, fleet_size=3, peers_port=0):
-    """Return a daemon's settings; `controls` holds the ports that it dials."""
+    """Return a daemon's settings; `controls` holds the ports that it dials.
+
+    The secret is the folder's own, so that no daemon of another fleet is let in.
+    """
+    secret = sha256(str(folder).encode()).hexdigest()
     listed = "\n".join(f"{vm} = {HOST}:{port}" for vm, port in controls.items())
     return f"""
 [daemon]
@@ -34,7 +39,7 @@
 [control]
 {listed}
 [secrets]
-fleet = fleet-secret
+fleet = {secret}
 operator = {TOKEN}
 announce = announce-secret
 [endpoints]
--- a/lovagewalk/cli/tests/test_processes.py
+++ b/lovagewalk/cli/tests/test_processes.py
@@ -49,7 +49,7 @@
         ),
         (("[log]", "[lag]"), "[lag] *: unknown section"),
         (("level = WARNING", "level = LOUD"), "[log] level: one of"),
-        (("fleet = fleet-secret", "fleet = short"), "[secrets] fleet: shorter"),
+        (("fleet = ", "fleet = short\n; instead of "), "[secrets] fleet: shorter"),
         (("host = 127.0.0.1", "host = localhost"), "[listen] host: not an IP number"),
         (("roles = entry, control", "roles = king"), "[daemon] roles: one or more"),
         (("[daemon]", "nonsense\n[daemon]"), "[file] vm1.ini"),
--- a/lovagewalk/demo/_fleet.py
+++ b/lovagewalk/demo/_fleet.py
@@ -8,6 +8,7 @@
 import shutil
 import socket
 import tempfile
+from collections import deque
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -34,6 +35,10 @@
 )
 
 HOST = "127.0.0.1"
+# Nothing listens there; whoever binds a port of it has chosen the port of `HOST`.
+CLAIM_HOST = "127.0.0.2"
+# Ten fleets of a soak; far fewer than the descriptors that a process may have.
+MAX_CLAIMS = 256
 READY_LIMIT_S = 20.0
 RETRY_S = 0.1
 # Linux gives outgoing connections ports from 32768 on.
@@ -41,6 +46,7 @@
 # Prime, so that processes that start one after the other lie far apart.
 PORT_STRIDE = 499
 _ports = itertools.count()
+_claims: deque[socket.socket] = deque()
 
 log = logging.getLogger("lovagewalk.demo")
 
@@ -143,16 +149,24 @@
     """Return a port of the loopback address that nothing listens on.
 
     It lies below the ports that the system gives to outgoing connections, so that
-    none of these takes it before it is used; each process starts elsewhere.
+    none of these takes it before it is used; each process starts elsewhere. It is
+    claimed on another loopback address, so that a second process leaves it alone
+    also while its owner restarts what listens there.
     """
     while True:
         port = FIRST_PORT + (os.getpid() * PORT_STRIDE + next(_ports)) % PORT_COUNT
-        with socket.socket() as probe:
-            try:
+        claim = socket.socket()
+        try:
+            claim.bind((CLAIM_HOST, port))
+            with socket.socket() as probe:
                 probe.bind((HOST, port))
-            except OSError as exc:
-                log.debug("demo: port %d is taken: %s", port, exc)
-                continue
+        except OSError as exc:
+            claim.close()
+            log.debug("demo: port %d is taken: %s", port, exc)
+            continue
+        _claims.append(claim)
+        if len(_claims) > MAX_CLAIMS:
+            _claims.popleft().close()
         return port
 
 
--- /dev/null
+++ b/lovagewalk/demo/tests/test_ports.py
@@ -0,0 +1,31 @@
+"""Ports of fleets that several processes of a machine run at the same time."""
+
+import socket
+
+from lovagewalk.demo import free_port
+from lovagewalk.demo._fleet import CLAIM_HOST, HOST, MAX_CLAIMS
+
+
+def test_a_port_that_another_process_has_chosen_is_left_alone():
+    """Nothing listens on it yet, or not any more, while its owner restarts."""
+    port = free_port()
+    with socket.socket() as claimed:
+        claimed.bind((CLAIM_HOST, port + 1))
+        assert free_port() > port + 1
+
+
+def test_a_chosen_port_is_claimed_until_many_others_were():
+    port = free_port()
+    with socket.socket() as other:
+        try:
+            other.bind((CLAIM_HOST, port))
+        except OSError:
+            pass
+        else:
+            raise AssertionError("the port is not claimed")
+    for _ in range(MAX_CLAIMS):
+        free_port()
+    with socket.socket() as other:
+        other.bind((CLAIM_HOST, port))
+    with socket.socket() as listener:
+        listener.bind((HOST, port))
