A full endpoint is forgotten after a second; log lines and a metric for it

Cause: strikes of an endpoint that was sent nothing more stayed, so a single request long after a crowd was told to wait for 0.24 s, and the next was refused.

Change: strikes count for 1 s after the last refusal; statements of any route that run take one off. A daemon logs once that an endpoint refuses more than a burst (four in a row), and once that it has room again; lovagewalk_pool_strikes shows it.

--- a/lovagewalk/cli/tests/rig.py
+++ b/lovagewalk/cli/tests/rig.py
@@ -15,6 +15,7 @@
 TOKEN = "operator-token"
 WAIT_S = 30.0
 COMMAND = "import lovagewalk.cli; lovagewalk.cli.main()"
+ENDPOINT_PASSWORD = "endpoint-secret"
 
 
 def daemon_ini(folder, name, ports, controls, fleet_size=3, peers_port=0):
@@ -44,7 +45,7 @@
 announce = announce-secret
 [endpoints]
 user = lovagewalk
-password = endpoint-secret
+password = {ENDPOINT_PASSWORD}
 [data]
 folder = {folder / name if name in controls else ''}
 [log]
@@ -62,7 +63,7 @@
 host = {HOST}
 port = {port}
 user = lovagewalk
-password = endpoint-secret
+password = {ENDPOINT_PASSWORD}
 connect_ms = 0
 service_ms = {service_ms}
 [announce]
--- a/lovagewalk/edge/_operators.py
+++ b/lovagewalk/edge/_operators.py
@@ -248,6 +248,7 @@
                 "term": g.term,
                 "primary": g.primary,
                 "voters": [v.name for v in g.voters],
+                "incarnations": {v.name: v.incarnation for v in g.voters},
             }
             for g in state.catalogue.groups.values()
         ],
--- a/lovagewalk/pools/_policy.py
+++ b/lovagewalk/pools/_policy.py
@@ -9,7 +9,7 @@
 
 from lovagewalk.core import replace
 
-from ._crowding import may_send, pace, pause_of
+from ._crowding import is_full, may_send, pace, pause_of
 from ._state import CustomerQueue, Pool, PoolConnection
 
 # Charged for a statement until it ends; a quick read of the stand-in.
@@ -254,7 +254,9 @@
     """Return how long a new request would wait for a connection, in seconds."""
     if pool is None:
         return 0.0
-    paced_s = (pool.waiting + 1) * pause_of(pool.strikes) if pool.strikes else 0.0
+    paced_s = 0.0
+    if is_full(pool, now):
+        paced_s = (pool.waiting + 1) * pause_of(pool.strikes)
     if pool.busy < pool.limit:
         return paced_s
     service_s = READ_ESTIMATE_S
@@ -287,7 +289,8 @@
     unused = [
         conn
         for conn in pool.idle
-        if pool.strikes or now - pool.connections[conn].held_since >= SURPLUS_IDLE_S
+        if is_full(pool, now)
+        or now - pool.connections[conn].held_since >= SURPLUS_IDLE_S
     ]
     return tuple(unused[:count])
 
@@ -317,7 +320,7 @@
         return Openings()
     customers = _wanted_customers(pool)
     limit = pool.limit
-    if pool.strikes:
+    if is_full(pool, now):
         limit = min(limit, pool.fair_limit)
         customers = customers[:1]
     room = max(limit - pool.size, 0)
--- a/lovagewalk/pools/_state.py
+++ b/lovagewalk/pools/_state.py
@@ -98,7 +98,9 @@
     struck_at : float
         When it last refused one.
     paced_until : float
-        While there are strikes, nothing is sent to it before this time.
+        While it is full, nothing is sent to it before this time.
+    crowded : bool
+        Whether the refusals were more than a burst; until it runs as many.
     """
 
     endpoint: str
@@ -121,6 +123,7 @@
     strikes: int = 0
     struck_at: float = 0.0
     paced_until: float = 0.0
+    crowded: bool = False
 
     @property
     def busy(self) -> int:
--- a/lovagewalk/records/__init__.py
+++ b/lovagewalk/records/__init__.py
@@ -4,6 +4,8 @@
 from ._records import (
     CallerClosed,
     ConfigurationInForce,
+    EndpointFull,
+    EndpointHasRoom,
     EndpointRefused,
     LeadershipGained,
     LeadershipLost,
@@ -20,6 +22,8 @@
 __all__ = [
     "CallerClosed",
     "ConfigurationInForce",
+    "EndpointFull",
+    "EndpointHasRoom",
     "EndpointRefused",
     "LeadershipGained",
     "LeadershipLost",
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -73,6 +73,27 @@
     sent_ms_ago: int
 
 
+@recorded("routing", "endpoint is full")
+@dataclass(frozen=True, slots=True)
+class EndpointFull(LogRecord):
+    """An endpoint refuses more than a burst; this daemon sends it less."""
+
+    endpoint: str
+    group: str
+    strikes: int
+    waiting: int
+
+
+@recorded("routing", "endpoint has room again")
+@dataclass(frozen=True, slots=True)
+class EndpointHasRoom(LogRecord):
+    """An endpoint that was full has run what it was sent."""
+
+    endpoint: str
+    group: str
+    waiting: int
+
+
 @recorded("catalogue", "configuration in force")
 @dataclass(frozen=True, slots=True)
 class ConfigurationInForce(LogRecord):
--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -12,7 +12,7 @@
 from ._answer import MAX_RETRY_CREDIT, answer
 from ._effects import DropResult
 from ._events import Failure, StatementDone, StatementFailed, StreamEnded
-from ._recovery import note_heard, recover
+from ._recovery import log_crowding, note_heard, recover
 from ._state import Phase, Request
 from ._transactions import end_transaction, leave_transaction
 from ._types import WRITES, StatementKind
@@ -28,6 +28,12 @@
     if request is None or request.conn != event.conn:
         step = _dispatch.close(state, event.conn, event.at)
         return Step(step.state, step.effects + (DropResult(event.req),))
+    served = _note_served(state, request.endpoint, event.at)
+    logged = Step(served, log_crowding(state, served, request))
+    return logged.then(_done(served, request, event))
+
+
+def _done(state: NodeState, request: Request, event: StatementDone) -> Step[NodeState]:
     if request.is_stated:
         return _stated_done(state, request, event)
     session = state.sessions[request.caller]
@@ -52,7 +58,6 @@
     request = replace(request, position=event.position)
     session = state.sessions[request.caller]
     state = note_heard(state, request.endpoint, event.at)
-    state = _note_served(state, request.endpoint)
     if request.reads and not request.opens:
         state = _time_read(state, request, event.at)
     if _proves_primary(request, session) and event.position is not None:
@@ -66,11 +71,11 @@
     return step.then(answer(step.state, request))
 
 
-def _note_served(state: NodeState, endpoint: str) -> NodeState:
+def _note_served(state: NodeState, endpoint: str, now: float) -> NodeState:
     pool = state.pools.get(endpoint)
     if pool is None or not pool.strikes:
         return state
-    return replace(state, pools=state.pools.set(endpoint, note_served(pool)))
+    return replace(state, pools=state.pools.set(endpoint, note_served(pool, now)))
 
 
 def _time_read(state: NodeState, request: Request, now: float) -> NodeState:
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -10,7 +10,7 @@
 from lovagewalk.groups import note_lacking, note_trouble
 from lovagewalk.node import NodeState
 from lovagewalk.pools import FIRST_PAUSE_S, note_full, pause_of
-from lovagewalk.records import StatementFailedThere
+from lovagewalk.records import EndpointFull, EndpointHasRoom, StatementFailedThere
 from lovagewalk.sessions import Session, TransactionState
 
 from . import _dispatch, _place
@@ -36,8 +36,9 @@
     state: NodeState, request: Request, event: StatementFailed
 ) -> Step[NodeState]:
     """Try a failed statement again where that is safe, or answer its caller."""
-    step = Step(_note_endpoint(state, request, event), _log_failure(request, event))
-    return step.then(_recover(step.state, request, event))
+    noted = _note_endpoint(state, request, event)
+    effects = _log_failure(request, event) + log_crowding(state, noted, request)
+    return Step(noted, effects).then(_recover(noted, request, event))
 
 
 def _log_failure(request: Request, event: StatementFailed) -> tuple[Effect, ...]:
@@ -56,6 +57,18 @@
     return (noted,)
 
 
+def log_crowding(
+    before: NodeState, after: NodeState, request: Request
+) -> tuple[Effect, ...]:
+    """Return the log line where this daemon's belief on an endpoint's room changed."""
+    old, new = (state.pools.get(request.endpoint) for state in (before, after))
+    if old is None or new is None or old.crowded == new.crowded:
+        return ()
+    if new.crowded:
+        return (EndpointFull(new.endpoint, request.group, new.strikes, new.waiting),)
+    return (EndpointHasRoom(new.endpoint, request.group, new.waiting),)
+
+
 def _recover(
     state: NodeState, request: Request, event: StatementFailed
 ) -> Step[NodeState]:
--- a/lovagewalk/routing/tests/test_crowded_primary.py
+++ b/lovagewalk/routing/tests/test_crowded_primary.py
@@ -20,6 +20,7 @@
     ConnectionRefused,
     Refused,
 )
+from lovagewalk.records import EndpointFull, EndpointHasRoom, LogRecord
 from lovagewalk.routing import Failure
 from lovagewalk.shares import Share
 
@@ -211,3 +212,29 @@
     primary = fleet.endpoints[PRIMARY]
     asked = READS_A_S * 1.0
     assert primary.refused <= asked, "each read is refused once at most, on the mean"
+
+
+def test_a_crowded_endpoint_and_its_end_are_logged_once():
+    site = Site()
+    records = []
+    adopt = site.adopt
+
+    def keep(step):
+        records.extend(e for e in step.effects if isinstance(e, LogRecord))
+        adopt(step)
+
+    site.adopt = keep
+    for _ in range(6):
+        site.read(site.connect("till"))
+        site.now += 0.3
+        site.sweep()
+        site.fail(site.take(), Failure.BUSY)
+    for _ in range(6):
+        site.read(site.connect("till"))
+        site.now += 0.3
+        site.sweep()
+        site.done(site.take(), Position(1, 10))
+    kinds = [type(record) for record in records]
+    assert kinds.count(EndpointFull) == 1
+    assert kinds.count(EndpointHasRoom) == 1
+    assert kinds.index(EndpointFull) < kinds.index(EndpointHasRoom)
--- a/lovagewalk/runtime/_metrics.py
+++ b/lovagewalk/runtime/_metrics.py
@@ -48,6 +48,11 @@
             "Requests waiting for a connection by endpoint.",
             registry=self.registry,
         )
+        self.pool_strikes = Gauge(
+            "lovagewalk_pool_strikes",
+            "Statements refused in a row by an endpoint that is full.",
+            registry=self.registry,
+        )
         self.sample_age = Gauge(
             "lovagewalk_group_sample_age_seconds",
             "Age of the last proof of a primary by group.",
@@ -148,6 +153,7 @@
         for name, pool in state.pools.items():
             self.pool_connections.set({"endpoint": name}, len(pool.connections))
             self.pool_waiting.set({"endpoint": name}, pool.waiting)
+            self.pool_strikes.set({"endpoint": name}, pool.strikes)
 
     def note_region_bytes(self, route: str, count: int) -> None:
         """Count bytes that crossed between regions."""
