Soak: rows are taken from a whole group only, as the voters say

With control VMs suspended and killed for most of that time nobody repairs them, and the second kill took the second of three copies, which no fleet of three can bear.

Change: a kill of an instance first asks instances and daemons; unless each instance holds the data that its vote stands for, it is left alive. /status names the data of each voter. The time between two kills stays as it is.

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -1,16 +1,29 @@
 """The processes of a soak: three daemons, three instances, proxies between daemons."""
 
 import asyncio
+import logging
 import shutil
 import signal
 from collections.abc import Callable
 from pathlib import Path
 
-from lovagewalk.cli.tests.rig import HOST, Rig, daemon_ini, standin_ini
+import asyncmy
+
+from lovagewalk.cli.tests.rig import (
+    ENDPOINT_PASSWORD,
+    HOST,
+    Rig,
+    daemon_ini,
+    standin_ini,
+)
 from lovagewalk.core import performs
-from lovagewalk.demo import free_port
+from lovagewalk.demo import free_port, run
+from lovagewalk.edge._group_client import MONITOR_USER, STATUS_QUERY
+from lovagewalk.groups import Role
 from lovagewalk.journal._journal import _frame as frame
+from lovagewalk.operators import OperatorError
 
+from ._callers import FAILURES
 from ._faults import (
     DAEMONS,
     INSTANCES,
@@ -26,10 +39,16 @@
 
 # More than the longest drain of a daemon.
 STOP_LIMIT_S = 10.0
+# Far more than an answer takes on the loopback address.
+ASK_LIMIT_S = 0.5
+_TAKING_PART = (Role.PRIMARY.value, Role.REPLICA.value)
 # The start of a record whose end was never written.
 TORN_RECORD = frame(b"torn" * 100)[:60]
 
 
+log = logging.getLogger("lovagewalk.soak")
+
+
 class SoakFleet(Rig):
     """Processes whose links, disks and lives can be harmed."""
 
@@ -69,6 +88,46 @@
                 process.send_signal(signal.SIGCONT)
         await super().__aexit__(*exc_info)
 
+    async def is_group_whole(self):
+        """Whether each instance holds what its vote stands for, as far as is known.
+
+        All that can be asked have to agree, since daemons may be behind.
+        """
+        held = {name: await self._incarnation(name) for name in INSTANCES}
+        known = [await self._voters(name) for name in DAEMONS]
+        told = [voters for voters in known if voters is not None]
+        return bool(told) and all(voters == held for voters in told)
+
+    async def _incarnation(self, name):
+        """Return which data an instance that takes part has, or None."""
+        try:
+            async with asyncio.timeout(ASK_LIMIT_S):
+                conn = await asyncmy.connect(
+                    host=HOST,
+                    port=self.instance_ports[name],
+                    user=MONITOR_USER,
+                    password=ENDPOINT_PASSWORD,
+                )
+                try:
+                    (row,) = await run(conn, STATUS_QUERY)
+                finally:
+                    conn.close()
+        except FAILURES as exc:
+            log.debug("soak: %s does not answer: %r", name, exc)
+            return None
+        incarnation, role = row[:2]
+        return incarnation if role in _TAKING_PART else None
+
+    async def _voters(self, name):
+        """Return which data a daemon knows the voters by, or None."""
+        try:
+            async with asyncio.timeout(ASK_LIMIT_S), self.operator(name) as client:
+                status = await client.get("/status")
+        except (*FAILURES, OperatorError) as exc:
+            log.debug("soak: %s does not answer: %r", name, exc)
+            return None
+        return status["groups"][0]["incarnations"] if status["groups"] else None
+
     async def launch(self, name):
         """Start a process of the fleet."""
         program = "daemon" if name in DAEMONS else "standin"
@@ -120,7 +179,24 @@
 
 @performs(Kill)
 def _kill(fleet: SoakFleet, fault: Kill) -> None:
-    fleet.happen(fault, _restart_after(fleet, fault, signal.SIGKILL))
+    kill = _kill_instance if fault.target in INSTANCES else _kill_daemon
+    fleet.happen(fault, kill(fleet, fault))
+
+
+async def _kill_daemon(fleet: SoakFleet, fault: Kill) -> None:
+    await _restart_after(fleet, fault, signal.SIGKILL)
+
+
+async def _kill_instance(fleet: SoakFleet, fault: Kill) -> None:
+    """Take an instance's rows, unless the group still lacks those of another one.
+
+    Two of three lost before the voters are whole again is more than the fleet is
+    meant to bear. That takes as long as control is kept from repairing them.
+    """
+    if await fleet.is_group_whole():
+        await _restart_after(fleet, fault, signal.SIGKILL)
+    else:
+        log.info("soak: the group is not whole, %s is left alive", fault.target)
 
 
 @performs(Stop)
--- a/soak/tests/test_restarts.py
+++ b/soak/tests/test_restarts.py
@@ -3,6 +3,8 @@
 import asyncio
 import signal
 
+import pytest
+
 from soak._faults import Kill, Stop
 from soak._fleet import SoakFleet, _restart_after
 
@@ -45,3 +47,36 @@
     await asyncio.gather(stop, kill)
     assert fleet.started == ["vm2", "vm2"]
     assert fleet.processes["vm2"].returncode is None
+
+
+class Knowing(SoakFleet):
+    """A fleet whose instances and daemons tell what a test gives them."""
+
+    def __init__(self, folder, held, told):
+        super().__init__(folder)
+        self.held, self.told = held, told
+
+    async def _incarnation(self, name):
+        return self.held[name]
+
+    async def _voters(self, name):
+        return self.told[name]
+
+
+WHOLE = {"db1": "a", "db2": "b", "db3": "c"}
+ALL = dict.fromkeys(("vm1", "vm2", "vm3"), WHOLE)
+
+
+@pytest.mark.parametrize(
+    ("held", "told", "whole"),
+    [
+        (WHOLE, ALL, True),
+        (WHOLE, ALL | {"vm2": None}, True),
+        (WHOLE | {"db1": "lost"}, ALL, False),
+        (WHOLE | {"db1": None}, ALL, False),
+        (WHOLE | {"db1": "new"}, ALL | {"vm1": WHOLE | {"db1": "new"}}, False),
+        (WHOLE, dict.fromkeys(ALL, None), False),
+    ],
+)
+async def test_rows_are_taken_from_a_whole_group_only(tmp_path, held, told, whole):
+    assert await Knowing(tmp_path, held, told).is_group_whole() is whole
