Seeds of a changed settings file are taken over while a daemon runs

Cause: SIGHUP was noted only.

Change: the file is looked at every second and at SIGHUP (runtime/_reload.py); SeedsChanged gives the follower other VMs to ask and a joining control VM other peers.

--- a/lovagewalk/consensus/__init__.py
+++ b/lovagewalk/consensus/__init__.py
@@ -38,6 +38,7 @@
     VoterConfig,
     configs_of,
     forget_peers,
+    note_peers,
 )
 
 __all__ = [
@@ -70,6 +71,7 @@
     "has_quorum",
     "holds_leader_lease",
     "is_consensus_message",
+    "note_peers",
     "is_former_leader_over",
     "receive",
     "send_snapshots",
--- a/lovagewalk/control/__init__.py
+++ b/lovagewalk/control/__init__.py
@@ -22,6 +22,7 @@
     PeerLost,
     PeerMessage,
     RepairTick,
+    SeedsChanged,
     SwitchRequested,
 )
 from ._readiness import holds_shares, is_ready
@@ -48,6 +49,7 @@
     "PromoteInstance",
     "RecordAudit",
     "RepairTick",
+    "SeedsChanged",
     "SteerInstance",
     "StopDaemon",
     "SwitchRequested",
--- a/lovagewalk/control/_events.py
+++ b/lovagewalk/control/_events.py
@@ -34,6 +34,13 @@
     """Time to look at voters and at instances that have gone astray."""
 
 
+@dataclass(frozen=True, slots=True)
+class SeedsChanged(Event):
+    """The settings were read again; they name the control VMs to ask at first."""
+
+    controls: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class PeerLost(Event):
     """The link to a daemon has ended, or could not be set up."""
--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -1,10 +1,12 @@
 """The daemon's side of following: catalogue, leases and shares that come in."""
 
 from lovagewalk.catalogue import CatalogueDelta, apply_delta
+from lovagewalk.consensus import note_peers
 from lovagewalk.core import Step, replace
 from lovagewalk.daemon._changes import install_catalogue, resize_pools
 from lovagewalk.groups import add_proof, view_of
 from lovagewalk.node import NodeState
+from lovagewalk.records import SeedsReplaced
 from lovagewalk.routing import _sweep
 from lovagewalk.shares import Share, expire, grow, shrink
 
@@ -108,6 +110,19 @@
     return Step(replace(step.state, follow=follow), step.effects)
 
 
+def on_seeds_changed(state: NodeState, controls: tuple[str, ...]) -> Step[NodeState]:
+    """Ask other control VMs from now on, beside the voters of the catalogue."""
+    follow: FollowState = state.follow
+    if follow is None or controls == follow.controls:
+        return Step(state)
+    noted = SeedsReplaced(before=", ".join(follow.controls), after=", ".join(controls))
+    raft = state.consensus
+    if raft is not None:
+        raft = note_peers(raft, controls)
+    follow = replace(follow, controls=controls)
+    return Step(replace(state, follow=follow, consensus=raft), (noted,))
+
+
 def on_peer_lost(state: NodeState, peer: str) -> NodeState:
     """Turn to another control VM at once; what the lost one was asked is lost."""
     follow: FollowState = state.follow
--- a/lovagewalk/control/_reducer.py
+++ b/lovagewalk/control/_reducer.py
@@ -39,6 +39,7 @@
     PeerLost,
     PeerMessage,
     RepairTick,
+    SeedsChanged,
     SwitchRequested,
 )
 from ._peer_messages import peer_handlers
@@ -62,6 +63,11 @@
     return Step(_follow.on_peer_lost(state, event.peer))
 
 
+@reduces(SeedsChanged)
+def _seeds_changed(state: NodeState, event: SeedsChanged) -> Step[NodeState]:
+    return _follow.on_seeds_changed(state, event.controls)
+
+
 def _consensus_message(state: NodeState, event: PeerMessage) -> Step[NodeState]:
     if state.consensus is None:
         return Step(state)
--- /dev/null
+++ b/lovagewalk/control/tests/test_seeds.py
@@ -0,0 +1,52 @@
+"""Settings that name other control VMs while a daemon runs."""
+
+from lovagewalk.consensus import SendPeer
+from lovagewalk.control import ConsensusTick, ControlTick, SeedsChanged
+from lovagewalk.control._messages import FollowRequest
+from lovagewalk.core import reduce
+from lovagewalk.records import SeedsReplaced
+
+from .control_fleet import ControlFleet
+from .test_follow import Follower
+
+
+def _asked(follower, seconds):
+    """Return whom a daemon reports to while nobody answers."""
+    asked = set()
+    for _ in range(round(seconds / 0.05)):
+        follower.now += 0.05
+        step = reduce(follower.state, ControlTick(follower.now))
+        follower.state = step.state
+        asked |= {
+            effect.peer
+            for effect in step.effects
+            if isinstance(effect, SendPeer)
+            and isinstance(effect.message, FollowRequest)
+        }
+    return asked
+
+
+def test_a_daemon_turns_to_the_control_vms_that_new_settings_name():
+    """All those it knew are gone, and it was cut off when others were taken in."""
+    follower = Follower(answer_s=1e9)
+    assert _asked(follower, 8.0) == {"c1", "c2", "c3"}
+    step = reduce(follower.state, SeedsChanged(follower.now, ("d1", "d2")))
+    follower.state = step.state
+    (noted,) = step.effects
+    assert isinstance(noted, SeedsReplaced) and noted.after == "d1, d2"
+    assert {"d1", "d2"} <= _asked(follower, 8.0)
+
+
+def test_a_control_vm_that_joins_asks_the_new_seeds_too():
+    fleet = ControlFleet((), ("gone",))
+    fleet.add("new")
+    fleet.feed("new", SeedsChanged(fleet.now, ("vm1", "vm2")))
+    fleet.now += 1.0
+    fleet.feed("new", ConsensusTick(fleet.now))
+    assert {"vm1", "vm2"} <= {peer for _, peer, _ in fleet.wire}
+
+
+def test_the_same_seeds_change_nothing():
+    follower = Follower(answer_s=0.02)
+    step = reduce(follower.state, SeedsChanged(follower.now, ("c1", "c2", "c3")))
+    assert step.state is follower.state and not step.effects
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -18,6 +18,7 @@
     MetricsPage,
     Peers,
     Ports,
+    SettingsWatch,
     on_stop_signals,
 )
 from lovagewalk.settings import Address
@@ -26,7 +27,7 @@
 from ._endpoints import EndpointClient
 from ._operators import Operators
 from ._provider import Provider
-from ._settings import METRICS_PORT, PlatformSettings
+from ._settings import METRICS_PORT, PlatformSettings, load_controls, settings_path
 
 # The balancer takes a daemon out after two misses, a second apart.
 OUT_OF_ROTATION_S = 2.2
@@ -55,6 +56,7 @@
         secret = cfg.secret.encode()
         self.ports.peers = Peers(self.ports, name, secret, Address.find)
         self._servers: list[HttpServer] = []
+        self.watch = SettingsWatch(self.ports, settings_path(), load_controls)
 
     async def start(self) -> None:
         """Read the data folder, listen, and start the timers.
@@ -75,6 +77,7 @@
             await ports.callers.listen(cfg.callers.host, cfg.callers.port)
         for event_type in CONTROL_TICKS if self.is_control else ENTRY_TICKS:
             ports.shell.tick(event_type)
+        self.watch.start()
         log.info("daemon started", extra={"daemon": cfg.name, "zone": cfg.zone})
 
     async def _serve(self, address: Address | None, handler: Handler) -> None:
@@ -94,7 +97,7 @@
             entry=cfg.callers is not None,
             drain_s=OUT_OF_ROTATION_S,
         )
-        seeds = tuple(f"{host}:{cfg.peers_port}" for host in cfg.seeds)
+        seeds = cfg.controls
         target = self.name if self.is_control else seeds[0]
         state = NodeState(me, follow=FollowState(seeds, target, secrets.token_hex(8)))
         if not self.is_control:
@@ -102,14 +105,6 @@
         founders = seeds if cfg.may_found else ()
         return self.load_control(state, Path(cfg.data_folder), seeds, founders)
 
-    def reload(self) -> None:
-        """Note that the settings file has changed.
-
-        Seeds are looked up at a start only; control VMs that came later are
-        known from the catalogue.
-        """
-        log.info("settings changed; they are read at the next start")
-
     async def close(self) -> None:
         """Close everything at once."""
         self.ports.timer.close()
@@ -123,6 +118,6 @@
     """Run one daemon until it is asked to stop."""
     daemon = PlatformDaemon(cfg, TimerService())
     on_stop_signals(daemon.drain)
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, daemon.reload)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, daemon.watch.reload)
     await daemon.start()
     await daemon.run()
--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -64,6 +64,21 @@
     grace_s: float
     secret: str = field(repr=False)
 
+    @property
+    def controls(self) -> tuple[str, ...]:
+        """The seeds by the names of their daemons."""
+        return tuple(f"{host}:{self.peers_port}" for host in self.seeds)
+
+
+def settings_path() -> Path:
+    """Return the file that the environment names; its own folder if none."""
+    return Path(os.environ.get(SETTINGS_VARIABLE, ""))
+
+
+def load_controls() -> tuple[str, ...]:
+    """Read the settings again for the control VMs to ask at first."""
+    return load_platform_settings().controls
+
 
 def load_platform_settings(
     environ: Mapping[str, str] = os.environ,
--- a/lovagewalk/records/__init__.py
+++ b/lovagewalk/records/__init__.py
@@ -15,6 +15,7 @@
     PromotionBegun,
     PromotionOrdered,
     RequestAnswered,
+    SeedsReplaced,
     StatementFailedThere,
     VotersChange,
 )
@@ -35,6 +36,7 @@
     "PromotionOrdered",
     "RecordKind",
     "RequestAnswered",
+    "SeedsReplaced",
     "StatementFailedThere",
     "VotersChange",
     "fields_of",
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -177,6 +177,15 @@
     after: str
 
 
+@recorded("follow", "seeds replaced")
+@dataclass(frozen=True, slots=True)
+class SeedsReplaced(LogRecord):
+    """The settings name other control VMs to ask at first."""
+
+    before: str
+    after: str
+
+
 @recorded("follow", "lease regained")
 @dataclass(frozen=True, slots=True)
 class LeaseGained(LogRecord):
--- a/lovagewalk/runtime/__init__.py
+++ b/lovagewalk/runtime/__init__.py
@@ -26,6 +26,7 @@
 from ._pool_client import OpenRefusedError, PoolClient
 from ._ports import Ports
 from ._process import DaemonProcess
+from ._reload import SettingsWatch
 from ._signals import on_stop_signals
 from ._sockets import limit_silence
 from ._tickets import Tickets
@@ -55,6 +56,7 @@
     "Peers",
     "PoolClient",
     "Ports",
+    "SettingsWatch",
     "Tickets",
     "Watcher",
     "call",
