--- a/lovagewalk/cli/_commands.py
+++ b/lovagewalk/cli/_commands.py
@@ -223,7 +223,7 @@
         """Run a daemon until SIGTERM, which drains it."""
         cfg = _load(settings, DaemonSettings)
         set_up_logs(cfg.log.level, cfg.log.form)
-        asyncio.run(run_daemon(cfg))
+        asyncio.run(run_daemon(cfg, Path(str(settings))))
 
     def standin(self, settings: str) -> None:
         """Run one instance of a stand-in database group."""
--- a/lovagewalk/cli/_processes.py
+++ b/lovagewalk/cli/_processes.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import time
+from pathlib import Path
 
-from lovagewalk.core import LovageError, TimerService
+from lovagewalk.core import Code, LovageError, TimerService
 from lovagewalk.edge import Daemon, on_stop_signals
-from lovagewalk.settings import DaemonSettings, StandinFileSettings
+from lovagewalk.runtime import SettingsWatch, on_reload_signal
+from lovagewalk.settings import DaemonSettings, StandinFileSettings, load_settings
 from lovagewalk.standin import (
     Announcement,
     Standin,
@@ -20,11 +22,28 @@
 LEAVE_GRACE_S = 3.0
 
 
-async def run_daemon(cfg: DaemonSettings) -> None:
-    """Run a daemon until it is told to stop, then drain it."""
+async def run_daemon(cfg: DaemonSettings, path: Path) -> None:
+    """Run a daemon until it is told to stop, then drain it.
+
+    Parameters
+    ----------
+    path : Path
+        Where its settings came from; control VMs that are added there while it
+        runs are taken over.
+    """
     daemon = Daemon(cfg, TimerService())
     await daemon.start()
     on_stop_signals(daemon.drain)
+
+    def read_controls() -> tuple[str, ...]:
+        fresh = load_settings(path)
+        if not isinstance(fresh, DaemonSettings):
+            raise LovageError(Code.SETTINGS_BAD, "settings of another program")
+        return daemon.take_controls(fresh)
+
+    watch = SettingsWatch(daemon.ports, path, read_controls)
+    watch.start()
+    on_reload_signal(watch.reload)
     await daemon.run()
 
 
--- a/lovagewalk/edge/_daemon.py
+++ b/lovagewalk/edge/_daemon.py
@@ -52,20 +52,25 @@
             cfg.endpoints.user, cfg.endpoints.password, cfg.endpoints.monitor
         )
         fleet_secret = cfg.secrets.fleet.encode()
-        addresses = {
-            name: Address(*parse_address(address))
-            for name, address in cfg.control.items()
-        }
+        self._addresses: dict[str, Address] = {}
+        self.take_controls(cfg)
         self.ports.endpoints = EndpointClient(self.ports, credentials, network)
         self.ports.steering = Steering(self.ports, credentials, network)
         self.ports.callers = CallerFront(self.ports)
         self.ports.peers = Peers(
-            self.ports, cfg.daemon.name, fleet_secret, addresses.get, network
+            self.ports, cfg.daemon.name, fleet_secret, self._addresses.get, network
         )
         self.ports.operators = Operators(
             self.ports, cfg.secrets.operator, cfg.secrets.announce
         )
 
+    def take_controls(self, cfg: DaemonSettings) -> tuple[str, ...]:
+        """Dial control VMs where settings say from now on; return their names."""
+        self._addresses.clear()
+        for name, address in cfg.control.items():
+            self._addresses[name] = Address(*parse_address(address))
+        return tuple(self._addresses)
+
     @property
     def state(self) -> NodeState:
         """The daemon's present state."""
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -1,9 +1,7 @@
 """Builds a daemon from the platform's settings and runs it."""
 
-import asyncio
 import logging
 import secrets
-import signal
 from pathlib import Path
 
 from lovagewalk.control import ConsensusTick, ControlTick, FollowState, RepairTick
@@ -19,6 +17,7 @@
     Peers,
     Ports,
     SettingsWatch,
+    on_reload_signal,
     on_stop_signals,
 )
 from lovagewalk.settings import Address
@@ -118,6 +117,6 @@
     """Run one daemon until it is asked to stop."""
     daemon = PlatformDaemon(cfg, TimerService())
     on_stop_signals(daemon.drain)
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, daemon.watch.reload)
+    on_reload_signal(daemon.watch.reload)
     await daemon.start()
     await daemon.run()
--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -71,7 +71,7 @@
 
 
 def settings_path() -> Path:
-    """Return the file that the environment names; its own folder if none."""
+    """Return the file that the environment names; without one no daemon starts."""
     return Path(os.environ.get(SETTINGS_VARIABLE, ""))
 
 
--- a/lovagewalk/runtime/__init__.py
+++ b/lovagewalk/runtime/__init__.py
@@ -27,7 +27,7 @@
 from ._ports import Ports
 from ._process import DaemonProcess
 from ._reload import SettingsWatch
-from ._signals import on_stop_signals
+from ._signals import on_reload_signal, on_stop_signals
 from ._sockets import limit_silence
 from ._tickets import Tickets
 from ._watcher import NoStatusError, Watcher
@@ -63,6 +63,7 @@
     "json_response",
     "limit_silence",
     "settle",
+    "on_reload_signal",
     "on_stop_signals",
     "render_metrics",
     "set_up_structured_logs",
--- a/lovagewalk/runtime/_signals.py
+++ b/lovagewalk/runtime/_signals.py
@@ -1,4 +1,4 @@
-"""Stop signals of the process."""
+"""Signals of the process."""
 
 import asyncio
 import signal
@@ -10,3 +10,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, call)
+
+
+def on_reload_signal(call: Callable[[], None]) -> None:
+    """Run `call` when the process is told that its settings have changed."""
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, call)
