Metrics: queue waits, events, lags, configuration version, drops, customer class

Statements by endpoint were counted by the MySQL client alone; now they are where a statement is performed, for any protocol.

Tests: four more in runtime/tests/test_metrics.py.

--- a/lovagewalk/edge/_endpoints.py
+++ b/lovagewalk/edge/_endpoints.py
@@ -142,7 +142,6 @@
             self._fail(effect, Failure.NOT_SENT)
             return
         endpoint = self._ports.state.conn_endpoints.get(effect.conn, "")
-        self._ports.metrics.note_run(endpoint)
         try:
             await self._cross(endpoint)
             event = await self._execute(conn, effect)
--- a/lovagewalk/runtime/_caller_front.py
+++ b/lovagewalk/runtime/_caller_front.py
@@ -7,6 +7,7 @@
 from lovagewalk.core import Refusal
 from lovagewalk.routing import AnswerCaller, CloseCaller
 
+from ._metrics import class_of
 from ._ports import Ports
 
 
@@ -60,7 +61,8 @@
         ports = self._ports
         result = ports.results.pop(effect.req, None)
         elapsed_s = ports.now() - effect.trace.arrived_at
-        ports.metrics.note_answer(effect, elapsed_s)
+        customer_class = class_of(ports.state, effect.customer)
+        ports.metrics.note_answer(effect, elapsed_s, customer_class)
         ports.decisions.note_answer(effect, elapsed_s)
         connection = self.sessions.get(effect.caller)
         if connection is not None:
--- a/lovagewalk/runtime/_decisions.py
+++ b/lovagewalk/runtime/_decisions.py
@@ -89,6 +89,8 @@
 
 
 def _perform_record(ports: "Ports", effect: LogRecord) -> None:
+    kind = kind_of(effect)
+    ports.metrics.note_event(kind.part, kind.sentence)
     write_record(effect)
 
 
--- a/lovagewalk/runtime/_logs.py
+++ b/lovagewalk/runtime/_logs.py
@@ -71,23 +71,28 @@
         self._refilled_at = clock()
         self._buffer = b""
         self.dropped = 0
+        self.dropped_in_all = 0
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record, or drop it."""
         if not self._has_budget(record):
-            self.dropped += 1
+            self._drop()
             return
         if self.dropped:
             record.dropped_before = self.dropped
         line = (self.format(record) + "\n").encode()
         self.flush()
         if len(self._buffer) + len(line) > MAX_BUFFERED_BYTES:
-            self.dropped += 1
+            self._drop()
             return
         self.dropped = 0
         self._buffer += line
         self.flush()
 
+    def _drop(self) -> None:
+        self.dropped += 1
+        self.dropped_in_all += 1
+
     def _has_budget(self, record: logging.LogRecord) -> bool:
         """Take a line off the budget; errors are written in any case."""
         now = self._clock()
@@ -122,3 +127,10 @@
     root.handlers = [handler]
     root.propagate = False
     return handler
+
+
+def count_dropped_lines() -> int:
+    """Return how many lines of this process were dropped since its start."""
+    handlers = logging.getLogger("lovagewalk").handlers
+    bounded = (item for item in handlers if isinstance(item, BoundedHandler))
+    return sum(handler.dropped_in_all for handler in bounded)
--- a/lovagewalk/runtime/_metrics.py
+++ b/lovagewalk/runtime/_metrics.py
@@ -7,13 +7,53 @@
 import aioprometheus
 from aioprometheus import Gauge, Histogram, Registry
 
+from lovagewalk.groups import GroupView
 from lovagewalk.node import NodeState
 from lovagewalk.routing import AnswerCaller
 
+from ._logs import count_dropped_lines
+
 # From a read within a zone to the default deadline.
 BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0)
 
 
+class Times:
+    """Counts of times up to each bound, by labels.
+
+    Parameters
+    ----------
+    series : Counter of aioprometheus
+        Where the counts go when they are read; counting there at once took a tenth
+        of a read's time.
+    names : tuple of str
+        Names of the labels.
+    """
+
+    def __init__(self, series: aioprometheus.Counter, names: tuple[str, ...]) -> None:
+        self._series = series
+        self._names = names
+        self._counts: dict[tuple[str, ...], list[int]] = {}
+
+    def note(self, labels: tuple[str, ...], elapsed_s: float) -> None:
+        """Count one time, in seconds."""
+        counts = self._counts.setdefault(labels, [0] * (len(BUCKETS_S) + 1))
+        counts[bisect_left(BUCKETS_S, elapsed_s)] += 1
+
+    def collect(self) -> None:
+        """Write the counts into the registry."""
+        bounds = (*map(str, BUCKETS_S), "+Inf")
+        for labels, counts in self._counts.items():
+            named = dict(zip(self._names, labels, strict=True))
+            for bound, count in zip(bounds, accumulate(counts), strict=True):
+                self._series.set({**named, "le": bound}, count)
+
+
+def class_of(state: NodeState, customer: str) -> str:
+    """Return a customer's class, its weight; empty for callers without a customer."""
+    entry = state.catalogue.customer(customer)
+    return f"{entry.weight:g}" if entry else ""
+
+
 class Metrics:
     """Counters and histograms; each daemon has its own registry."""
 
@@ -22,7 +62,7 @@
         self._answers: Counter[tuple[str, str]] = Counter()
         self._runs: Counter[str] = Counter()
         self._openings: Counter[str] = Counter()
-        self._times: dict[tuple[str, str, str], list[int]] = {}
+        self._events: Counter[tuple[str, str]] = Counter()
         self.statements = aioprometheus.Counter(
             "lovagewalk_statements_total",
             "Answered statements by customer and code.",
@@ -69,9 +109,37 @@
             registry=self.registry,
             buckets=BUCKETS_S,
         )
-        self.route_latency = aioprometheus.Counter(
+        route_latency = aioprometheus.Counter(
             "lovagewalk_request_seconds_bucket",
-            "Time to the answer by route, kind and outcome.",
+            "Time to the answer by route, kind, outcome and customer class.",
+            registry=self.registry,
+        )
+        names = ("route", "kind", "outcome", "class")
+        self._route_times = Times(route_latency, names)
+        queue_waits = aioprometheus.Counter(
+            "lovagewalk_queue_wait_seconds_bucket",
+            "Time in the queue for a connection by endpoint.",
+            registry=self.registry,
+        )
+        self._queue_times = Times(queue_waits, ("endpoint",))
+        self.events = aioprometheus.Counter(
+            "lovagewalk_events_total",
+            "Changes of belief and orders by part and event.",
+            registry=self.registry,
+        )
+        self.log_dropped = aioprometheus.Counter(
+            "lovagewalk_log_lines_dropped_total",
+            "Log lines beyond the budget, or that nobody read in time.",
+            registry=self.registry,
+        )
+        self.position_lag = Gauge(
+            "lovagewalk_position_lag",
+            "Commits that an instance is behind the newest known one.",
+            registry=self.registry,
+        )
+        self.version = Gauge(
+            "lovagewalk_configuration_version",
+            "Version of the operators' configuration in force.",
             registry=self.registry,
         )
         self.revision = Gauge(
@@ -104,33 +172,36 @@
         """Count a connection that is opened to an endpoint."""
         self._openings[endpoint] += 1
 
-    def note_answer(self, answer: AnswerCaller, elapsed_s: float) -> None:
-        """Count an answered statement."""
+    def note_answer(
+        self, answer: AnswerCaller, elapsed_s: float, customer_class: str
+    ) -> None:
+        """Count an answered statement; see `class_of`."""
         refusal = answer.refusal
         label = refusal.code.label if refusal else "ok"
         outcome = refusal.code.outcome.value if refusal else "ok"
         self._answers[(answer.customer, label)] += 1
         self.latency.observe({"customer": answer.customer}, elapsed_s)
-        series = (answer.trace.route, answer.trace.kind.value, outcome)
-        counts = self._times.setdefault(series, [0] * (len(BUCKETS_S) + 1))
-        counts[bisect_left(BUCKETS_S, elapsed_s)] += 1
+        trace = answer.trace
+        labels = (trace.route, trace.kind.value, outcome, customer_class)
+        self._route_times.note(labels, elapsed_s)
 
-    def note_run(self, endpoint: str) -> None:
-        """Count a statement sent to an endpoint."""
+    def note_run(self, endpoint: str, waited_s: float) -> None:
+        """Count a statement sent to an endpoint, and its time in the queue."""
         self._runs[endpoint] += 1
+        self._queue_times.note((endpoint,), waited_s)
 
-    def collect(self) -> None:
-        """Write the plain counts into the registry, before it is read.
+    def note_event(self, part: str, event: str) -> None:
+        """Count a change of belief or an order."""
+        self._events[(part, event)] += 1
 
-        Counting into the registry itself took a tenth of a read's time.
-        """
+    def collect(self) -> None:
+        """Write the plain counts into the registry, before it is read."""
         for (customer, code), count in self._answers.items():
             self.statements.set({"customer": customer, "code": code}, count)
-        bounds = (*map(str, BUCKETS_S), "+Inf")
-        for (route, kind, outcome), counts in self._times.items():
-            for bound, count in zip(bounds, accumulate(counts), strict=True):
-                labels = {"route": route, "kind": kind, "outcome": outcome}
-                self.route_latency.set({**labels, "le": bound}, count)
+        self._route_times.collect()
+        self._queue_times.collect()
+        for (part, event), count in self._events.items():
+            self.events.set({"part": part, "event": event}, count)
         for endpoint, count in self._runs.items():
             self.reads.set({"endpoint": endpoint}, count)
         for endpoint, count in self._openings.items():
@@ -139,7 +210,9 @@
     def collect_state(self, state: NodeState, now: float, sent_bytes: int) -> None:
         """Write what the state says into the registry, before it is read."""
         self.collect()
+        self.log_dropped.set({}, count_dropped_lines())
         self.revision.set({}, state.catalogue.revision)
+        self.version.set({}, state.catalogue.version)
         self.fresh_seconds.set({}, max(state.fresh_until - now, 0.0))
         self.peer_bytes.set({}, sent_bytes)
         raft = state.consensus
@@ -150,11 +223,25 @@
             if view.samples:
                 age_s = now - view.samples[-1].sent_at
                 self.sample_age.set({"group": name}, age_s)
+            self._collect_lags(view)
         for name, pool in state.pools.items():
             self.pool_connections.set({"endpoint": name}, len(pool.connections))
             self.pool_waiting.set({"endpoint": name}, pool.waiting)
             self.pool_strikes.set({"endpoint": name}, pool.strikes)
 
+    def _collect_lags(self, view: GroupView) -> None:
+        """Compare what instances have said of their logs, in the newest term."""
+        known = {
+            name: instance.status
+            for name, instance in view.instances.items()
+            if instance.status is not None
+        }
+        term = max((status.term for status in known.values()), default=0)
+        told = {name: s.index for name, s in known.items() if s.term == term}
+        newest = max(told.values(), default=0)
+        for name, index in told.items():
+            self.position_lag.set({"endpoint": name}, newest - index)
+
     def note_region_bytes(self, route: str, count: int) -> None:
         """Count bytes that crossed between regions."""
         self.region_bytes.add({"route": route}, count)
--- a/lovagewalk/runtime/_performers.py
+++ b/lovagewalk/runtime/_performers.py
@@ -59,6 +59,10 @@
 
 @performs(RunStatement)
 def _run_statement(ports: Ports, effect: RunStatement) -> None:
+    request = ports.state.requests.get(effect.req)
+    if request is not None:
+        waited_s = request.sent_at - (request.queued_at or request.sent_at)
+        ports.metrics.note_run(request.endpoint, waited_s)
     ports.endpoints.run(effect)
 
 
--- a/lovagewalk/runtime/tests/test_metrics.py
+++ b/lovagewalk/runtime/tests/test_metrics.py
@@ -1,10 +1,23 @@
-"""Latencies by route, kind and outcome."""
+"""What the metrics page counts."""
+
+from types import SimpleNamespace
 
 from aioprometheus import render
+from immutables import Map
 
-from lovagewalk.core import Code, Refusal
+from lovagewalk.catalogue import (
+    Catalogue,
+    CustomerEntry,
+    Proposal,
+    PutCustomer,
+    apply_proposal,
+)
+from lovagewalk.core import Code, Refusal, perform, replace
+from lovagewalk.groups import GroupView, InstanceStatus, InstanceView, Role
+from lovagewalk.node import Identity, NodeState
+from lovagewalk.records import PromotionOrdered
 from lovagewalk.routing import AnswerCaller, Phase, RequestTrace, StatementKind
-from lovagewalk.runtime._metrics import Metrics
+from lovagewalk.runtime._metrics import Metrics, class_of
 
 
 def _answer(refusal=None):
@@ -25,15 +38,65 @@
 def test_answers_are_counted_up_to_each_bound():
     metrics = Metrics()
     for elapsed_s in (0.004, 0.03, 9.0):
-        metrics.note_answer(_answer(), elapsed_s)
-    metrics.note_answer(_answer(Refusal(Code.RATE_EXCEEDED)), 0.002)
+        metrics.note_answer(_answer(), elapsed_s, "1")
+    metrics.note_answer(_answer(Refusal(Code.RATE_EXCEEDED)), 0.002, "1")
     metrics.collect()
     text = render(metrics.registry, [])[0].decode()
 
     def count(outcome, bound):
-        labels = f'kind="read",le="{bound}",outcome="{outcome}",route="till"'
+        labels = f'class="1",kind="read",le="{bound}",outcome="{outcome}",route="till"'
         line = f"lovagewalk_request_seconds_bucket{{{labels}}} "
         return next(int(x.split()[-1]) for x in text.splitlines() if line in x)
 
     assert [count("ok", b) for b in ("0.002", "0.005", "0.05", "+Inf")] == [0, 1, 2, 3]
     assert count("not run", "0.002") == 1
+
+
+def _text(metrics):
+    metrics.collect()
+    return render(metrics.registry, [])[0].decode()
+
+
+def test_waits_for_a_connection_are_counted_by_endpoint():
+    metrics = Metrics()
+    for waited_s in (0.0, 0.3):
+        metrics.note_run("i-1", waited_s)
+    text = _text(metrics)
+    assert 'queue_wait_seconds_bucket{endpoint="i-1",le="0.25"} 1' in text
+    assert 'queue_wait_seconds_bucket{endpoint="i-1",le="+Inf"} 2' in text
+    assert 'endpoint_statements_total{endpoint="i-1"} 2' in text
+
+
+def test_changes_of_belief_are_counted_as_they_are_logged():
+    ports = SimpleNamespace(metrics=Metrics())
+    for fence in (1, 2):
+        perform(ports, PromotionOrdered("g", "i-1", fence))
+    assert 'events_total{event="promotion ordered",part="groups"} 2' in _text(
+        ports.metrics
+    )
+
+
+def test_lags_are_told_in_the_newest_term():
+    view = GroupView("g")
+    for name, term, index in (("old", 1, 90), ("first", 2, 50), ("behind", 2, 44)):
+        status = InstanceStatus("born", Role.REPLICA, term, index, term)
+        seen = InstanceView(name, status)
+        view = replace(view, instances=view.instances.set(name, seen))
+    metrics = Metrics()
+    state = NodeState(
+        Identity("e", "z", "r", b"secret"), groups=Map({"g": view}), fresh_until=9.0
+    )
+    metrics.collect_state(state, 1.0, 0)
+    text = _text(metrics)
+    assert 'position_lag{endpoint="first"} 0' in text
+    assert 'position_lag{endpoint="behind"} 6' in text
+    assert 'endpoint="old"' not in text
+    assert "configuration_version 0" in text and "lines_dropped_total 0" in text
+
+
+def test_a_customers_class_is_its_weight():
+    entry = CustomerEntry("kiosk", "op", 1.0, 1.0, weight=3.0)
+    proposal = Proposal("", "test", 0.0, PutCustomer(entry, 0))
+    catalogue = apply_proposal(Catalogue(), 1, proposal).catalogue
+    state = NodeState(Identity("e", "z", "r", b"secret"), catalogue=catalogue)
+    assert class_of(state, "kiosk") == "3" and class_of(state, "") == ""
