explain: a request that waited for a full endpoint is told so

The lines on full endpoints stand beside the request's own, and the cause names since when the endpoint was full, unless it had room again before.

--- a/lovagewalk/explain/_causes.py
+++ b/lovagewalk/explain/_causes.py
@@ -6,6 +6,8 @@
 from lovagewalk.core import Code, Handlers
 from lovagewalk.records import (
     ConfigurationInForce,
+    EndpointFull,
+    EndpointHasRoom,
     EndpointRefused,
     LeadershipGained,
     LeadershipLost,
@@ -36,6 +38,8 @@
             LeadershipGained,
             LeadershipLost,
             EndpointRefused,
+            EndpointFull,
+            EndpointHasRoom,
         ),
     )
 ) | {"daemon started", "daemon drains"}
@@ -155,6 +159,13 @@
             f"one at revision {answer.get('revision')}."
         )
     where = answer.get("endpoint") or "any endpoint"
+    there = [r for r in records if r.vm == answer.vm and r.get("endpoint") == where]
+    full, room = _last(there, EndpointFull), _last(there, EndpointHasRoom)
+    if full.time > room.time:
+        return (
+            f"It waited {answer.get('elapsed_ms')} ms for {where}, which had been full "
+            f"since {full.time}: {answer.vm} sends it one statement in each pause."
+        )
     return (
         f"It waited {answer.get('elapsed_ms')} ms in phase {answer.get('phase')} for "
         f"{where} and was sent {answer.get('attempts')} times: all were busy or full."
--- a/lovagewalk/explain/tests/test_explain.py
+++ b/lovagewalk/explain/tests/test_explain.py
@@ -68,6 +68,22 @@
     assert words in _explain(_answer(code, **fields)).cause
 
 
+def test_a_full_endpoint_is_named_until_it_has_room():
+    full = _line(
+        "12:00:01", "routing", "endpoint is full", "edge-1", endpoint="i-1", strikes=4
+    )
+    room = _line(
+        "12:00:02", "routing", "endpoint has room again", "edge-1", endpoint="i-1"
+    )
+    other = _line(
+        "12:00:03", "routing", "endpoint is full", "edge-1", endpoint="i-2", strikes=9
+    )
+    answer = _answer(Code.OVERLOADED, phase="connection", endpoint="i-1")
+    found = _explain(answer, full, other)
+    assert "i-1, which had been full since 12:00:01" in found.cause
+    assert "full since" not in _explain(answer, full, room, other).cause
+
+
 def test_a_request_that_no_line_names():
     assert explain("other", parse_log("x", [_answer("ok")])) is None
     failed = _line(
