--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 bench: setup
 	$(BIN)/python -m benchmarks
 
-# Seeds that once failed, then fifty of 20 s; about 20 minutes.
+# Seeds that once failed, then fifty of 20 s; about half an hour.
 soak: setup
 	$(BIN)/python -m soak regress
 	$(BIN)/python -m soak seeds 100 50 20
--- a/soak/_seeds.py
+++ b/soak/_seeds.py
@@ -39,6 +39,23 @@
     Regression(
         20, 20.0, "a daemon that had just started showed an empty catalogue as its own"
     ),
+    Regression(
+        116,
+        20.0,
+        "two overlapping faults started a process twice, on one data folder; fleets "
+        "beside each other met on one port",
+    ),
+    Regression(
+        204,
+        20.0,
+        "a second instance lost its rows before the voters were whole again, since no "
+        "control VM led in between",
+    ),
+    Regression(
+        206,
+        20.0,
+        "a second control VM lost its disk before the first one had its vote back",
+    ),
     Regression(
         8, 25.0, "a single write ran inside a lost transaction and was acknowledged"
     ),
