Settings that name no control VM change nothing

A reload with an empty list would have left a daemon that knows no voters yet without anybody to ask. One more case of a test, failing first: a report then found no name in an empty list.

--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -111,9 +111,12 @@
 
 
 def on_seeds_changed(state: NodeState, controls: tuple[str, ...]) -> Step[NodeState]:
-    """Ask other control VMs from now on, beside the voters of the catalogue."""
+    """Ask other control VMs from now on, beside the voters of the catalogue.
+
+    Settings that name none change nothing, so that there is always one to ask.
+    """
     follow: FollowState = state.follow
-    if follow is None or controls == follow.controls:
+    if follow is None or not controls or controls == follow.controls:
         return Step(state)
     noted = SeedsReplaced(before=", ".join(follow.controls), after=", ".join(controls))
     raft = state.consensus
--- a/lovagewalk/control/tests/test_seeds.py
+++ b/lovagewalk/control/tests/test_seeds.py
@@ -1,5 +1,7 @@
 """Settings that name other control VMs while a daemon runs."""
 
+import pytest
+
 from lovagewalk.consensus import SendPeer
 from lovagewalk.control import ConsensusTick, ControlTick, SeedsChanged
 from lovagewalk.control._messages import FollowRequest
@@ -46,7 +48,8 @@
     assert {"vm1", "vm2"} <= {peer for _, peer, _ in fleet.wire}
 
 
-def test_the_same_seeds_change_nothing():
+@pytest.mark.parametrize("controls", [("c1", "c2", "c3"), ()])
+def test_the_same_seeds_or_none_change_nothing(controls):
     follower = Follower(answer_s=0.02)
-    step = reduce(follower.state, SeedsChanged(follower.now, ("c1", "c2", "c3")))
+    step = reduce(follower.state, SeedsChanged(follower.now, controls))
     assert step.state is follower.state and not step.effects
