One way to change a pool that is there, one kind of plain counts

Read over, behaviour as before: five functions fetched an endpoint's pool, left the state alone without one, and wrote the changed pool back; they call change_pool now, which also writes nothing where nothing changed. Four counters with four loops that wrote them to the registry are Counts, as the times are Times. Idle connections are compared with one time, not asked for each whether their endpoint is full. The stand-in's two equal refusals have one text.

--- a/lovagewalk/pools/_policy.py
+++ b/lovagewalk/pools/_policy.py
@@ -286,11 +286,9 @@
     count = len(pool.connections) - pool.fair_limit
     if not pool.dedicated or count <= 0:
         return ()
+    idle_s = 0.0 if is_full(pool, now) else SURPLUS_IDLE_S
     unused = [
-        conn
-        for conn in pool.idle
-        if is_full(pool, now)
-        or now - pool.connections[conn].held_since >= SURPLUS_IDLE_S
+        conn for conn in pool.idle if now - pool.connections[conn].held_since >= idle_s
     ]
     return tuple(unused[:count])
 
--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -28,7 +28,9 @@
     if request is None or request.conn != event.conn:
         step = _dispatch.close(state, event.conn, event.at)
         return Step(step.state, step.effects + (DropResult(event.req),))
-    served = _note_served(state, request.endpoint, event.at)
+    served = _place.change_pool(
+        state, request.endpoint, lambda pool: note_served(pool, event.at)
+    )
     logged = Step(served, log_crowding(state, served, request))
     return logged.then(_done(served, request, event))
 
@@ -59,7 +61,10 @@
     session = state.sessions[request.caller]
     state = note_heard(state, request.endpoint, event.at)
     if request.reads and not request.opens:
-        state = _time_read(state, request, event.at)
+        elapsed_s = event.at - request.sent_at
+        state = _place.change_pool(
+            state, request.endpoint, lambda pool: time_read(pool, elapsed_s, event.at)
+        )
     if _proves_primary(request, session) and event.position is not None:
         state = note_proof(
             state, request.group, request.sent_term, request.sent_at, event.position
@@ -71,21 +76,6 @@
     return step.then(answer(step.state, request))
 
 
-def _note_served(state: NodeState, endpoint: str, now: float) -> NodeState:
-    pool = state.pools.get(endpoint)
-    if pool is None or not pool.strikes:
-        return state
-    return replace(state, pools=state.pools.set(endpoint, note_served(pool, now)))
-
-
-def _time_read(state: NodeState, request: Request, now: float) -> NodeState:
-    pool = state.pools.get(request.endpoint)
-    if pool is None:
-        return state
-    pool = time_read(pool, now - request.sent_at, now)
-    return replace(state, pools=state.pools.set(request.endpoint, pool))
-
-
 def _proves_primary(request: Request, session: Session) -> bool:
     """Whether an answer shows that its endpoint led the term when it was asked."""
     if request.vouch or request.kind is StatementKind.WRITE:
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -1,5 +1,6 @@
 """Chooses where a request runs, from what is known of positions and load."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from lovagewalk.catalogue import Endpoint, GroupConfig, Management
@@ -149,6 +150,19 @@
     return state.pools.get(endpoint) or fresh_pool(state, endpoint)
 
 
+def change_pool(
+    state: NodeState, endpoint: str, change: Callable[[Pool], Pool]
+) -> NodeState:
+    """Return the state with an endpoint's pool changed, if it has one."""
+    pool = state.pools.get(endpoint)
+    if pool is None:
+        return state
+    changed = change(pool)
+    if changed is pool:
+        return state
+    return replace(state, pools=state.pools.set(endpoint, changed))
+
+
 def fresh_pool(state: NodeState, endpoint: str) -> Pool:
     """Return an empty pool for an endpoint, limited as its pool should be now."""
     announced = state.catalogue.endpoints.get(endpoint)
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -61,6 +61,8 @@
     before: NodeState, after: NodeState, request: Request
 ) -> tuple[Effect, ...]:
     """Return the log line where this daemon's belief on an endpoint's room changed."""
+    if before is after:
+        return ()
     old, new = (state.pools.get(request.endpoint) for state in (before, after))
     if old is None or new is None or old.crowded == new.crowded:
         return ()
@@ -101,7 +103,11 @@
     if event.failure not in (Failure.LOST, Failure.NOT_SENT):
         state = note_heard(state, request.endpoint, event.at)
     if event.failure is Failure.BUSY:
-        state = _note_full(state, request, event.at)
+        state = _place.change_pool(
+            state,
+            request.endpoint,
+            lambda pool: note_full(pool, request.sent_at, event.at),
+        )
     config = state.catalogue.group(request.group)
     is_primary = request.endpoint == config.primary
     if is_primary and event.failure in (Failure.LOST, Failure.READ_ONLY):
@@ -113,30 +119,17 @@
     return state
 
 
-def _note_full(state: NodeState, request: Request, now: float) -> NodeState:
-    """Send less to an endpoint all whose slots are taken."""
-    pool = state.pools.get(request.endpoint)
-    if pool is None:
-        return state
-    pool = note_full(pool, request.sent_at, now)
-    return replace(state, pools=state.pools.set(request.endpoint, pool))
-
-
 def note_heard(state: NodeState, endpoint: str, now: float) -> NodeState:
     """Note that an endpoint has answered something."""
-    pool = state.pools.get(endpoint)
-    if pool is None:
-        return state
-    return replace(state, pools=state.pools.set(endpoint, replace(pool, heard_at=now)))
+    return _place.change_pool(state, endpoint, lambda p: replace(p, heard_at=now))
 
 
 def shun(state: NodeState, endpoint: str, now: float) -> NodeState:
     """Prefer other endpoints for a while."""
-    pool = state.pools.get(endpoint)
-    if pool is None:
-        return state
-    pool = replace(pool, shunned_until=now + SHUN_S)
-    return replace(state, pools=state.pools.set(endpoint, pool))
+    until = now + SHUN_S
+    return _place.change_pool(
+        state, endpoint, lambda p: replace(p, shunned_until=until)
+    )
 
 
 def _settle(state: NodeState, event: StatementFailed) -> Step[NodeState]:
--- a/lovagewalk/runtime/_metrics.py
+++ b/lovagewalk/runtime/_metrics.py
@@ -17,8 +17,8 @@
 BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0)
 
 
-class Times:
-    """Counts of times up to each bound, by labels.
+class Counts:
+    """Counts by labels.
 
     Parameters
     ----------
@@ -29,6 +29,24 @@
         Names of the labels.
     """
 
+    def __init__(self, series: aioprometheus.Counter, names: tuple[str, ...]) -> None:
+        self._series = series
+        self._names = names
+        self._counts: Counter[tuple[str, ...]] = Counter()
+
+    def note(self, *labels: str) -> None:
+        """Count one."""
+        self._counts[labels] += 1
+
+    def collect(self) -> None:
+        """Write the counts into the registry."""
+        for labels, count in self._counts.items():
+            self._series.set(dict(zip(self._names, labels, strict=True)), count)
+
+
+class Times:
+    """Counts of times up to each bound, by labels; see `Counts`."""
+
     def __init__(self, series: aioprometheus.Counter, names: tuple[str, ...]) -> None:
         self._series = series
         self._names = names
@@ -59,25 +77,24 @@
 
     def __init__(self) -> None:
         self.registry = Registry()
-        self._answers: Counter[tuple[str, str]] = Counter()
-        self._runs: Counter[str] = Counter()
-        self._openings: Counter[str] = Counter()
-        self._events: Counter[tuple[str, str]] = Counter()
-        self.statements = aioprometheus.Counter(
+        answers = aioprometheus.Counter(
             "lovagewalk_statements_total",
             "Answered statements by customer and code.",
             registry=self.registry,
         )
-        self.reads = aioprometheus.Counter(
+        self._answers = Counts(answers, ("customer", "code"))
+        runs = aioprometheus.Counter(
             "lovagewalk_endpoint_statements_total",
             "Statements sent to endpoints by endpoint.",
             registry=self.registry,
         )
-        self.openings = aioprometheus.Counter(
+        self._runs = Counts(runs, ("endpoint",))
+        openings = aioprometheus.Counter(
             "lovagewalk_endpoint_connections_total",
             "Connections opened to endpoints by endpoint.",
             registry=self.registry,
         )
+        self._openings = Counts(openings, ("endpoint",))
         self.pool_connections = Gauge(
             "lovagewalk_pool_connections",
             "Connections open by endpoint.",
@@ -122,11 +139,12 @@
             registry=self.registry,
         )
         self._queue_times = Times(queue_waits, ("endpoint",))
-        self.events = aioprometheus.Counter(
+        events = aioprometheus.Counter(
             "lovagewalk_events_total",
             "Changes of belief and orders by part and event.",
             registry=self.registry,
         )
+        self._events = Counts(events, ("part", "event"))
         self.log_dropped = aioprometheus.Counter(
             "lovagewalk_log_lines_dropped_total",
             "Log lines beyond the budget, or that nobody read in time.",
@@ -170,7 +188,7 @@
 
     def note_opening(self, endpoint: str) -> None:
         """Count a connection that is opened to an endpoint."""
-        self._openings[endpoint] += 1
+        self._openings.note(endpoint)
 
     def note_answer(
         self, answer: AnswerCaller, elapsed_s: float, customer_class: str
@@ -179,7 +197,7 @@
         refusal = answer.refusal
         label = refusal.code.label if refusal else "ok"
         outcome = refusal.code.outcome.value if refusal else "ok"
-        self._answers[(answer.customer, label)] += 1
+        self._answers.note(answer.customer, label)
         self.latency.observe({"customer": answer.customer}, elapsed_s)
         trace = answer.trace
         labels = (trace.route, trace.kind.value, outcome, customer_class)
@@ -187,25 +205,19 @@
 
     def note_run(self, endpoint: str, waited_s: float) -> None:
         """Count a statement sent to an endpoint, and its time in the queue."""
-        self._runs[endpoint] += 1
+        self._runs.note(endpoint)
         self._queue_times.note((endpoint,), waited_s)
 
     def note_event(self, part: str, event: str) -> None:
         """Count a change of belief or an order."""
-        self._events[(part, event)] += 1
+        self._events.note(part, event)
 
     def collect(self) -> None:
         """Write the plain counts into the registry, before it is read."""
-        for (customer, code), count in self._answers.items():
-            self.statements.set({"customer": customer, "code": code}, count)
-        self._route_times.collect()
-        self._queue_times.collect()
-        for (part, event), count in self._events.items():
-            self.events.set({"part": part, "event": event}, count)
-        for endpoint, count in self._runs.items():
-            self.reads.set({"endpoint": endpoint}, count)
-        for endpoint, count in self._openings.items():
-            self.openings.set({"endpoint": endpoint}, count)
+        for counts in (self._answers, self._runs, self._openings, self._events):
+            counts.collect()
+        for times in (self._route_times, self._queue_times):
+            times.collect()
 
     def collect_state(self, state: NodeState, now: float, sent_bytes: int) -> None:
         """Write what the state says into the registry, before it is read."""
--- a/lovagewalk/standin/_session.py
+++ b/lovagewalk/standin/_session.py
@@ -32,6 +32,7 @@
 from ._database import Lent, SqlResult, execute
 from ._procedures import build_status_reply, find_procedure
 
+DEMOTED = "rolled back: the instance was demoted"
 _CALL = re.compile(r"CALL (\w+)\((.*)\)", re.IGNORECASE | re.DOTALL)
 _WRITE = re.compile(r"\s*(INSERT|UPDATE|DELETE|REPLACE|CREATE|ALTER|DROP)", re.I)
 
@@ -134,7 +135,7 @@
     def _end(self, commit: bool) -> Reply:
         was_ended, self.was_ended = self.was_ended, False
         if was_ended and commit:
-            raise SqlError(READ_ONLY_ERRNO, "rolled back: the instance was demoted")
+            raise SqlError(READ_ONLY_ERRNO, DEMOTED)
         wrote = bool(self.statements)
         if commit and wrote and self.standin.state.role is not Role.PRIMARY:
             self._end_transaction(commit=False)
@@ -212,7 +213,7 @@
 
     def _require_open(self) -> None:
         if self.was_ended:
-            raise SqlError(READ_ONLY_ERRNO, "rolled back: the instance was demoted")
+            raise SqlError(READ_ONLY_ERRNO, DEMOTED)
 
     def _require_primary(self) -> None:
         if self.standin.state.role is not Role.PRIMARY:
