Log reads of the configuration, catching up of leaders and refused requests

A read that returned an older configuration left no trace, so that a stale document and a stale lease looked alike. Reads now go through the reducer as an event, which answers as before and logs version, revision, checksum of the document, lease and role. A leader logs when it has applied an entry of its own term. Requests answered with an error are logged and counted, and so are exceptions of reducers and performers (lovagewalk_failures_total). No decision changes.

--- a/lovagewalk/consensus/_replication.py
+++ b/lovagewalk/consensus/_replication.py
@@ -255,6 +255,14 @@
     return RaftStep(raft)
 
 
+def has_committed_in_term(raft: RaftState) -> bool:
+    """Whether an entry of the current term is committed, and so all earlier ones are.
+
+    A new leader does not know which of the last entries its predecessor committed.
+    """
+    return raft.log.term_at(raft.commit_index) == raft.term
+
+
 def confirmed_round(raft: RaftState) -> int:
     """Return the latest heartbeat round that a majority has answered."""
     return _majority_value(raft, raft.round, "round")
--- a/lovagewalk/control/__init__.py
+++ b/lovagewalk/control/__init__.py
@@ -1,13 +1,16 @@
 """Control over the fleet: catalogue changes, leases, shares, primaries."""
 
 from ._effects import (
+    AnswerReader,
     AnswerRequester,
+    CatalogueReadResult,
     PromoteInstance,
     RecordAudit,
     SendOrder,
     StopDaemon,
 )
 from ._events import (
+    CatalogueRequested,
     ChangeRequested,
     ConsensusTick,
     ControlTick,
@@ -30,7 +33,10 @@
 
 __all__ = [
     "LEASE_S",
+    "AnswerReader",
     "AnswerRequester",
+    "CatalogueReadResult",
+    "CatalogueRequested",
     "ChangeRequested",
     "ConsensusTick",
     "ControlState",
--- a/lovagewalk/control/_effects.py
+++ b/lovagewalk/control/_effects.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from lovagewalk.catalogue import ChangeResult
+from lovagewalk.catalogue import Catalogue, ChangeResult
 from lovagewalk.consensus import LogEntry
-from lovagewalk.core import Effect
+from lovagewalk.core import Effect, Refusal
 
 from ._events import Order
 
@@ -17,6 +17,22 @@
     result: ChangeResult
 
 
+@dataclass(frozen=True, slots=True)
+class CatalogueReadResult:
+    """The latest catalogue, or why it cannot be returned."""
+
+    catalogue: Catalogue | None
+    refusal: Refusal | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerReader(Effect):
+    """Send the result of a request for the latest catalogue."""
+
+    ticket: int
+    result: CatalogueReadResult
+
+
 @dataclass(frozen=True, slots=True)
 class RecordAudit(Effect):
     """Add a committed change and its result to the audit trail."""
--- a/lovagewalk/control/_events.py
+++ b/lovagewalk/control/_events.py
@@ -43,6 +43,13 @@
     seeds: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class CatalogueRequested(Event):
+    """An operator requests the latest catalogue."""
+
+    ticket: int
+
+
 @dataclass(frozen=True, slots=True)
 class PeerLost(Event):
     """The connection to a daemon was closed or could not be set up."""
--- a/lovagewalk/control/_raft_steps.py
+++ b/lovagewalk/control/_raft_steps.py
@@ -9,13 +9,14 @@
     RaftStep,
     SendToPeer,
     compact,
+    has_committed_in_term,
     is_compaction_due,
     send_snapshots,
 )
 from lovagewalk.core import Code, Effect, Refusal, Step, replace
 from lovagewalk.daemon._changes import install_catalogue
 from lovagewalk.node import NodeState
-from lovagewalk.records import LeadershipGained, LeadershipLost
+from lovagewalk.records import LeaderCaughtUp, LeadershipGained, LeadershipLost
 
 from . import _leader
 from ._effects import AnswerRequester, RecordAudit
@@ -41,6 +42,7 @@
     step = Step(step.state, raft_step.effects + step.effects)
     step = step.then(_answer_undecided(step.state))
     step = step.then(_apply_committed(step.state, now))
+    step = step.then(_track_catch_up(step.state, now))
     step = step.then(_compact_log(step.state))
     if step.state.consensus.is_leader:
         step = step.then(_send_snapshots(step.state, now))
@@ -87,6 +89,21 @@
     return raft.log.base_index == 0 and raft.log.term_at(1) == raft.term
 
 
+def _track_catch_up(state: NodeState, now: float) -> Step[NodeState]:
+    """Record that this leader has applied all that its predecessors committed."""
+    raft: RaftState = state.consensus
+    control: ControlState = state.control
+    if control.is_caught_up or not raft.is_leader or not has_committed_in_term(raft):
+        return Step(state)
+    record = LeaderCaughtUp(
+        term=raft.term,
+        revision=state.catalogue.revision,
+        elapsed_ms=round((now - raft.elected_at) * 1000),
+    )
+    control = replace(control, is_caught_up=True)
+    return Step(replace(state, control=control), (record,))
+
+
 def _answer_undecided(state: NodeState) -> Step[NodeState]:
     """Answer "unknown" for pending changes once this VM does not lead any more.
 
--- a/lovagewalk/control/_reducer.py
+++ b/lovagewalk/control/_reducer.py
@@ -13,6 +13,7 @@
 from lovagewalk.node import NodeState
 
 from . import (
+    _catalogue_reads,
     _failover,
     _follow,
     _heartbeats,
@@ -27,6 +28,7 @@
 )
 from ._effects import StopDaemon
 from ._events import (
+    CatalogueRequested,
     ChangeRequested,
     ConsensusTick,
     ControlTick,
@@ -154,6 +156,13 @@
     return _proposals.request_change(state, event.ticket, event.proposal, event.at)
 
 
+@reduces(CatalogueRequested)
+def _catalogue_requested(
+    state: NodeState, event: CatalogueRequested
+) -> Step[NodeState]:
+    return _catalogue_reads.on_catalogue_requested(state, event)
+
+
 @reduces(SwitchRequested)
 def _switch_requested(state: NodeState, event: SwitchRequested) -> Step[NodeState]:
     ticket = Ticket("", event.ticket)
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -323,6 +323,8 @@
         The consensus term that the other fields belong to; 0 while not the leader.
     former_shares_expire_at : float
         When every share that a former leader granted has certainly expired.
+    is_caught_up : bool
+        Whether an entry of the led term has been applied, and so all earlier ones.
     tickets : Map of int to Ticket
         Proposers that wait for the result of a log entry, by its index.
     unresponsive_since : Map of str to float
@@ -343,6 +345,7 @@
 
     led_term: int = 0
     former_shares_expire_at: float = 0.0
+    is_caught_up: bool = False
     followers: Map = field(default_factory=Map)
     pending_replies: tuple[PendingReply, ...] = ()
     tickets: Map = field(default_factory=Map)
--- a/lovagewalk/core/_shell.py
+++ b/lovagewalk/core/_shell.py
@@ -1,7 +1,7 @@
 """The shell, which runs the reducer and the performers on one event loop."""
 
 import logging
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any, Generic, TypeVar
 
@@ -36,6 +36,11 @@
     on_fatal : callable, optional
         Called with the `LovageError` of a performer, which means that the program
         must stop. No effect is performed and no event is handled after it.
+
+    Attributes
+    ----------
+    failures : Counter of str
+        Exceptions of reducers and performers, by type of the event or effect.
     """
 
     def __init__(
@@ -51,6 +56,7 @@
         self._queue: deque[Event] = deque()
         self._busy = False
         self._stopped = False
+        self.failures: Counter[str] = Counter()
         self._on_fatal = on_fatal
         self._subscriptions: list[Any] = []
         self._events: Subject = Subject()
@@ -98,12 +104,14 @@
         except LovageError as exc:
             self._stop(exc)
         except Exception:
+            self.failures[type(effect).__name__] += 1
             log.exception("core: performing %s failed", type(effect).__name__)
 
     def _handle(self, event: Event) -> None:
         try:
             step = reduce(self.state, event)
         except Exception:
+            self.failures[type(event).__name__] += 1
             log.exception("core: reducing %s failed", type(event).__name__)
             return
         self.apply_step(step)
--- a/lovagewalk/edge/_operators.py
+++ b/lovagewalk/edge/_operators.py
@@ -120,11 +120,7 @@
 
     async def _catalogue(self, req: web.Request) -> web.Response:
         self._authorise(req)
-        if self._ports.now() >= self._ports.state.fresh_until:
-            # A daemon that has just started or is isolated may hold an older
-            # catalogue.
-            raise LovageError(Code.CONFIG_STALE)
-        content = to_dict(self._ports.state.catalogue)
+        content = to_dict(await self._ports.pending_requests.read_catalogue())
         for key in content["keys"]:
             key["entry"]["digest"] = "left out"
         del content["results"]
@@ -152,7 +148,7 @@
         return _change_response(result, request_id)
 
     async def _propose(self, proposal: Proposal) -> ChangeResult:
-        return await self._ports.pending_changes.submit(
+        return await self._ports.pending_requests.submit(
             lambda ticket: ChangeRequested(self._ports.now(), ticket, proposal),
             CHANGE_TIMEOUT_S,
         )
@@ -160,7 +156,7 @@
     async def _switch(self, req: web.Request) -> web.Response:
         self._authorise(req)
         body = json.loads(await req.read())
-        result = await self._ports.pending_changes.submit(
+        result = await self._ports.pending_requests.submit(
             lambda ticket: SwitchRequested(
                 self._ports.now(), ticket, str(body["group"]), str(body["endpoint"])
             ),
--- a/lovagewalk/edge/tests/test_operators.py
+++ b/lovagewalk/edge/tests/test_operators.py
@@ -1,11 +1,10 @@
 """Access of operators to the catalogue of a daemon that may be out of date."""
 
-from types import SimpleNamespace
-
 import pytest
 from aiohttp.test_utils import make_mocked_request
 
-from lovagewalk.core import Code, LovageError, TimerService, replace
+from lovagewalk.control import FollowState
+from lovagewalk.core import Code, LovageError, Shell, TimerService
 from lovagewalk.edge._operators import OperatorServer
 from lovagewalk.node import Identity, NodeState
 from lovagewalk.runtime import Ports
@@ -15,9 +14,12 @@
 
 def _operator_server(lease_s):
     ports = Ports(TimerService())
-    state = NodeState(Identity("vm", "z", "r", b"secret"))
-    fresh_until = ports.now() + lease_s
-    ports.shell = SimpleNamespace(state=replace(state, fresh_until=fresh_until))
+    state = NodeState(
+        Identity("vm", "z", "r", b"secret"),
+        fresh_until=ports.now() + lease_s,
+        follow=FollowState(("vm2",), "vm2", "boot"),
+    )
+    ports.shell = Shell(state, ports, ports.timer)
     return OperatorServer(ports, TOKEN, "announce-secret")
 
 
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -82,7 +82,8 @@
 
     async def _serve(self, address: Address | None, handler: HttpHandler) -> None:
         if address is not None:
-            server = HttpServer(handler)
+            refusal_logger = self.ports.decision_log.log_refused_request
+            server = HttpServer(handler, refusal_logger)
             await server.listen(address.host, address.port)
             self._servers.append(server)
 
--- a/lovagewalk/platform/_http_handlers.py
+++ b/lovagewalk/platform/_http_handlers.py
@@ -9,7 +9,7 @@
     EndpointLeft,
     is_ready,
 )
-from lovagewalk.core import Event, LovageError
+from lovagewalk.core import Code, Event, LovageError
 from lovagewalk.runtime import (
     UNDECIDED_CHANGE_CODES,
     HttpRequest,
@@ -51,7 +51,7 @@
         if request.path == CONFIG_PATH and request.method == "PUT":
             return await self._put_configuration(request)
         if request.path == CONFIG_PATH and request.method == "GET":
-            return self._get_configuration()
+            return await self._get_configuration()
         if request.path.startswith(INSTANCE_PATH):
             name = request.path.removeprefix(INSTANCE_PATH)
             if request.method == "PUT":
@@ -63,7 +63,7 @@
     async def _put_configuration(self, request: HttpRequest) -> HttpResponse:
         command = decode_configuration(request.body)
         proposal = Proposal("", OPERATOR, self._ports.wall_clock(), command)
-        result = await self._ports.pending_changes.submit(
+        result = await self._ports.pending_requests.submit(
             lambda ticket: ChangeRequested(self._ports.now(), ticket, proposal),
             CHANGE_TIMEOUT_S,
         )
@@ -71,12 +71,12 @@
             return json_response(200, {"version": result.revision})
         raise LovageError(result.refusal.code, result.refusal.detail)
 
-    def _get_configuration(self) -> HttpResponse:
-        """Return the configuration while it is known to be the latest."""
-        state = self._ports.state
-        if self._ports.now() >= state.fresh_until or not state.catalogue.version:
-            return json_response(503, {"error": "the latest version is not known"})
-        return HttpResponse(200, state.catalogue.document)
+    async def _get_configuration(self) -> HttpResponse:
+        """Return the latest configuration, as the operator sent it."""
+        catalogue = await self._ports.pending_requests.read_catalogue()
+        if not catalogue.version:
+            raise LovageError(Code.CONFIG_STALE, "no configuration yet")
+        return HttpResponse(200, catalogue.document)
 
     async def _record_heartbeat(self, name: str, body: bytes) -> HttpResponse:
         endpoint = decode_heartbeat(name, body, self._cfg.regions)
@@ -91,7 +91,7 @@
 
     async def _acknowledge(self, build_event: Callable[[int], Event]) -> HttpResponse:
         """Answer an endpoint; an outdated report is acknowledged too."""
-        result = await self._ports.pending_changes.submit(
+        result = await self._ports.pending_requests.submit(
             build_event, HEARTBEAT_TIMEOUT_S
         )
         if result.refusal is not None and result.refusal.code in UNDECIDED_CHANGE_CODES:
--- a/lovagewalk/records/__init__.py
+++ b/lovagewalk/records/__init__.py
@@ -2,11 +2,14 @@
 
 from ._records import (
     CallerClosed,
+    CatalogueRead,
     ConfigurationInstalled,
     EndpointRecovered,
     EndpointRefused,
     EndpointSaturated,
     EndpointStatementFailed,
+    HttpRequestRefused,
+    LeaderCaughtUp,
     LeadershipGained,
     LeadershipLost,
     LeaseGained,
@@ -29,11 +32,14 @@
 
 __all__ = [
     "CallerClosed",
+    "CatalogueRead",
     "ConfigurationInstalled",
     "EndpointRecovered",
     "EndpointRefused",
     "EndpointSaturated",
     "EndpointStatementFailed",
+    "HttpRequestRefused",
+    "LeaderCaughtUp",
     "LeadershipGained",
     "LeadershipLost",
     "LeaseGained",
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -95,6 +95,22 @@
     waiting: int
 
 
+@logged_as("http", "request refused")
+@dataclass(frozen=True, slots=True)
+class HttpRequestRefused(LogRecord):
+    """A request of an operator or an endpoint was answered with an error.
+
+    Attributes
+    ----------
+    request : str
+        Method and path.
+    """
+
+    request: str
+    outcome: str
+    detail: str
+
+
 @logged_as("catalogue", "configuration in force")
 @dataclass(frozen=True, slots=True)
 class ConfigurationInstalled(LogRecord):
@@ -105,6 +121,36 @@
     revision: int
 
 
+@logged_as("catalogue", "catalogue read")
+@dataclass(frozen=True, slots=True)
+class CatalogueRead(LogRecord):
+    """A request for the latest catalogue was answered.
+
+    Attributes
+    ----------
+    version, revision : int
+        Configuration version and catalogue revision of this VM.
+    document_crc : str
+        CRC-32 of the configuration as the operator sent it, in hex.
+    fresh_ms : int
+        Remaining time of the freshness lease, in milliseconds.
+    role : str
+        Role in the consensus; ``none`` for a daemon without a log.
+    target : str
+        The control VM that this daemon reports to.
+    outcome : str
+        ``ok``, or the label of the refusal code.
+    """
+
+    version: int
+    revision: int
+    document_crc: str
+    fresh_ms: int
+    role: str
+    target: str
+    outcome: str
+
+
 @logged_as("groups", "primary installed")
 @dataclass(frozen=True, slots=True)
 class PrimaryInstalled(LogRecord):
@@ -159,6 +205,22 @@
     voters: str
 
 
+@logged_as("control", "this leader knows all committed changes")
+@dataclass(frozen=True, slots=True)
+class LeaderCaughtUp(LogRecord):
+    """The leader has applied an entry of its own term, and so all earlier changes.
+
+    Attributes
+    ----------
+    elapsed_ms : int
+        Time since its election, in milliseconds.
+    """
+
+    term: int
+    revision: int
+    elapsed_ms: int
+
+
 @logged_as("control", "this VM no longer leads")
 @dataclass(frozen=True, slots=True)
 class LeadershipLost(LogRecord):
--- a/lovagewalk/runtime/__init__.py
+++ b/lovagewalk/runtime/__init__.py
@@ -24,7 +24,7 @@
 from ._metrics_page import MetricsPage, render_metrics
 from ._network import Network
 from ._peers import Peers
-from ._pending_changes import PendingChanges
+from ._pending_requests import PendingRequests
 from ._pool_client import OpenRefusedError, PoolClient
 from ._ports import Ports
 from ._process import DaemonProcess
@@ -55,7 +55,7 @@
     "NoStatusError",
     "OpenRefusedError",
     "Peers",
-    "PendingChanges",
+    "PendingRequests",
     "PoolClient",
     "Ports",
     "SettingsReloader",
--- a/lovagewalk/runtime/_decision_log.py
+++ b/lovagewalk/runtime/_decision_log.py
@@ -4,12 +4,13 @@
 from typing import TYPE_CHECKING
 from zlib import crc32
 
-from lovagewalk.core import performs
+from lovagewalk.core import LovageError, performs
 from lovagewalk.node import NodeState
 from lovagewalk.pools import OpenConnection, OpenFailure
 from lovagewalk.records import (
     CallerClosed,
     EndpointRefused,
+    HttpRequestRefused,
     LogRecord,
     RequestAnswered,
     get_record_fields,
@@ -18,12 +19,16 @@
 )
 from lovagewalk.routing import AnswerCaller, CloseCaller
 
+from ._http import HttpRequest
+
 if TYPE_CHECKING:
     from ._ports import Ports
 
 # One of this many answered requests is logged. The request id decides which, so that
 # all VMs log the same requests.
 SAMPLE_EVERY = 64
+# Paths of valid requests are shorter; the rest of a longer one is not logged.
+MAX_PATH_LENGTH = 128
 
 
 class DecisionLog:
@@ -81,6 +86,12 @@
             EndpointRefused(effect.endpoint, effect.group, reason.value, detail)
         )
 
+    def log_refused_request(self, request: HttpRequest, exc: LovageError) -> None:
+        """Log and count that a request was answered with an error."""
+        subject = f"{request.method} {request.path[:MAX_PATH_LENGTH]}"
+        record = HttpRequestRefused(subject, exc.code.label, exc.refusal.detail)
+        _perform_record(self._ports, record)
+
 
 def write_record(record: LogRecord) -> None:
     """Write a record to the log of its part."""
--- a/lovagewalk/runtime/_http.py
+++ b/lovagewalk/runtime/_http.py
@@ -26,6 +26,11 @@
 JSON_CONTENT_TYPE = "application/json"
 # Codes of a change that was not decided, or not yet; the client sends it again.
 UNDECIDED_CHANGE_CODES = frozenset((Code.NOT_LEADER, Code.CHANGE_UNKNOWN))
+_STATUSES = {
+    **dict.fromkeys(UNDECIDED_CHANGE_CODES, 503),
+    Code.CONFIG_STALE: 503,
+    Code.STATEMENT_LARGE: 413,
+}
 
 log = logging.getLogger("lovagewalk.http")
 
@@ -54,6 +59,7 @@
 
 
 HttpHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+RefusalLogger = Callable[[HttpRequest, LovageError], None]
 
 
 class HttpServer:
@@ -63,10 +69,15 @@
     ----------
     handler : coroutine function
         Answers requests; a `LovageError` that it raises becomes an error response.
+    log_refusal : callable, optional
+        Called with each request that is answered with an error.
     """
 
-    def __init__(self, handler: HttpHandler) -> None:
+    def __init__(
+        self, handler: HttpHandler, log_refusal: RefusalLogger | None = None
+    ) -> None:
         self._handler = handler
+        self._log_refusal = log_refusal
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -103,6 +114,8 @@
         try:
             return await self._handler(request)
         except LovageError as exc:
+            if self._log_refusal is not None:
+                self._log_refusal(request, exc)
             return _error_response(exc)
 
     def close(self) -> None:
@@ -115,10 +128,7 @@
 
 def _error_response(exc: LovageError) -> HttpResponse:
     """Return the response to a refused request; on a 503 the client sends it again."""
-    status = 503 if exc.code in UNDECIDED_CHANGE_CODES else 400
-    if exc.code is Code.STATEMENT_LARGE:
-        status = 413
-    return json_response(status, {"error": str(exc)})
+    return json_response(_STATUSES.get(exc.code, 400), {"error": str(exc)})
 
 
 async def _read_request(
--- a/lovagewalk/runtime/_metrics.py
+++ b/lovagewalk/runtime/_metrics.py
@@ -150,6 +150,11 @@
             registry=self.registry,
         )
         self._events = LabelledCounter(events, ("part", "event"))
+        self.failures = aioprometheus.Counter(
+            "lovagewalk_failures_total",
+            "Exceptions of reducers and performers by event or effect.",
+            registry=self.registry,
+        )
         self.log_lines_dropped = aioprometheus.Counter(
             "lovagewalk_log_lines_dropped_total",
             "Log lines beyond the budget, or that nobody read in time.",
@@ -229,6 +234,11 @@
         for times in (self._route_times, self._queue_times):
             times.collect()
 
+    def collect_failures(self, failures: Counter[str]) -> None:
+        """Write the counts of failed events and effects into the registry."""
+        for name, count in failures.items():
+            self.failures.set({"type": name}, count)
+
     def collect_state(self, state: NodeState, now: float, sent_bytes: int) -> None:
         """Write all metrics into the registry, including those of the state."""
         self.collect()
--- a/lovagewalk/runtime/_metrics_page.py
+++ b/lovagewalk/runtime/_metrics_page.py
@@ -20,6 +20,7 @@
     accept_headers : sequence of str
         Values of the request's ``Accept`` headers.
     """
+    ports.metrics.collect_failures(ports.shell.failures)
     ports.metrics.collect_state(ports.state, ports.now(), ports.peers.sent_bytes)
     return render(ports.metrics.registry, accept_headers)
 
--- a/lovagewalk/runtime/_ports.py
+++ b/lovagewalk/runtime/_ports.py
@@ -12,7 +12,7 @@
 
 from ._decision_log import DecisionLog
 from ._metrics import Metrics
-from ._pending_changes import PendingChanges
+from ._pending_requests import PendingRequests
 
 log = logging.getLogger("lovagewalk.daemon")
 
@@ -28,7 +28,7 @@
         Adapters; set by the program that builds the daemon.
     decision_log : DecisionLog
         Writes decisions to the log.
-    pending_changes : PendingChanges
+    pending_requests : PendingRequests
         Requested changes that wait for their result.
     stopped : asyncio.Event
         Set when the daemon must stop.
@@ -49,7 +49,7 @@
         self.audit: Any = None
         self.provider: Any = None
         self.decision_log = DecisionLog(self)
-        self.pending_changes = PendingChanges(self)
+        self.pending_requests = PendingRequests(self)
         self.metrics = Metrics()
         self.stopped = asyncio.Event()
         self.id_sequence = itertools.count(1)
