--- a/lovagewalk/control/tests/control_fleet.py
+++ b/lovagewalk/control/tests/control_fleet.py
@@ -11,7 +11,9 @@
     SendToPeer,
 )
 from lovagewalk.control import (
+    AnswerReader,
     AnswerRequester,
+    CatalogueRequested,
     ChangeRequested,
     ConsensusTick,
     ControlState,
@@ -88,7 +90,8 @@
 class ControlFleet:
     """Control VMs, the databases that they poll, and the provider.
 
-    VMs in `isolated` reach one another, but no other VM.
+    VMs in `isolated` reach one another, but no other VM. A message for which
+    `is_lost` returns true is not delivered.
     """
 
     def __init__(self, names, seeds):
@@ -99,6 +102,7 @@
         self.states = {}
         self.isolated = set()
         self.links_up = True
+        self.is_lost = lambda message: False
         self.sent_outside = []
         self.wire = []
         self.answers = {}
@@ -153,7 +157,7 @@
             self._poll(name, effect)
         elif isinstance(effect, PromoteInstance):
             self._promote(name, effect)
-        elif isinstance(effect, AnswerRequester):
+        elif isinstance(effect, AnswerRequester | AnswerReader):
             self.answers[effect.ticket] = effect.result
         else:
             self.disks[name].write(effect)
@@ -233,7 +237,7 @@
         while self.wire:
             source, target, message = self.wire.pop(0)
             separated = (source in self.isolated) != (target in self.isolated)
-            if not self.links_up or separated:
+            if not self.links_up or separated or self.is_lost(message):
                 continue
             if target not in self.states:
                 self.sent_outside.append(message)
@@ -261,6 +265,12 @@
         self.feed(name or self.leader().identity.name, event)
         return self.last_number
 
+    def request_catalogue(self, name):
+        """Request the latest catalogue at a VM, and return the ticket."""
+        self.last_number += 1
+        self.feed(name, CatalogueRequested(self.now, self.last_number))
+        return self.last_number
+
     def send_heartbeat(self, name, group, sequence=1, leaving=False, up=True):
         """Send a database's heartbeat to the leader, and return its ticket."""
         self.databases.setdefault(name, Database(name, group)).up = up
