Read back no document of an older version at a VM with a full disk

What callers saw: version 12 acknowledged over 4 s before, version 8 read back at core-celaya-2, with a valid lease. Cause: a control VM whose disk is full leaves the consensus and follows by deltas. Deltas carry the version but leave the document out, so version, revision and lease moved on under the old document. Change: a delta that changes the version drops the document, and a read that needs the document is refused with LW1005 (503) at a VM that does not hold it. Why it works: the document is part of the catalogue only as long as the version is the one that it was sent with.

--- a/lovagewalk/catalogue/_delta.py
+++ b/lovagewalk/catalogue/_delta.py
@@ -98,7 +98,8 @@
 def apply_delta(catalogue: Catalogue, delta: CatalogueDelta) -> Catalogue:
     """Return a catalogue with a delta applied.
 
-    A delta that is based on another revision, or is not newer, changes nothing.
+    A delta that is based on another revision, or is not newer, changes nothing. The
+    document of another version is dropped, since the delta does not hold the new one.
     """
     if delta.revision <= catalogue.revision:
         return catalogue
@@ -110,6 +111,7 @@
         catalogue,
         revision=delta.revision,
         version=delta.version,
+        document=catalogue.document if catalogue.version == delta.version else b"",
         idle_transaction_s=delta.idle_transaction_s,
         control_voters=delta.control_voters,
         customers=patch(
--- a/lovagewalk/catalogue/_state.py
+++ b/lovagewalk/catalogue/_state.py
@@ -333,7 +333,8 @@
     version : int
         Version of the last whole configuration; 0 before the first one.
     document : bytes
-        That configuration as the operator sent it, returned when it is queried.
+        That configuration as the operator sent it, returned when it is queried; empty
+        at a daemon that does not hold it.
     idle_transaction_s : float
         How long a transaction may stay idle, in seconds; 0 for no limit.
     holders : Map of str to str
--- a/lovagewalk/control/_catalogue_reads.py
+++ b/lovagewalk/control/_catalogue_reads.py
@@ -18,6 +18,9 @@
     result = CatalogueReadResult(state.catalogue)
     if event.at >= state.fresh_until:
         result = CatalogueReadResult(None, Refusal(Code.CONFIG_STALE))
+    elif event.with_document and not state.catalogue.document:
+        refusal = Refusal(Code.CONFIG_STALE, "this VM does not hold the document")
+        result = CatalogueReadResult(None, refusal)
     record = _build_record(state, result, event.at)
     return Step(state, (record, AnswerReader(event.ticket, result)))
 
--- a/lovagewalk/control/_events.py
+++ b/lovagewalk/control/_events.py
@@ -45,9 +45,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CatalogueRequested(Event):
-    """An operator requests the latest catalogue."""
+    """An operator requests the latest catalogue.
+
+    Attributes
+    ----------
+    with_document : bool
+        Whether the configuration as the operator sent it is part of the request.
+    """
 
     ticket: int
+    with_document: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/control/tests/control_fleet.py
+++ b/lovagewalk/control/tests/control_fleet.py
@@ -268,7 +268,7 @@
     def request_catalogue(self, name):
         """Request the latest catalogue at a VM, and return the ticket."""
         self.last_number += 1
-        self.feed(name, CatalogueRequested(self.now, self.last_number))
+        self.feed(name, CatalogueRequested(self.now, self.last_number, True))
         return self.last_number
 
     def send_heartbeat(self, name, group, sequence=1, leaving=False, up=True):
--- a/lovagewalk/platform/_http_handlers.py
+++ b/lovagewalk/platform/_http_handlers.py
@@ -9,7 +9,7 @@
     EndpointLeft,
     is_ready,
 )
-from lovagewalk.core import Code, Event, LovageError
+from lovagewalk.core import Event, LovageError
 from lovagewalk.runtime import (
     UNDECIDED_CHANGE_CODES,
     HttpRequest,
@@ -73,9 +73,7 @@
 
     async def _get_configuration(self) -> HttpResponse:
         """Return the latest configuration, as the operator sent it."""
-        catalogue = await self._ports.pending_requests.read_catalogue()
-        if not catalogue.version:
-            raise LovageError(Code.CONFIG_STALE, "no configuration yet")
+        catalogue = await self._ports.pending_requests.read_catalogue(True)
         return HttpResponse(200, catalogue.document)
 
     async def _record_heartbeat(self, name: str, body: bytes) -> HttpResponse:
--- a/lovagewalk/runtime/_pending_requests.py
+++ b/lovagewalk/runtime/_pending_requests.py
@@ -59,16 +59,22 @@
         finally:
             del self._pending[ticket]
 
-    async def read_catalogue(self) -> Catalogue:
+    async def read_catalogue(self, with_document: bool = False) -> Catalogue:
         """Return the latest catalogue.
 
+        Parameters
+        ----------
+        with_document : bool
+            Whether the configuration as the operator sent it is needed.
+
         Raises
         ------
         LovageError
-            ``CONFIG_STALE`` if this daemon does not know the latest one.
+            ``CONFIG_STALE`` if this daemon does not know the latest one, or does not
+            hold the document.
         """
         result = await self.submit(
-            lambda ticket: CatalogueRequested(self._ports.now(), ticket),
+            lambda ticket: CatalogueRequested(self._ports.now(), ticket, with_document),
             READ_TIMEOUT_S,
         )
         if result.refusal is not None:
