Renew no lease before the leader has committed in its term

What callers saw: a configuration older than one acknowledged more than 4 s before, from a VM with a valid lease; with it an added route that is not served, or a withdrawn one that is. Cause: a new leader answered reports as soon as a majority had confirmed that it leads. Its catalogue lacks what its predecessor committed last, until an entry of its own term is committed. Shares and changes of voters asked for that; leases did not. Why it works: an entry of the term is committed only after all entries before it, so the revision in the answer covers everything acknowledged before the report came.

--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -179,9 +179,15 @@
 
 
 def serve_followers(state: NodeState, now: float) -> Step[NodeState]:
-    """Answer confirmed requests and push catalogue changes to the other followers."""
+    """Answer confirmed requests and push catalogue changes to the other followers.
+
+    A leader that has not caught up answers nothing: a majority confirms that it leads,
+    but its catalogue may lack what its predecessor committed.
+    """
     raft: RaftState = state.consensus
     control: ControlState = state.control
+    if not control.is_caught_up:
+        return Step(state)
     confirmed = confirmed_round(raft)
     due = tuple(
         pending for pending in control.pending_replies if pending.round <= confirmed
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -13,6 +13,7 @@
 from lovagewalk.consensus import (
     ELECTION_TIMEOUT_MIN_S,
     RaftState,
+    has_committed_in_term,
     have_earlier_leases_expired,
 )
 from lovagewalk.core import replace
@@ -266,7 +267,7 @@
 ) -> bool:
     """Whether this leader can rule out unknown holdings, so that it may grant more."""
     raft: RaftState = state.consensus
-    if raft.log.term_at(raft.commit_index) != raft.term:
+    if not has_committed_in_term(raft):
         return False
     if not have_earlier_leases_expired(raft, now):
         return False
--- a/lovagewalk/control/_membership.py
+++ b/lovagewalk/control/_membership.py
@@ -7,7 +7,7 @@
 """
 
 from lovagewalk.catalogue import ChangeControlVoters, ControlVoter
-from lovagewalk.consensus import RaftState, remove_peers
+from lovagewalk.consensus import RaftState, has_committed_in_term, remove_peers
 from lovagewalk.core import Step, replace
 from lovagewalk.node import NodeState
 from lovagewalk.records import VotersChanged
@@ -32,10 +32,7 @@
     raft = remove_peers(state.consensus, _unresponsive_peers(state.consensus, now))
     state = replace(state, consensus=raft)
     # The last change and an entry of this leader's term have to be committed first.
-    if (
-        raft.configs[-1].index > raft.commit_index
-        or raft.log.term_at(raft.commit_index) != raft.term
-    ):
+    if raft.configs[-1].index > raft.commit_index or not has_committed_in_term(raft):
         return Step(state)
     voters = desired_voters(raft, now)
     if voters == raft.voters:
