Replace no primary and no voter before the leader has caught up

What callers could see: a second promotion of a group whose primary had just been replaced, by a leader that did not know of it yet; a longer gap than needed. Cause: the same as for leases; ticks of the leader went by its catalogue right after its election. Evidence: with the appends of a new leader lost, it begins a promotion on the strength of its predecessor's catalogue (ALLOCATE); the fence is proposed to the log. Change: failovers, promotions, repairs and changes of voters begin only once an entry of the leader's term is applied. Why it works: by then the catalogue contains every promotion that was installed.

test_a_leader_that_has_committed_nothing_yet_promotes_nothing failed before.

--- a/lovagewalk/control/_reducer.py
+++ b/lovagewalk/control/_reducer.py
@@ -101,8 +101,7 @@
     if state.follow is not None:
         step = _reports.tick(state, event.at)
         step = step.then(_token_requests.request_tokens(step.state, event.at))
-    raft = step.state.consensus
-    if raft is not None and raft.is_leader:
+    if _is_informed_leader(step.state):
         step = step.then(_failover.tick(step.state, event.at))
         step = step.then(_provider.tick(step.state, event.at))
         step = step.then(_token_queue.tick(step.state, event.at))
@@ -113,13 +112,21 @@
 
 @reduces(RepairTick)
 def _repair_tick(state: NodeState, event: RepairTick) -> Step[NodeState]:
-    raft = state.consensus
-    if raft is None or not raft.is_leader:
+    if not _is_informed_leader(state):
         return Step(state)
     step = _repair.tick(state, event.at)
     return step.then(_membership.tick(step.state, event.at))
 
 
+def _is_informed_leader(state: NodeState) -> bool:
+    """Whether this VM leads, and has applied all that its predecessors committed.
+
+    Before that, it could replace a primary that its predecessor has replaced already.
+    """
+    raft = state.consensus
+    return raft is not None and raft.is_leader and state.control.is_caught_up
+
+
 def _has_unfinished_work(state: NodeState) -> bool:
     """Whether draining has to wait for requests, access counts or sessions."""
     if state.requests or state.access_counts:
--- a/lovagewalk/control/tests/control_fleet.py
+++ b/lovagewalk/control/tests/control_fleet.py
@@ -4,6 +4,7 @@
 
 from lovagewalk import catalogue as cat
 from lovagewalk.consensus import (
+    AppendRequest,
     PersistEntries,
     PersistSnapshot,
     PersistVote,
@@ -284,6 +285,11 @@
         return self.last_number
 
 
+def is_append_with_entries(message):
+    """Whether a message carries log entries to a follower."""
+    return isinstance(message, AppendRequest) and bool(message.entries)
+
+
 def configuration(version, groups=("g",), customers=(), sync_replicas=0):
     """Return a configuration with a route to each group."""
     return cat.ReplaceConfiguration(
--- a/lovagewalk/control/tests/test_catalogue_reads.py
+++ b/lovagewalk/control/tests/test_catalogue_reads.py
@@ -1,9 +1,13 @@
 """A control VM returns the latest configuration, or says that it does not know it."""
 
-from lovagewalk.consensus import AppendRequest
 from lovagewalk.control import JournalFilled
 
-from .control_fleet import STEP_S, ControlFleet, configuration
+from .control_fleet import (
+    STEP_S,
+    ControlFleet,
+    configuration,
+    is_append_with_entries,
+)
 from .delayed_fleet import DelayedFleet
 
 VM_NAMES = tuple(f"10.0.0.{number}:7560" for number in range(1, 6))
@@ -40,10 +44,6 @@
     assert _read(fleet, other) == b"document 7"
 
 
-def _is_append_with_entries(message):
-    return isinstance(message, AppendRequest) and bool(message.entries)
-
-
 def test_a_leader_that_has_committed_nothing_yet_renews_no_lease():
     """It has its predecessor's last entry, but does not know that it is committed."""
     fleet = ControlFleet(SEEDS, SEEDS)
@@ -59,7 +59,7 @@
     fleet.remove(first_leader)
     assert fleet.states[heir].catalogue.version == 3, "it does not know of the commit"
     fleet.isolated = set()
-    fleet.is_lost = _is_append_with_entries
+    fleet.is_lost = is_append_with_entries
     fleet.run(APPLY_S)
     assert fleet.leader().identity.name == heir
     for name in (heir, behind):
--- a/lovagewalk/control/tests/test_provider.py
+++ b/lovagewalk/control/tests/test_provider.py
@@ -6,7 +6,7 @@
 from lovagewalk.control._messages import FollowRequest, SuspectReport
 from lovagewalk.groups import Role
 
-from .control_fleet import ControlFleet, configuration
+from .control_fleet import ControlFleet, configuration, is_append_with_entries
 
 VM_NAMES = tuple(f"10.0.0.{number}:7560" for number in range(1, 4))
 DATABASES = ("a", "b", "c")
@@ -71,6 +71,21 @@
     assert not site.orders and site.group.primary == "a"
 
 
+def test_a_leader_that_has_committed_nothing_yet_promotes_nothing(site):
+    """Its predecessor may have replaced the primary that it sees fail."""
+    first_leader = site.leader().identity.name
+    site.databases["a"].up = False
+    site.remove(first_leader)
+    site.is_lost = is_append_with_entries
+    while site.leader() is None:
+        site.run(0.1)
+    site.run_with_reports(3.0)
+    assert not site.leader().control.promotions
+    site.is_lost = lambda message: False
+    site.run_with_reports(3.0)
+    assert site.group.primary != "a"
+
+
 def test_a_suspicion_of_one_daemon_promotes_nothing(site):
     for _ in range(10):
         site.report(True, "edge-1")
