Confirm each read of the configuration by the leader

Cause: an operator's question for the latest was answered with what was the latest at the last report. Any fault of a lease was a wrong answer. Change: a read waits until the leader has answered a report that was sent after the read came, and until that revision is applied here. It makes a report due at once. Why it works: the leader's answer comes after a majority has confirmed it and after it has caught up, so its revision covers every change acknowledged before the read.

--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -10,6 +10,7 @@
 from lovagewalk.routing import _sweep
 from lovagewalk.shares import Share, expire, grow, shrink
 
+from ._catalogue_reads import answer_reads, confirm_reads
 from ._messages import CatalogueUpdate, FollowReply, ShareGrant, ShareRecall
 from ._peer_messages import on_message
 from ._readiness import holds_shares
@@ -36,6 +37,7 @@
     """
     step = _install_delta(state, reply.delta, now)
     step = Step(_record_answer(step.state, reply, now), step.effects)
+    step = step.then(answer_reads(step.state, now))
     follow: FollowState = step.state.follow
     if reply.seq != follow.seq:
         return step
@@ -78,7 +80,8 @@
     fresh_until = state.fresh_until
     if state.catalogue.revision >= reply.revision:
         fresh_until = max(fresh_until, sent_at + LEASE_S)
-    return replace(state, follow=follow, fresh_until=fresh_until)
+    state = replace(state, follow=follow, fresh_until=fresh_until)
+    return confirm_reads(state, sent_at, reply.revision)
 
 
 def _record_samples(state: NodeState, reply: FollowReply) -> NodeState:
--- a/lovagewalk/control/_reports.py
+++ b/lovagewalk/control/_reports.py
@@ -10,6 +10,7 @@
 from lovagewalk.shares import Share, expire, shrink, smooth_demand
 
 from ._accesses import report_accesses
+from ._catalogue_reads import answer_reads, has_unconfirmed_reads
 from ._messages import FollowRequest, ShareReport, SuspectNotice, SuspectReport
 from ._readiness import MAX_EAGER_CUSTOMERS, is_leaving
 from ._state import (
@@ -29,6 +30,7 @@
     step = _record_lease_change(_expedite_final_report(state, now), now)
     step = step.then(report_accesses(step.state, now))
     step = step.then(_notify_suspects(step.state, now))
+    step = step.then(answer_reads(step.state, now))
     if not _is_report_due(step.state, now):
         return step
     return step.then(_send_report(step.state, now))
@@ -75,9 +77,9 @@
     if elapsed_s < URGENT_PERIOD_S:
         return False
     is_leaderless = follow.answered_at < follow.sent_at
-    return follow.is_report_urgent or (
-        is_leaderless and elapsed_s >= LEADERLESS_RETRY_S
-    )
+    if is_leaderless and elapsed_s >= LEADERLESS_RETRY_S:
+        return True
+    return follow.is_report_urgent or has_unconfirmed_reads(follow)
 
 
 def _notify_suspects(state: NodeState, now: float) -> Step[NodeState]:
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -30,6 +30,23 @@
 ANSWER_TIMEOUT_MARGIN = 1.5
 
 
+@dataclass(frozen=True, slots=True)
+class PendingRead:
+    """A request for the latest catalogue that waits for the leader.
+
+    Attributes
+    ----------
+    requested_at : float
+        When it arrived, in monotonic seconds.
+    min_revision : int or None
+        Revision that the answer must include; None until the leader has stated it.
+    """
+
+    ticket: int
+    requested_at: float
+    min_revision: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class FollowState:
     """A daemon's state as a follower of the control leader.
@@ -64,6 +81,8 @@
         Send times of the reports that may still be answered, by number.
     answer_timeout_s : float
         Time to wait for an answer before another VM is contacted, in seconds.
+    reads : tuple of PendingRead
+        Requests for the latest catalogue, by their arrival.
     access_batch : Proposal or None
         Access counts that the leader has not yet confirmed.
     access_batch_number : int
@@ -87,6 +106,7 @@
     holds_lease: bool = False
     unanswered: Map = field(default_factory=Map)
     answer_timeout_s: float = FOLLOW_PERIOD_S
+    reads: tuple[PendingRead, ...] = ()
     access_batch: Proposal | None = None
     access_batch_number: int = 0
     access_batch_sent_at: float = 0.0
--- a/lovagewalk/control/tests/test_catalogue_reads.py
+++ b/lovagewalk/control/tests/test_catalogue_reads.py
@@ -79,6 +79,8 @@
         self.version = 0
         self.acknowledged = []
         self.tickets = {}
+        self.reads = {}
+        self.answered = 0
         self.fleet.run(4.0)
 
     def change(self):
@@ -101,19 +103,30 @@
                 del self.tickets[ticket]
                 if result.refusal is None:
                     self.acknowledged.append((self.fleet.now, version))
-            for name in self.fleet.states:
-                self.check_read(name)
-
-    def check_read(self, name):
-        sent_at = self.fleet.now
-        ticket = self.fleet.request_catalogue(name)
-        result = self.fleet.answers.get(ticket)
-        if result is None or result.refusal is not None:
-            return
-        due = [v for at, v in self.acknowledged if at < sent_at - APPLY_S]
-        newest = max(due, default=0)
-        read = result.catalogue.version
-        assert read >= newest, f"seed {self.seed}: {name} returns {read}, not {newest}"
+            self.check_reads()
+            for name, state in self.fleet.states.items():
+                if self.fleet.now < state.fresh_until:
+                    due = self.newest_acknowledged(self.fleet.now - APPLY_S)
+                    self.check(name, state.catalogue.version, due)
+                ticket = self.fleet.request_catalogue(name)
+                due = self.newest_acknowledged(self.fleet.now)
+                self.reads[ticket] = (name, due)
+
+    def newest_acknowledged(self, until):
+        return max((v for at, v in self.acknowledged if at <= until), default=0)
+
+    def check_reads(self):
+        for ticket, (name, due) in list(self.reads.items()):
+            result = self.fleet.answers.get(ticket)
+            if result is None:
+                continue
+            del self.reads[ticket]
+            if result.refusal is None:
+                self.answered += 1
+                self.check(name, result.catalogue.version, due)
+
+    def check(self, name, version, due):
+        assert version >= due, f"seed {self.seed}: {name} has {version}, not {due}"
 
     def play(self):
         for _ in range(FIRST_CHANGES):
@@ -141,4 +154,6 @@
 def test_no_vm_returns_an_older_version_after_cuts_and_restarts():
     """Restarted VMs hold a snapshot and do not know what was committed after it."""
     for seed in range(SEED_COUNT):
-        ReadingFleet(seed).play()
+        fleet = ReadingFleet(seed)
+        fleet.play()
+        assert fleet.answered > 100, f"seed {seed}: reads are answered at all"
--- a/lovagewalk/edge/tests/test_operators.py
+++ b/lovagewalk/edge/tests/test_operators.py
@@ -1,9 +1,12 @@
 """Access of operators to the catalogue of a daemon that may be out of date."""
 
+import asyncio
+
 import pytest
 from aiohttp.test_utils import make_mocked_request
 
-from lovagewalk.control import FollowState
+from lovagewalk.control import FollowState, PeerMessage
+from lovagewalk.control._messages import FollowReply
 from lovagewalk.core import Code, LovageError, Shell, TimerService
 from lovagewalk.edge._operators import OperatorServer
 from lovagewalk.node import Identity, NodeState
@@ -12,6 +15,16 @@
 TOKEN = "operator-token"
 
 
+class RecordingPeers:
+    """Keeps the messages that a daemon sends."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, peer, message):
+        self.sent.append(message)
+
+
 def _operator_server(lease_s):
     ports = Ports(TimerService())
     state = NodeState(
@@ -20,6 +33,7 @@
         follow=FollowState(("vm2",), "vm2", "boot"),
     )
     ports.shell = Shell(state, ports, ports.timer)
+    ports.peers = RecordingPeers()
     return OperatorServer(ports, TOKEN, "announce-secret")
 
 
@@ -36,6 +50,13 @@
     assert caught.value.code is Code.CONFIG_STALE
 
 
-async def test_a_daemon_with_a_lease_returns_its_catalogue():
-    response = await _operator_server(60.0)._catalogue(_request())
-    assert response.status == 200
+async def test_a_daemon_returns_its_catalogue_once_the_leader_has_confirmed_it():
+    server = _operator_server(60.0)
+    response = asyncio.create_task(server._catalogue(_request()))
+    await asyncio.sleep(0)
+    ports = server._ports
+    (report,) = ports.peers.sent
+    assert not response.done()
+    reply = FollowReply(report.seq, "vm2", True, 0, None, ())
+    ports.feed(PeerMessage(ports.now(), "vm2", reply))
+    assert (await response).status == 200
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -134,6 +134,8 @@
         CRC-32 of the configuration as the operator sent it, in hex.
     fresh_ms : int
         Remaining time of the freshness lease, in milliseconds.
+    waited_ms : int
+        Time for which the request waited for the leader, in milliseconds.
     role : str
         Role in the consensus; ``none`` for a daemon without a log.
     target : str
@@ -146,9 +148,11 @@
     revision: int
     document_crc: str
     fresh_ms: int
+    waited_ms: int
     role: str
     target: str
     outcome: str
+    detail: str
 
 
 @logged_as("groups", "primary installed")
