Refuse a change that no log, disk or peer can hold

What callers saw: after one odd entry (a number beyond 64 bits, a lone surrogate) no change was decided any more, on all VMs, without end; heartbeats included. Cause: the leader appended the entry to its log in memory and only then found that it could be encoded neither for the disk nor for the peers. Every later entry waits behind it. Nothing said what a valid value is: comparisons let NaN through, and ports or hosts were not checked in changes. Evidence: test_an_odd_entry_does_not_stop_later_changes, nine odd commands proposed at the leader and at a follower: neither they nor a later change were ever answered. Change: catalogue/_validity.py says what a command may hold: 64 bits, finite, printable, and a registry of checks by type. A proposal is checked where it arrives and by the leader before it enters the log; it is refused with LW2101 and logged. Result: all nine are refused at both places, and the change after them is accepted. Why it works: the check covers every field of a command, whichever front end or build of a follower it came from, and the log gets only what its encoding can hold.

--- a/lovagewalk/catalogue/__init__.py
+++ b/lovagewalk/catalogue/__init__.py
@@ -47,9 +47,9 @@
     Versioned,
     Voter,
 )
+from ._validity import check_command, check_proposal, find_problems
 
 __all__ = [
-    "MAX_RESULTS",
     "AccessCount",
     "AllocateFence",
     "AllocateTerm",
@@ -70,6 +70,7 @@
     "InstallTerm",
     "IssueKey",
     "KeyEntry",
+    "MAX_RESULTS",
     "Management",
     "NoChange",
     "NoteDivided",
@@ -89,8 +90,11 @@
     "applies",
     "apply_delta",
     "apply_proposal",
+    "check_command",
     "check_configuration",
+    "check_proposal",
     "control_proposal",
     "diff_catalogues",
+    "find_problems",
     "is_equal_for_followers",
 ]
--- a/lovagewalk/control/_proposals.py
+++ b/lovagewalk/control/_proposals.py
@@ -1,9 +1,16 @@
 """Passes proposed changes to the leader, and their results to the proposers."""
 
-from lovagewalk.catalogue import ChangeResult, Command, Proposal, control_proposal
+from lovagewalk.catalogue import (
+    ChangeResult,
+    Command,
+    Proposal,
+    check_proposal,
+    control_proposal,
+)
 from lovagewalk.consensus import RaftRole, SendToPeer, append_proposals
 from lovagewalk.core import Code, Refusal, Step, replace
 from lovagewalk.node import NodeState
+from lovagewalk.records import ProposalRefused
 
 from . import _raft_steps
 from ._accesses import AUDIT_TICKET, confirm_batch
@@ -20,6 +27,9 @@
     raft = state.consensus
     if raft is not None and raft.is_leader:
         return propose(state, proposal, Ticket("", ticket), now)
+    refusal = check_proposal(proposal)
+    if refusal is not None:
+        return _refuse(state, proposal, Ticket("", ticket), refusal)
     target = state.follow.target
     if raft is not None and raft.role is not RaftRole.OFFLINE:
         target = raft.leader
@@ -32,7 +42,10 @@
 def propose(
     state: NodeState, proposal: Proposal, ticket: Ticket | None, now: float
 ) -> Step[NodeState]:
-    """Append a proposal to the leader's log."""
+    """Append a valid proposal to the leader's log, and refuse any other."""
+    refusal = check_proposal(proposal)
+    if refusal is not None:
+        return _refuse(state, proposal, ticket, refusal)
     index = state.consensus.log.last_index + 1
     if ticket is not None:
         tickets = state.control.tickets.set(index, ticket)
@@ -41,6 +54,21 @@
     return _raft_steps.apply_raft_step(state, appended, now)
 
 
+def _refuse(
+    state: NodeState, proposal: Proposal, ticket: Ticket | None, refusal: Refusal
+) -> Step[NodeState]:
+    record = ProposalRefused(
+        request=type(proposal.command).__name__,
+        proposer=ticket.peer if ticket is not None else state.identity.name,
+        outcome=refusal.code.label,
+        detail=refusal.detail,
+    )
+    if ticket is None:
+        return Step(state, (record,))
+    result = ChangeResult(0, refusal)
+    return Step(state, (record, _raft_steps.answer_ticket(state, ticket, result)))
+
+
 def propose_command(state: NodeState, command: Command, now: float) -> Step[NodeState]:
     """Append a command of the leader itself to its log; its result is not reported."""
     return propose(state, control_proposal(command), None, now)
--- a/lovagewalk/control/tests/test_odd_entries.py
+++ b/lovagewalk/control/tests/test_odd_entries.py
@@ -51,5 +51,5 @@
             fleet.run(0.3)
             ticket = fleet.change(configuration(3))
             fleet.run(1.0)
-            assert fleet.answers[odd_ticket].refusal.code is Code.CHANGE_BAD
-            assert fleet.answers[ticket].refusal is None
+            assert fleet.answers[odd_ticket].refusal.code is Code.CHANGE_BAD, command
+            assert fleet.answers[ticket].refusal is None, command
--- a/lovagewalk/core/__init__.py
+++ b/lovagewalk/core/__init__.py
@@ -21,6 +21,7 @@
 from ._shell import Shell
 from ._timer import TimerService, boot_clock
 from ._types import Effect, Event, Step
+from ._values import find_value_problem, parse_count
 
 __all__ = [
     "Code",
@@ -39,7 +40,9 @@
     "boot_clock",
     "draw",
     "every",
+    "find_value_problem",
     "get_period_s",
+    "parse_count",
     "perform",
     "performs",
     "reduce",
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -235,6 +235,25 @@
     leader: str
 
 
+@logged_as("control", "proposal refused")
+@dataclass(frozen=True, slots=True)
+class ProposalRefused(LogRecord):
+    """A proposal with a value that the control log cannot hold was refused.
+
+    Attributes
+    ----------
+    request : str
+        Type of the command.
+    proposer : str
+        The daemon that forwarded it; empty if it arrived here.
+    """
+
+    request: str
+    proposer: str
+    outcome: str
+    detail: str
+
+
 @logged_as("control", "voters change")
 @dataclass(frozen=True, slots=True)
 class VotersChanged(LogRecord):
