Check odd values where they arrive, with one code

What callers saw: a configuration with a NaN time limit, an infinite rate or a version of 2^70 was acknowledged; a rate of 400 digits or a key with a lone surrogate ended the request without an answer; ports 0, -1 and 99999 and positions below zero were taken. Cause: Python's JSON decoder accepts NaN, Infinity, other encodings and integers of any size, int() accepts signs and any length, and comparisons with NaN are false. Change: parse_json takes only JSON in UTF-8; TableReader refuses what 64 bits, a finite number or printable text cannot hold; positions and ports are digits. Decoded commands go through the same check as proposals. Rows of instances that are malformed count as a broken connection. Why it works: each boundary ends in a typed value that has passed the one check, or in a refusal with LW2101 (LW1303 on the wire).

--- a/lovagewalk/edge/_endpoints.py
+++ b/lovagewalk/edge/_endpoints.py
@@ -39,6 +39,7 @@
     Credentials,
     StatusChannel,
     connect,
+    parse_position,
     query_status,
     wait_query,
 )
@@ -271,8 +272,7 @@
     async def _read_position(self, conn: Any) -> Position:
         async with conn.cursor() as cursor:
             await cursor.execute(POSITION_QUERY)
-            term, index = await cursor.fetchone()
-        return Position(int(term), int(index))
+            return parse_position(await cursor.fetchone())
 
     async def _report_error(
         self, conn: Any, effect: RunStatement, exc: Exception
--- a/lovagewalk/edge/_group_client.py
+++ b/lovagewalk/edge/_group_client.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Any
 
 import asyncmy
 
-from lovagewalk.core import TimerService
+from lovagewalk.core import TimerService, parse_count
 from lovagewalk.groups import InstanceStatus, Position, Role
 
 # Shorter than the 0.4 s without an answer after which a primary is suspected.
@@ -77,19 +79,50 @@
 
 
 async def query_status(conn, query: str = STATUS_QUERY) -> InstanceStatus:
-    """Run a statement of the group protocol that returns a status."""
+    """Run a statement of the group protocol that returns a status.
+
+    Raises
+    ------
+    Error, OSError
+        If the statement fails, or its row is not a status.
+    """
     async with conn.cursor() as cursor:
         await cursor.execute(query)
         row = await cursor.fetchone()
-    incarnation, role, term, index, last_term, linked = row
-    return InstanceStatus(
-        incarnation,
-        Role(role),
-        int(term),
-        int(index),
-        int(last_term),
-        bool(int(linked)),
-    )
+    return parse_status(row)
+
+
+def parse_status(row: Sequence[Any]) -> InstanceStatus:
+    """Return the status in a row of the group protocol.
+
+    Raises
+    ------
+    ConnectionError
+        If the row is malformed.
+    """
+    try:
+        incarnation, role, *numbers, linked = row
+        term, index, last_term = (parse_count(str(number)) for number in numbers)
+        return InstanceStatus(
+            str(incarnation), Role(role), term, index, last_term, linked in (1, "1")
+        )
+    except (ValueError, TypeError) as exc:
+        raise ConnectionError("malformed status") from exc
+
+
+def parse_position(row: Sequence[Any]) -> Position:
+    """Return the position in a row of a term and an index.
+
+    Raises
+    ------
+    ConnectionError
+        If the row is malformed.
+    """
+    try:
+        term, index = row
+        return Position(parse_count(str(term)), parse_count(str(index)))
+    except (ValueError, TypeError) as exc:
+        raise ConnectionError("malformed position") from exc
 
 
 def promote_query(term: int) -> str:
--- a/lovagewalk/edge/_operators.py
+++ b/lovagewalk/edge/_operators.py
@@ -1,7 +1,6 @@
 """HTTP server for operators, endpoints, load balancers and metrics collectors."""
 
 import hmac
-import json
 import uuid
 from collections.abc import Awaitable, Callable
 from hashlib import sha256
@@ -19,6 +18,7 @@
 )
 from lovagewalk.core import Code, LovageError, Refusal
 from lovagewalk.runtime import Ports, render_metrics
+from lovagewalk.settings import parse_json
 
 # Time within which a change is required to take effect.
 CHANGE_TIMEOUT_S = 5.0
@@ -135,7 +135,7 @@
 
     async def _change(self, req: web.Request) -> web.Response:
         self._authorise(req)
-        body = json.loads(await req.read())
+        body = parse_json(await req.read(), Code.CHANGE_BAD)
         command = command_from_dict(body["command"])
         if type(command).__name__ not in OPERATOR_COMMANDS:
             raise LovageError(Code.CHANGE_BAD, "command is not the operators'")
@@ -155,7 +155,7 @@
 
     async def _switch(self, req: web.Request) -> web.Response:
         self._authorise(req)
-        body = json.loads(await req.read())
+        body = parse_json(await req.read(), Code.CHANGE_BAD)
         result = await self._ports.pending_requests.submit(
             lambda ticket: SwitchRequested(
                 self._ports.now(), ticket, str(body["group"]), str(body["endpoint"])
@@ -175,7 +175,7 @@
         expected = sign_announcement(self._announce_secret, body)
         if not hmac.compare_digest(signature.encode(), expected.encode()):
             raise LovageError(Code.UNAUTHORISED, "announcement")
-        endpoint = _parse_endpoint(json.loads(body))
+        endpoint = _parse_endpoint(parse_json(body, Code.CHANGE_BAD))
         current = self._ports.state.catalogue.endpoints.get(endpoint.name)
         if current == endpoint:
             return _change_response(
--- a/lovagewalk/platform/_configuration.py
+++ b/lovagewalk/platform/_configuration.py
@@ -1,10 +1,10 @@
 """Decodes the platform's configuration and heartbeats."""
 
-import json
 from collections.abc import Mapping
-from typing import Any
 
 from lovagewalk.catalogue import (
+    AnnounceEndpoint,
+    Command,
     Consistency,
     CustomerEntry,
     Endpoint,
@@ -14,10 +14,10 @@
     ReplaceConfiguration,
     RouteClass,
     RouteEntry,
-    check_configuration,
+    check_command,
 )
 from lovagewalk.core import Code, LovageError
-from lovagewalk.settings import TableReader, parse_address
+from lovagewalk.settings import TableReader, parse_address, parse_json
 
 from ._callers import hash_key
 
@@ -32,11 +32,7 @@
 
 
 def _decode_json(body: bytes) -> TableReader:
-    try:
-        raw: Any = json.loads(body)
-    except (ValueError, RecursionError) as exc:
-        raise LovageError(Code.CHANGE_BAD, "cannot be read in full") from exc
-    return TableReader(raw, Code.CHANGE_BAD)
+    return TableReader(parse_json(body, Code.CHANGE_BAD), Code.CHANGE_BAD)
 
 
 def decode_configuration(body: bytes) -> ReplaceConfiguration:
@@ -70,10 +66,14 @@
         / MS_PER_S,
         document=body,
     )
-    refusal = check_configuration(command)
+    _check(command)
+    return command
+
+
+def _check(command: Command) -> None:
+    refusal = check_command(command)
     if refusal is not None:
         raise LovageError(refusal.code, refusal.detail)
-    return command
 
 
 def _decode_route(reader: TableReader) -> RouteEntry:
@@ -117,13 +117,13 @@
     reader = _decode_json(body)
     state, zone = reader.get("state", str), reader.get("zone", str)
     group = reader.get("service", str)
-    if not name or not group or state not in _LEAVING_BY_STATE:
-        raise LovageError(Code.CHANGE_BAD, "heartbeat: name, service or state")
+    if state not in _LEAVING_BY_STATE:
+        raise LovageError(Code.CHANGE_BAD, "heartbeat: state")
     try:
         host, port = parse_address(reader.get("addr", str))
     except ValueError as exc:
         raise LovageError(Code.CHANGE_BAD, "heartbeat: addr") from exc
-    return Endpoint(
+    endpoint = Endpoint(
         name=name,
         group=group,
         host=host,
@@ -135,3 +135,5 @@
         sequence=reader.get("seq", int),
         born=reader.get("born", int, 0),
     )
+    _check(AnnounceEndpoint(endpoint))
+    return endpoint
--- a/lovagewalk/platform/_lines.py
+++ b/lovagewalk/platform/_lines.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from lovagewalk.core import Code, LovageError, Outcome
+from lovagewalk.core import Code, LovageError, Outcome, parse_count
 from lovagewalk.groups import InstanceStatus, Position, Role
 from lovagewalk.routing import (
     Failure,
@@ -256,7 +256,7 @@
         return None
     term, _, index = text.partition(".")
     try:
-        return Position(int(term), int(index))
+        return Position(parse_count(term), parse_count(index))
     except ValueError as exc:
         raise LovageError(Code.PACKET_BAD, "position") from exc
 
@@ -280,7 +280,7 @@
     """
     fields = row.split(" ")
     try:
-        role, term = Role(fields[0]), int(fields[1])
+        role, term = Role(fields[0]), parse_count(fields[1])
         position = parse_position(fields[2]) or Position(0, 0)
     except (ValueError, IndexError) as exc:
         raise LovageError(Code.PACKET_BAD, "status") from exc
--- a/lovagewalk/settings/__init__.py
+++ b/lovagewalk/settings/__init__.py
@@ -2,7 +2,7 @@
 
 from ._address import Address, parse_address
 from ._load import MIN_SECRET_LENGTH, Problem, SettingsError, load_settings
-from ._reader import TableReader
+from ._reader import TableReader, parse_json
 from ._schema import (
     AnnounceSection,
     DaemonSection,
@@ -34,4 +34,5 @@
     "TableReader",
     "load_settings",
     "parse_address",
+    "parse_json",
 ]
--- a/lovagewalk/settings/_address.py
+++ b/lovagewalk/settings/_address.py
@@ -3,6 +3,8 @@
 import ipaddress
 from dataclasses import dataclass
 
+from lovagewalk.core import parse_count
+
 MAX_PORT = 65535
 
 
@@ -32,7 +34,7 @@
     """
     host, _, port_text = text.rpartition(":")
     ipaddress.ip_address(host)
-    port = int(port_text)
+    port = parse_count(port_text)
     if not 0 < port <= MAX_PORT:
         raise ValueError("port out of range")
     return host, port
--- a/lovagewalk/settings/_reader.py
+++ b/lovagewalk/settings/_reader.py
@@ -1,13 +1,34 @@
 """Reads typed values from decoded tables and reports errors by field name."""
 
+import json
 from collections.abc import Mapping
 from typing import Any
 
-from lovagewalk.core import Code, LovageError
+from lovagewalk.core import Code, LovageError, find_value_problem
 
 from ._address import Address
 
 
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is not a JSON number")
+
+
+def parse_json(body: bytes, code: Code) -> Any:
+    """Return the value of a JSON text in UTF-8.
+
+    Python's decoder also accepts ``NaN``, ``Infinity`` and other encodings.
+
+    Raises
+    ------
+    LovageError
+        With `code`, if the text is not JSON or is nested too deeply.
+    """
+    try:
+        return json.loads(body.decode(), parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as exc:
+        raise LovageError(code, "cannot be read in full") from exc
+
+
 class TableReader:
     """Reads and checks the fields of a table from a file or a request.
 
@@ -37,9 +58,11 @@
         Raises
         ------
         LovageError
-            If the field is missing or of another type.
+            If the field is missing, of another type, or holds a number or text that
+            cannot be stored.
         """
         value = self._raw.get(key, default)
+        self._check_value(key, value)
         is_bool = isinstance(value, bool)
         if value_type is float and isinstance(value, int) and not is_bool:
             return float(value)
@@ -48,6 +71,11 @@
             raise LovageError(self._code, reason)
         return value
 
+    def _check_value(self, key: str, value: Any) -> None:
+        problem = find_value_problem(value)
+        if problem:
+            raise LovageError(self._code, f"{self._path}{key}: {problem}")
+
     def table(self, key: str) -> "TableReader":
         """Return a nested table, or an empty one if the field is missing."""
         return TableReader(self.get(key, dict, {}), self._code, f"{self._path}{key}.")
@@ -72,4 +100,6 @@
         values = self.get(key, list)
         if not all(isinstance(value, str) for value in values):
             raise LovageError(self._code, f"{self._path}{key}: not a list of texts")
+        for value in values:
+            self._check_value(key, value)
         return values
