Stop before saying that something is on disk which is not

What callers could see: an acknowledged configuration gone after a loss of power. Cause: the shell logged an unexpected exception of a performer and went on with the next effect of the step, which is the message that the entry or the vote is on disk. OSError from undoing a failed write, a closed file after it, or a record that cannot be encoded have no code and took that way. Evidence: test_no_reply_follows_a_write_that_could_not_be_undone: the disk refuses a write and then the truncation, and the follower replies with success. Change: effects that later ones depend on are marked by their type; if one fails, the shell performs nothing more and the daemon stops with LW2205. Why it works: the order of effects is the order of dependence, and nothing after a failed one leaves the process.

Both tests failed before.

--- a/lovagewalk/consensus/_effects.py
+++ b/lovagewalk/consensus/_effects.py
@@ -4,13 +4,13 @@
 from typing import Any
 
 from lovagewalk.catalogue import Catalogue, ControlVoter
-from lovagewalk.core import Effect
+from lovagewalk.core import Effect, RequiredEffect
 
 from ._messages import LogEntry
 
 
 @dataclass(frozen=True, slots=True)
-class PersistVote(Effect):
+class PersistVote(RequiredEffect):
     """Sync the term and the vote to disk before any later message is sent."""
 
     term: int
@@ -18,21 +18,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PersistVoters(Effect):
+class PersistVoters(RequiredEffect):
     """Sync the initial voters of a new fleet."""
 
     voters: tuple[ControlVoter, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class PersistEntries(Effect):
+class PersistEntries(RequiredEffect):
     """Sync log entries; they replace all entries from the first index on."""
 
     entries: tuple[LogEntry, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class PersistSnapshot(Effect):
+class PersistSnapshot(RequiredEffect):
     """Sync a snapshot and drop the entries that it covers.
 
     Attributes
--- a/lovagewalk/core/__init__.py
+++ b/lovagewalk/core/__init__.py
@@ -20,7 +20,7 @@
 from ._replace import replace
 from ._shell import Shell
 from ._timer import TimerService, boot_clock
-from ._types import Effect, Event, Step
+from ._types import Effect, Event, RequiredEffect, Step
 from ._values import find_value_problem, parse_count
 
 __all__ = [
@@ -33,6 +33,7 @@
     "LovageError",
     "Outcome",
     "Refusal",
+    "RequiredEffect",
     "Shell",
     "Step",
     "TimerService",
--- a/lovagewalk/core/_errors.py
+++ b/lovagewalk/core/_errors.py
@@ -50,6 +50,7 @@
     DISK_CORRUPT = (2202, Outcome.FAILED, 1105, "data folder damaged")
     DISK_FULL = (2203, Outcome.FAILED, 1105, "data folder is full")
     DISK_TAKEN = (2204, Outcome.FAILED, 1105, "data folder is used by another process")
+    EFFECT_FAILED = (2205, Outcome.FAILED, 1105, "a required effect failed")
     FRAME_BAD = (2301, Outcome.NOT_RUN, 1105, "peer frame not accepted")
 
     def __init__(self, number: int, outcome: Outcome, errno: int, text: str) -> None:
--- a/lovagewalk/core/_shell.py
+++ b/lovagewalk/core/_shell.py
@@ -7,10 +7,10 @@
 
 from reactivex.subject import Subject
 
-from ._errors import LovageError
+from ._errors import Code, LovageError
 from ._registry import perform, reduce
 from ._timer import TimerService
-from ._types import Effect, Event, Step
+from ._types import Effect, Event, RequiredEffect, Step
 
 S = TypeVar("S")
 
@@ -22,8 +22,8 @@
 
     Events that a performer emits while another event is handled wait in a queue,
     so reductions never nest. If a reducer raises, the exception is logged and the
-    state stays unchanged. Exceptions of a performer are logged too, and only a
-    `LovageError` stops the shell.
+    state stays unchanged. Exceptions of a performer are logged too; a `LovageError`,
+    or any exception of a `RequiredEffect`, stops the shell.
 
     Parameters
     ----------
@@ -34,7 +34,7 @@
     timer : TimerService
         Source of time and of the periodic events.
     on_fatal : callable, optional
-        Called with the `LovageError` of a performer, which means that the program
+        Called with the error that stopped the shell, which means that the program
         must stop. No effect is performed and no event is handled after it.
 
     Attributes
@@ -103,9 +103,13 @@
             perform(self.ports, effect)
         except LovageError as exc:
             self._stop(exc)
-        except Exception:
-            self.failures[type(effect).__name__] += 1
-            log.exception("core: performing %s failed", type(effect).__name__)
+        except Exception as exc:
+            name = type(effect).__name__
+            self.failures[name] += 1
+            log.exception("core: performing %s failed", name)
+            if isinstance(effect, RequiredEffect):
+                detail = f"{name}: {type(exc).__name__}"
+                self._stop(LovageError(Code.EFFECT_FAILED, detail))
 
     def _handle(self, event: Event) -> None:
         try:
--- a/lovagewalk/core/_types.py
+++ b/lovagewalk/core/_types.py
@@ -28,6 +28,15 @@
     """Base class of the outputs of the reducer, which the shell performs."""
 
 
+@dataclass(frozen=True, slots=True)
+class RequiredEffect(Effect):
+    """Base class of effects that the later effects of a step depend on.
+
+    A message that says that an entry is on disk follows the effect that writes it. If
+    performing such an effect fails, no later effect may be performed.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class Step(Generic[S]):
     """Result of one reduction.
--- a/lovagewalk/core/tests/test_reduce.py
+++ b/lovagewalk/core/tests/test_reduce.py
@@ -5,9 +5,11 @@
 import pytest
 
 from lovagewalk.core import (
+    Code,
     DuplicateHandlerError,
     Effect,
     Event,
+    RequiredEffect,
     Shell,
     Step,
     TimerService,
@@ -89,3 +91,34 @@
     assert draw(7) == draw(7)
     assert draw(draw(7).seed) != draw(7)
     assert 0.0 <= draw(7).value < 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Save(RequiredEffect):
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class SaveRequested(Event):
+    pass
+
+
+@reduces(SaveRequested)
+def _save_requested(state: Total, event: SaveRequested) -> Step[Total]:
+    return Step(state, (Save(), Announce(1)))
+
+
+@performs(Save)
+def _save(ports: Ports, effect: Save) -> None:
+    raise ValueError("file is closed")
+
+
+def test_a_failed_write_stops_before_the_effects_that_depend_on_it():
+    """An entry was acknowledged though its write had failed without a code."""
+    faults = []
+    ports = Ports()
+    timer = TimerService(lambda: 0.0)
+    ports.shell = Shell(Total(), ports, timer, faults.append)
+    ports.shell.feed(SaveRequested(0.0))
+    assert ports.totals == []
+    assert [fault.code for fault in faults] == [Code.EFFECT_FAILED]
--- a/lovagewalk/journal/tests/test_journal.py
+++ b/lovagewalk/journal/tests/test_journal.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+from types import SimpleNamespace
 
 import pytest
 
@@ -15,14 +16,17 @@
     apply_proposal,
 )
 from lovagewalk.consensus import (
+    AppendReply,
     LogEntry,
     PersistEntries,
     PersistSnapshot,
     PersistVote,
     PersistVoters,
+    SendToPeer,
 )
-from lovagewalk.core import Code, LovageError
+from lovagewalk.core import Code, LovageError, Shell, Step, TimerService
 from lovagewalk.journal import Journal
+from lovagewalk.runtime import PERFORMERS
 
 
 def _build_entry(index, term=1):
@@ -210,3 +214,38 @@
     ), "the tail may be a record that the first process is writing"
     first_journal.close()
     assert Journal(tmp_path).load().term == 7
+
+
+class ClosedDisk:
+    """A file whose writes fail, and which cannot be opened again afterwards."""
+
+    def __init__(self, file):
+        self._file = file
+
+    def tell(self):
+        return self._file.tell()
+
+    def write(self, data):
+        raise OSError(errno.EIO, "input/output error")
+
+    def close(self):
+        self._file.close()
+
+
+def test_no_reply_follows_a_write_that_could_not_be_undone(tmp_path, monkeypatch):
+    """The follower said that an entry was on its disk after the truncation failed."""
+
+    def refuse(path, size):
+        raise OSError(errno.EROFS, "read-only file system")
+
+    assert PERFORMERS, "importing the runtime registers the performers"
+    ports, sent = SimpleNamespace(journal=Journal(tmp_path)), []
+    ports.journal.load()
+    ports.journal._file = ClosedDisk(ports.journal._file)
+    ports.peers = SimpleNamespace(send=lambda peer, message: sent.append(message))
+    monkeypatch.setattr(os, "truncate", refuse)
+    shell = Shell(None, ports, TimerService(lambda: 0.0), lambda exc: None)
+    entries = (_build_entry(1),)
+    reply = AppendReply(1, True, 1, 1, "disk")
+    shell.apply_step(Step(None, (PersistEntries(entries), SendToPeer("vm1", reply))))
+    assert sent == []
