Let a control VM return once its full disk has room

Cause: a VM with a full disk left the consensus until somebody restarted it. Change: the VM probes its disk every 0.5 s and, once it takes 2 MiB, stops gracefully to be started again with what is on disk. Why it works: the state in memory holds what the disk refused, so only the disk's own state may vote again.

--- a/lovagewalk/audit/_trail.py
+++ b/lovagewalk/audit/_trail.py
@@ -209,20 +209,48 @@
     def append(
         self, index: int, at: float, operator: str, kind: str, detail: Any, result: str
     ) -> None:
-        """Append a record for a log entry, unless it is recorded already."""
+        """Append a record for a log entry, unless it is recorded already.
+
+        Raises
+        ------
+        LovageError
+            ``DISK_FULL`` if the write failed, after which the trail is as before.
+        """
         if index <= self._last_index:
             return
         detail_json = json.dumps(detail, sort_keys=True, default=str)
         record = build_record(
             self._last_digest, index, at, operator, kind, detail_json, result
         )
-        self._file.write(record.to_line() + "\n")
-        self._file.flush()
+        size_before = self.path.stat().st_size
+        try:
+            self._file.write(record.to_line() + "\n")
+            self._file.flush()
+        except OSError as exc:
+            self._discard_failed_write(size_before)
+            raise LovageError(Code.DISK_FULL, exc.strerror or "") from exc
         self._last_digest, self._last_index = record.digest, index
 
+    def _discard_failed_write(self, size_before: int) -> None:
+        try:
+            self._file.close()
+        except OSError:
+            log.debug("audit: dropped the buffered text of a failed write")
+        os.truncate(self.path, size_before)
+        self._file = open(self.path, "a")
+
     def sync(self) -> None:
-        """Sync the trail; called before the log entries that it covers are dropped."""
-        os.fsync(self._file.fileno())
+        """Sync the trail; called before the log entries that it covers are dropped.
+
+        Raises
+        ------
+        LovageError
+            ``DISK_FAILED`` if the sync failed.
+        """
+        try:
+            os.fsync(self._file.fileno())
+        except OSError as exc:
+            raise LovageError(Code.DISK_FAILED, exc.strerror or "") from exc
 
     def close(self) -> None:
         """Sync and close the trail."""
--- a/lovagewalk/consensus/_state.py
+++ b/lovagewalk/consensus/_state.py
@@ -45,7 +45,8 @@
 class RaftRole(Enum):
     """The Raft role of a control VM.
 
-    A VM is joining until it has a voter configuration, and offline if its disk is full.
+    A VM is joining until it has a voter configuration. It is offline from the time its
+    disk was full until its next start.
     """
 
     JOINING = "joining"
--- a/lovagewalk/control/_events.py
+++ b/lovagewalk/control/_events.py
@@ -99,6 +99,11 @@
     """The data folder is full, so nothing can be persisted any more."""
 
 
+@dataclass(frozen=True, slots=True)
+class JournalWritable(Event):
+    """The data folder, which was full, takes writes again."""
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointHeartbeat(Event):
     """An endpoint reports its address and whether it is leaving."""
--- a/lovagewalk/control/_reducer.py
+++ b/lovagewalk/control/_reducer.py
@@ -36,6 +36,7 @@
     EndpointHeartbeat,
     EndpointLeft,
     JournalFilled,
+    JournalWritable,
     OrderAnswered,
     PeerLost,
     PeerMessage,
@@ -180,11 +181,14 @@
 
 @reduces(DrainRequested)
 def _drain_requested(state: NodeState, event: DrainRequested) -> Step[NodeState]:
+    return Step(_start_draining(state, event.at))
+
+
+def _start_draining(state: NodeState, now: float) -> NodeState:
     follow = state.follow
     if follow is not None:
         follow = replace(follow, is_report_urgent=True)
-    state = replace(state, draining=True, draining_since=event.at, follow=follow)
-    return Step(state)
+    return replace(state, draining=True, draining_since=now, follow=follow)
 
 
 @reduces(JournalFilled)
@@ -192,3 +196,14 @@
     """Take this VM out of the consensus, since it can persist no vote or entry."""
     offline_raft = replace(state.consensus, role=RaftRole.OFFLINE, leader="")
     return _raft_steps.apply_raft_step(state, RaftStep(offline_raft), event.at)
+
+
+@reduces(JournalWritable)
+def _journal_writable(state: NodeState, event: JournalWritable) -> Step[NodeState]:
+    """Restart gracefully, to take part in the consensus with what is on disk.
+
+    The state in memory contains votes and entries that the disk has refused.
+    """
+    if state.draining:
+        return Step(state)
+    return Step(_start_draining(state, event.at))
--- a/lovagewalk/journal/_journal.py
+++ b/lovagewalk/journal/_journal.py
@@ -39,6 +39,8 @@
 _HEADER = struct.Struct("<II")
 _HEADER_CRC = struct.Struct("<I")
 HEADER_BYTES = _HEADER.size + _HEADER_CRC.size
+# More than the largest record, so that the next one fits.
+PROBE_BYTES = 2 * 1024 * 1024
 
 log = logging.getLogger("lovagewalk.journal")
 
@@ -291,6 +293,21 @@
             raise LovageError(Code.DISK_FULL, exc.strerror or "") from exc
         self._sync()
 
+    def has_room(self) -> bool:
+        """Whether the disk takes writes: writes and removes a file of `PROBE_BYTES`."""
+        path = self._folder / "probe"
+        try:
+            with open(path, "wb") as file:
+                file.write(bytes(PROBE_BYTES))
+                file.flush()
+                os.fsync(file.fileno())
+        except OSError as exc:
+            log.info("journal: the disk still refuses writes: %s", exc.strerror)
+            return False
+        finally:
+            path.unlink(missing_ok=True)
+        return True
+
     def _discard_failed_write(self, size_before: int) -> None:
         try:
             self._file.close()
--- a/lovagewalk/runtime/_storage.py
+++ b/lovagewalk/runtime/_storage.py
@@ -13,24 +13,56 @@
     PersistVote,
     PersistVoters,
 )
-from lovagewalk.control import JournalFilled, RecordAudit
+from lovagewalk.control import JournalFilled, JournalWritable, RecordAudit
 from lovagewalk.core import Code, Handlers, LovageError, performs
 
 from ._ports import Ports
 
+# A full disk is cleaned up by an operator, within minutes; a probe takes milliseconds.
+PROBE_PERIOD_S = 0.5
+
 log = logging.getLogger("lovagewalk.journal")
 
 
 def _append(ports: Ports, record: PersistVote | PersistVoters | PersistEntries) -> None:
-    """Append a record; on a full disk, leave consensus if other voters remain."""
+    """Append a record; on a full disk, leave the consensus.
+
+    Later records are not written then: on disk, they would follow a gap.
+    """
+    if ports.peers.consensus_disabled:
+        return
     try:
         ports.journal.append(record)
     except LovageError as exc:
-        if exc.code is not Code.DISK_FULL or ports.state.consensus.quorum == 1:
-            raise
-        log.error("journal: %s; this VM no longer takes part in control", exc)
-        ports.peers.consensus_disabled = True
-        ports.feed(JournalFilled(ports.now()))
+        _leave_consensus(ports, exc)
+
+
+def _leave_consensus(ports: Ports, exc: LovageError) -> None:
+    """Take no part in the consensus while the disk is full, if other voters remain.
+
+    Raises
+    ------
+    LovageError
+        The given error, if it is another one or this VM is the only voter.
+    """
+    if exc.code is not Code.DISK_FULL or ports.state.consensus.quorum == 1:
+        raise exc
+    if ports.peers.consensus_disabled:
+        return
+    log.error("journal: %s; this VM no longer takes part in control", exc)
+    ports.peers.consensus_disabled = True
+    ports.feed(JournalFilled(ports.now()))
+    ports.spawn(_await_room(ports))
+
+
+async def _await_room(ports: Ports) -> None:
+    """Wait until the disk takes writes again, and report it."""
+    while True:
+        await ports.timer.sleep(PROBE_PERIOD_S)
+        if ports.journal.has_room():
+            log.warning("journal: the disk takes writes again; restarting")
+            ports.feed(JournalWritable(ports.now()))
+            return
 
 
 @performs(PersistVote)
@@ -50,6 +82,8 @@
 
 @performs(PersistSnapshot)
 def _persist_snapshot(ports: Ports, effect: PersistSnapshot) -> None:
+    if ports.peers.consensus_disabled:
+        return
     ports.audit.sync()
     ports.journal.write_snapshot(effect)
 
@@ -81,14 +115,20 @@
 
 @performs(RecordAudit)
 def _record_audit(ports: Ports, effect: RecordAudit) -> None:
+    if ports.peers.consensus_disabled:
+        # After its restart, this VM applies the entry again and records it then.
+        return
     proposal = effect.entry.proposal
     detail = _audit_detail(proposal.command)
     refusal = effect.result.refusal
-    ports.audit.append(
-        effect.entry.index,
-        proposal.proposed_at,
-        proposal.operator,
-        type(proposal.command).__name__,
-        detail,
-        str(refusal) if refusal else "ok",
-    )
+    try:
+        ports.audit.append(
+            effect.entry.index,
+            proposal.proposed_at,
+            proposal.operator,
+            type(proposal.command).__name__,
+            detail,
+            str(refusal) if refusal else "ok",
+        )
+    except LovageError as exc:
+        _leave_consensus(ports, exc)
