Answer the other reports if one daemon's record has expired

What callers saw: leases lost and keyed routes refused at all daemons, after the control leader's VM was suspended for 31 s. Cause: the leader drops the record of a daemon that is silent for 30 s, though its report may still wait for a round; answering it raised KeyError, and with it the answers to all other reports were lost, at every message. Change: a report without a record is dropped; the daemon's next report renews it. Why it works: an answer can only use a record that exists.

The test failed before.

--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -204,7 +204,10 @@
 def _send_reply(state: NodeState, pending: PendingReply, now: float) -> Step[NodeState]:
     raft: RaftState = state.consensus
     control: ControlState = state.control
-    follower = control.followers[pending.peer]
+    follower = control.followers.get(pending.peer)
+    if follower is None:
+        # Its record expired while this VM was suspended; its next report renews it.
+        return Step(state)
     revision = follower.request.revision
     delta = None
     if not follower.request.has_log and revision < state.catalogue.revision:
--- a/lovagewalk/control/tests/test_catch_up.py
+++ b/lovagewalk/control/tests/test_catch_up.py
@@ -124,3 +124,17 @@
     for old in catalogues:
         delta = decode(encode(CatalogueUpdate(diff_catalogues(old, last)))).delta
         assert apply_delta(replace(old, document=b""), delta) == last
+
+
+def test_a_report_whose_daemon_has_expired_keeps_no_other_report_unanswered(fleet):
+    """A leader that was suspended for 31 s failed at it and answered nobody."""
+    name = fleet.leader().identity.name
+    for daemon in ("edge-1", "edge-2"):
+        request = FollowRequest("boot", 1, 0, False, (), ())
+        fleet.feed(name, PeerMessage(fleet.now, daemon, request))
+    state = fleet.states[name]
+    control = replace(state.control, followers=state.control.followers.delete("edge-1"))
+    fleet.states[name] = replace(state, control=control)
+    fleet.run(0.2)
+    replies = [m for m in fleet.sent_outside if isinstance(m, FollowReply)]
+    assert len(replies) == 1 and replies[0].is_latest
