Acknowledge a heartbeat only if it was recorded or is outdated

What callers saw: an instance whose heartbeat was refused as bad got a 200, so that it did not ask the next VM, and waited for requests that never came. Cause: only undecided changes were passed on; every other refusal was answered as done. Change: an outdated heartbeat and a second removal are acknowledged, every other refusal is passed on with its code. Raising for a refused change stands once, in the runtime. Why it works: 200 now means that the catalogue says what the instance said, or later.

test_a_heartbeat_that_was_not_recorded_is_not_acknowledged failed before.

--- a/lovagewalk/platform/_http_handlers.py
+++ b/lovagewalk/platform/_http_handlers.py
@@ -9,9 +9,8 @@
     EndpointLeft,
     is_ready,
 )
-from lovagewalk.core import Event, LovageError
+from lovagewalk.core import Code, Event
 from lovagewalk.runtime import (
-    UNDECIDED_CHANGE_CODES,
     HttpRequest,
     HttpResponse,
     Ports,
@@ -63,13 +62,11 @@
     async def _put_configuration(self, request: HttpRequest) -> HttpResponse:
         command = decode_configuration(request.body)
         proposal = Proposal("", OPERATOR, self._ports.wall_clock(), command)
-        result = await self._ports.pending_requests.submit(
+        result = await self._ports.pending_requests.change(
             lambda ticket: ChangeRequested(self._ports.now(), ticket, proposal),
             CHANGE_TIMEOUT_S,
         )
-        if result.refusal is None:
-            return json_response(200, {"version": result.revision})
-        raise LovageError(result.refusal.code, result.refusal.detail)
+        return json_response(200, {"version": result.revision})
 
     async def _get_configuration(self) -> HttpResponse:
         """Return the latest configuration, as the operator sent it."""
@@ -79,21 +76,23 @@
     async def _record_heartbeat(self, name: str, body: bytes) -> HttpResponse:
         endpoint = decode_heartbeat(name, body, self._cfg.regions)
         return await self._acknowledge(
-            lambda ticket: EndpointHeartbeat(self._ports.now(), ticket, endpoint)
+            lambda ticket: EndpointHeartbeat(self._ports.now(), ticket, endpoint),
+            Code.CHANGE_CONFLICT,
         )
 
     async def _remove_endpoint(self, name: str) -> HttpResponse:
         return await self._acknowledge(
-            lambda ticket: EndpointLeft(self._ports.now(), ticket, name)
+            lambda ticket: EndpointLeft(self._ports.now(), ticket, name),
+            Code.CHANGE_BAD,
         )
 
-    async def _acknowledge(self, build_event: Callable[[int], Event]) -> HttpResponse:
-        """Answer an endpoint; an outdated report is acknowledged too."""
-        result = await self._ports.pending_requests.submit(
-            build_event, HEARTBEAT_TIMEOUT_S
+    async def _acknowledge(
+        self, build_event: Callable[[int], Event], outdated: Code
+    ) -> HttpResponse:
+        """Answer an endpoint; a refusal of an outdated report acknowledges it too."""
+        await self._ports.pending_requests.change(
+            build_event, HEARTBEAT_TIMEOUT_S, outdated
         )
-        if result.refusal is not None and result.refusal.code in UNDECIDED_CHANGE_CODES:
-            raise LovageError(result.refusal.code, result.refusal.detail)
         return json_response(200, self._leader_address())
 
     def _leader_address(self) -> Mapping[str, str]:
--- a/lovagewalk/runtime/_pending_requests.py
+++ b/lovagewalk/runtime/_pending_requests.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from lovagewalk.catalogue import Catalogue
+from lovagewalk.catalogue import Catalogue, ChangeResult
 from lovagewalk.control import AnswerReader, AnswerRequester, CatalogueRequested
 from lovagewalk.core import Code, Event, LovageError, performs
 
@@ -59,6 +59,30 @@
         finally:
             del self._pending[ticket]
 
+    async def change(
+        self,
+        build_event: Callable[[int], Event],
+        timeout_s: float,
+        outdated: Code | None = None,
+    ) -> ChangeResult:
+        """Feed the event that requests a change, and return its result.
+
+        Parameters
+        ----------
+        outdated : Code, optional
+            Code of a refusal that means that the change is not needed any more.
+
+        Raises
+        ------
+        LovageError
+            If the change is refused with another code, or not decided in time.
+        """
+        result = await self.submit(build_event, timeout_s)
+        refusal = result.refusal
+        if refusal is not None and refusal.code is not outdated:
+            raise LovageError(refusal.code, refusal.detail)
+        return result
+
     async def read_catalogue(self, with_document: bool = False) -> Catalogue:
         """Return the latest catalogue.
 
