--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -178,6 +178,12 @@
     return diff_catalogues(past, state.catalogue)
 
 
+def is_informed_leader(state: NodeState) -> bool:
+    """Whether this VM leads, and has applied all that its predecessors committed."""
+    raft: RaftState | None = state.consensus
+    return raft is not None and raft.is_leader and state.control.is_caught_up
+
+
 def serve_followers(state: NodeState, now: float) -> Step[NodeState]:
     """Answer confirmed requests and push catalogue changes to the other followers.
 
--- a/lovagewalk/control/_reducer.py
+++ b/lovagewalk/control/_reducer.py
@@ -45,6 +45,7 @@
     SeedsChanged,
     SwitchRequested,
 )
+from ._leader import is_informed_leader
 from ._peer_messages import peer_handlers
 from ._state import Ticket
 
@@ -102,7 +103,9 @@
     if state.follow is not None:
         step = _reports.tick(state, event.at)
         step = step.then(_token_requests.request_tokens(step.state, event.at))
-    if _is_informed_leader(step.state):
+    # A leader that has not caught up could replace a primary that its predecessor has
+    # replaced already.
+    if is_informed_leader(step.state):
         step = step.then(_failover.tick(step.state, event.at))
         step = step.then(_provider.tick(step.state, event.at))
         step = step.then(_token_queue.tick(step.state, event.at))
@@ -113,21 +116,12 @@
 
 @reduces(RepairTick)
 def _repair_tick(state: NodeState, event: RepairTick) -> Step[NodeState]:
-    if not _is_informed_leader(state):
+    if not is_informed_leader(state):
         return Step(state)
     step = _repair.tick(state, event.at)
     return step.then(_membership.tick(step.state, event.at))
 
 
-def _is_informed_leader(state: NodeState) -> bool:
-    """Whether this VM leads, and has applied all that its predecessors committed.
-
-    Before that, it could replace a primary that its predecessor has replaced already.
-    """
-    raft = state.consensus
-    return raft is not None and raft.is_leader and state.control.is_caught_up
-
-
 def _has_unfinished_work(state: NodeState) -> bool:
     """Whether draining has to wait for requests, access counts or sessions."""
     if state.requests or state.access_counts:
--- /dev/null
+++ b/lovagewalk/control/tests/test_heartbeats.py
@@ -0,0 +1,49 @@
+"""What a control VM may answer to endpoints from its own catalogue."""
+
+from lovagewalk.control import EndpointLeft
+from lovagewalk.core import Code
+
+from .control_fleet import ControlFleet, configuration
+
+NAMES = ("c1", "c2", "c3")
+
+
+def _running_fleet():
+    fleet = ControlFleet(NAMES, NAMES)
+    fleet.run(2.0)
+    fleet.change(configuration(1))
+    fleet.run(0.2)
+    return fleet
+
+
+def test_a_vm_that_has_not_heard_of_an_endpoint_does_not_say_that_it_is_gone():
+    """Cut off, it acknowledged the removal of an endpoint that stayed in use."""
+    fleet = _running_fleet()
+    follower = next(n for n in NAMES if n != fleet.leader().identity.name)
+    fleet.isolated = {follower}
+    fleet.send_heartbeat("a", "g")
+    fleet.run(0.2)
+    fleet.last_number += 1
+    ticket = fleet.last_number
+    fleet.feed(follower, EndpointLeft(fleet.now, ticket, "a"))
+    fleet.run(0.2)
+    answer = fleet.answers.get(ticket)
+    assert answer is None or answer.refusal is not None
+    assert "a" in fleet.leader().catalogue.endpoints
+
+
+def test_the_leader_acknowledges_the_removal_of_an_endpoint_that_is_gone():
+    fleet = _running_fleet()
+    fleet.last_number += 1
+    event = EndpointLeft(fleet.now, fleet.last_number, "a")
+    fleet.feed(fleet.leader().identity.name, event)
+    assert fleet.answers[fleet.last_number].refusal is None
+
+
+def test_a_heartbeat_of_a_group_that_no_configuration_names_is_refused():
+    """Another writer's entry is not an instance to use, and removes no other entry."""
+    fleet = _running_fleet()
+    ticket = fleet.send_heartbeat("odd", "nowhere")
+    fleet.run(0.2)
+    assert fleet.answers[ticket].refusal.code is Code.CHANGE_BAD
+    assert not fleet.leader().catalogue.endpoints
