Fail a connection to an address that none can have, and answer failed requests

A request whose handler raised an exception without a code was closed without an answer. Cause: OverflowError and UnicodeError of the event loop are no OSError, so they ended the task and with it the event that the reducers wait for. Change: they count as unreachable; a failed handler is logged and answered with 500. Why it works: each effect on an endpoint ends in an event, whatever its address is.

--- a/lovagewalk/edge/_group_client.py
+++ b/lovagewalk/edge/_group_client.py
@@ -28,6 +28,9 @@
     OSError,
     TimeoutError,
     asyncio.IncompleteReadError,
+    # A port or host that no address can have.
+    OverflowError,
+    ValueError,
 )
 
 
--- a/lovagewalk/runtime/_http.py
+++ b/lovagewalk/runtime/_http.py
@@ -117,6 +117,9 @@
             if self._log_refusal is not None:
                 self._log_refusal(request, exc)
             return _error_response(exc)
+        except Exception:
+            log.exception("http: handling %s failed", request.method)
+            return json_response(500, {"error": "internal error"})
 
     def close(self) -> None:
         """Stop listening and abort every connection."""
--- a/lovagewalk/runtime/_instance_poller.py
+++ b/lovagewalk/runtime/_instance_poller.py
@@ -1,6 +1,7 @@
 """Polls the status of instances and feeds the results as events."""
 
 import asyncio
+import logging
 from typing import Any, Protocol
 
 from lovagewalk.groups import (
@@ -12,6 +13,8 @@
 
 from ._ports import Ports
 
+log = logging.getLogger("lovagewalk.poller")
+
 
 class NoStatusError(Exception):
     """An instance answered, but not with its status.
@@ -109,7 +112,8 @@
         except TimeoutError:
             self.close_connection(effect.endpoint)
             self._report_failure(effect, broken=False, alive=False)
-        except OSError:
+        except (OSError, OverflowError, ValueError) as exc:
+            log.debug("poller: cannot reach %s: %r", effect.endpoint, exc)
             self.close_connection(effect.endpoint)
             self._report_failure(effect, broken=True, alive=False)
         else:
--- a/lovagewalk/runtime/_pool_client.py
+++ b/lovagewalk/runtime/_pool_client.py
@@ -14,6 +14,10 @@
 
 from ._ports import Ports
 
+# A port or host that no address can have raises the last two; an older build may have
+# recorded such an endpoint.
+UNREACHABLE_ERRORS = (OSError, TimeoutError, OverflowError, ValueError)
+
 
 class OpenRefusedError(Exception):
     """An endpoint answered, but refused the connection."""
@@ -70,7 +74,7 @@
                 conn = await self.connect(effect)
         except OpenRefusedError as exc:
             reason, detail = exc.reason, str(exc)
-        except (OSError, TimeoutError) as exc:
+        except UNREACHABLE_ERRORS as exc:
             detail = repr(exc)
         else:
             self._add_connection(effect, conn, incarnation)
