Refuse settings that are nested too deeply with a code

What operators could see: after such a file, no later change of the settings is noticed. Cause: RecursionError of the TOML decoder ended the periodic check. Evidence: test_a_file_that_is_nested_too_deeply_is_refused raised RecursionError. Change: it is SETTINGS_BAD like any other file that cannot be read. Why it works: the reloader logs that code and goes on.

--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -88,7 +88,7 @@
         raise LovageError(Code.SETTINGS_BAD, f"{SETTINGS_VARIABLE} is not set")
     try:
         raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as exc:
+    except (OSError, ValueError, RecursionError) as exc:
         raise LovageError(Code.SETTINGS_BAD, f"settings file: {exc}") from exc
     secret = environ.get(SECRET_VARIABLE, "")
     if len(secret) < MIN_SECRET_LENGTH:
--- a/lovagewalk/platform/tests/test_settings.py
+++ b/lovagewalk/platform/tests/test_settings.py
@@ -58,6 +58,15 @@
     assert next(iter(change)) in str(caught.value)
 
 
+def test_a_file_that_is_nested_too_deeply_is_refused(tmp_path):
+    """At a reload, the exception ended the check for changes of the file."""
+    path = tmp_path / "settings.toml"
+    path.write_text("a = " + "[" * 100000)
+    with pytest.raises(LovageError) as caught:
+        load_platform_settings({SETTINGS_VARIABLE: str(path)})
+    assert caught.value.code is Code.SETTINGS_BAD
+
+
 def test_unreadable_files_and_missing_variables_are_refused(tmp_path):
     path = tmp_path / "settings.toml"
     for content in (None, b"\xff", b"nodeName = "):
