Answer a planned switch by the primary that was requested

What operators saw: success for a switch to b, after which c was primary. Cause: an overdue attempt starts again without its target, so that any voter may be promoted, and the answer was computed from that target. Change: the requested primary is kept beside the target, through all attempts. A switch is accepted only by a leader that has caught up. Why it works: the answer compares what is installed with what was asked for.

test_an_overdue_switch_to_another_primary_is_not_answered_with_success failed before.

--- a/lovagewalk/control/_failover.py
+++ b/lovagewalk/control/_failover.py
@@ -26,6 +26,7 @@
 from . import _proposals
 from ._effects import SendOrder
 from ._events import Order, OrderAnswered
+from ._leader import is_informed_leader
 from ._primary_choice import choose_primary
 from ._raft_steps import answer_ticket
 from ._state import (
@@ -108,6 +109,7 @@
     voters: tuple[Voter, ...],
     now: float,
     target: str = "",
+    requested_primary: str = "",
     failed_primary: str = "",
     tickets: tuple[Ticket, ...] = (),
 ) -> Step[NodeState]:
@@ -121,6 +123,7 @@
         started_at=now,
         voters=voters,
         target=target,
+        requested_primary=requested_primary,
         failed_primary=failed_primary,
         tickets=tickets,
     )
@@ -157,7 +160,10 @@
 def _advance(
     state: NodeState, failover: Failover, config: GroupConfig, now: float
 ) -> Step[NodeState]:
-    """Handle the present stage; restart an attempt that is overdue or superseded."""
+    """Handle the present stage; restart an attempt that is overdue or superseded.
+
+    The new attempt may promote any voter, since the requested one may be unreachable.
+    """
     if config.term >= failover.term:
         return _finish(state, failover, config)
     overdue = now - failover.started_at >= ATTEMPT_TIMEOUT_S
@@ -169,6 +175,7 @@
             config,
             config.voters or failover.voters,
             now,
+            requested_primary=failover.requested_primary,
             failed_primary=failover.failed_primary,
             tickets=failover.tickets,
         )
@@ -181,7 +188,7 @@
     """End a change once its term, or a later one, is installed."""
     state = _remove_failover(state, failover.group)
     result = ChangeResult(state.catalogue.revision)
-    if failover.target and config.primary != failover.target:
+    if failover.requested_primary not in ("", config.primary):
         refusal = Refusal(Code.CHANGE_BAD, f"primary is now {config.primary}")
         result = ChangeResult(state.catalogue.revision, refusal)
     effects = tuple(answer_ticket(state, ticket, result) for ticket in failover.tickets)
@@ -401,13 +408,19 @@
         return Step(state, (answer,))
     config = state.catalogue.group(group)
     return start_term_change(
-        state, config, config.voters, now, target=endpoint, tickets=(ticket,)
+        state,
+        config,
+        config.voters,
+        now,
+        target=endpoint,
+        requested_primary=endpoint,
+        tickets=(ticket,),
     )
 
 
 def _switch_refusal(state: NodeState, group: str, endpoint: str) -> Refusal | None:
     raft = state.consensus
-    if raft is None or not raft.is_leader:
+    if not is_informed_leader(state):
         return Refusal(Code.NOT_LEADER, raft.leader if raft else "")
     config = state.catalogue.group(group)
     if group in state.control.failovers or not config.primary:
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -262,7 +262,9 @@
     Attributes
     ----------
     target : str
-        The requested primary of a planned change; empty if any voter may be promoted.
+        The instance to promote; empty if any voter may be promoted.
+    requested_primary : str
+        The primary that an operator has requested; empty for none.
     voters : tuple of Voter
         The voting set to install.
     failed_primary : str
@@ -286,6 +288,7 @@
     started_at: float
     voters: tuple[Voter, ...]
     target: str = ""
+    requested_primary: str = ""
     failed_primary: str = ""
     fenced: tuple[FencedInstance, ...] = ()
     new_primary: str = ""
