Close connections to instances that are not needed any more

What operators could see: connections of instances used up by connections that no pool and no order uses. Cause: a connection whose first status query failed was dropped without being closed; of two channels for orders at the same time, only one was kept, the other forgotten. Change: the first is closed on any failure, the second if a channel is kept already. Why it works: a connection is either kept or closed.

--- a/lovagewalk/edge/_endpoints.py
+++ b/lovagewalk/edge/_endpoints.py
@@ -13,6 +13,7 @@
     AwaitPosition,
     InstanceFailed,
     InstanceSeen,
+    InstanceStatus,
     PollInstance,
     Position,
 )
@@ -81,6 +82,22 @@
     insert_id: int = 0
 
 
+async def _query_first_status(conn: Any) -> InstanceStatus:
+    """Return the status of an instance over a new connection, or close it.
+
+    Raises
+    ------
+    Error, OSError, TimeoutError
+        If the instance did not answer with its status.
+    """
+    try:
+        async with asyncio.timeout(POLL_TIMEOUT_S):
+            return await query_status(conn)
+    except BaseException:
+        conn.close()
+        raise
+
+
 class DuplicateRequestError(Exception):
     """The endpoint has already recorded the request id of a statement."""
 
@@ -103,8 +120,7 @@
         try:
             await self._emulate_round_trip(effect.endpoint)
             conn = await connect(effect.host, effect.port, self._credentials)
-            async with asyncio.timeout(POLL_TIMEOUT_S):
-                status = await query_status(conn)
+            status = await _query_first_status(conn)
         except CLIENT_ERRORS as exc:
             log.debug(
                 "endpoints: opening a connection to %s failed: %r", effect.endpoint, exc
--- a/lovagewalk/edge/_order_client.py
+++ b/lovagewalk/edge/_order_client.py
@@ -70,7 +70,7 @@
             )
         except CLIENT_ERRORS:
             return None
-        self._channels.setdefault((effect.host, effect.port), channel)
+        self._release_channel(effect, channel)
         return answer.status if answer.accepted else None
 
     def _acquire_channel(self, effect: SendOrder) -> StatusChannel:
@@ -81,6 +81,14 @@
             effect.host, effect.port, self._credentials, self._ports.timer
         )
 
+    def _release_channel(self, effect: SendOrder, channel: StatusChannel) -> None:
+        """Keep a channel for the next order, unless one is kept already."""
+        address = (effect.host, effect.port)
+        if address in self._channels:
+            channel.close()
+        else:
+            self._channels[address] = channel
+
     def close(self) -> None:
         """Close all connections."""
         for channel in self._channels.values():
