Refuse a waiting read if the document is lost meanwhile

What callers could see: 200 with an empty body, from a VM whose disk filled up while the read waited for the leader. Cause: the document was looked for when the read came, not when it was answered. Evidence: test_a_read_that_waits_while_the_disk_fills_returns_no_empty_document got b''. Change: it is looked for at both times. Why it works: the check is on the catalogue that the answer holds.

--- a/lovagewalk/control/_catalogue_reads.py
+++ b/lovagewalk/control/_catalogue_reads.py
@@ -20,17 +20,18 @@
 
 # Several round trips between regions; a reader waits for a second at most.
 READ_WAIT_S = 0.8
+NO_DOCUMENT = "document not held here"
 
 
 def on_catalogue_requested(
     state: NodeState, event: CatalogueRequested
 ) -> Step[NodeState]:
     """Wait for the leader's confirmation, unless it is known that none will come."""
-    read = PendingRead(event.ticket, event.at)
+    read = PendingRead(event.ticket, event.at, event.with_document)
     if event.at >= state.fresh_until:
         return Step(state, _refuse(state, read, "no lease", event.at))
-    if event.with_document and not state.catalogue.document:
-        return Step(state, _refuse(state, read, "document not held here", event.at))
+    if _lacks_document(state, read):
+        return Step(state, _refuse(state, read, NO_DOCUMENT, event.at))
     follow: FollowState = state.follow
     follow = replace(follow, reads=follow.reads + (read,))
     return Step(replace(state, follow=follow), (CheckReportDue(),))
@@ -57,13 +58,18 @@
 
 
 def answer_reads(state: NodeState, now: float) -> Step[NodeState]:
-    """Answer the confirmed reads, and refuse those that have waited too long."""
+    """Answer the confirmed reads, and refuse those that have waited too long.
+
+    The document may be lost while a read waits: a full disk ends this VM's log.
+    """
     follow: FollowState = state.follow
     remaining: tuple[PendingRead, ...] = ()
     effects: tuple[Effect, ...] = ()
     for read in follow.reads:
         is_confirmed = read.min_revision is not None
-        if is_confirmed and state.catalogue.revision >= read.min_revision:
+        if _lacks_document(state, read):
+            effects += _refuse(state, read, NO_DOCUMENT, now)
+        elif is_confirmed and state.catalogue.revision >= read.min_revision:
             result = CatalogueReadResult(state.catalogue)
             effects += _answer(state, read, result, now)
         elif now - read.requested_at >= READ_WAIT_S:
@@ -75,6 +81,10 @@
     return Step(replace(state, follow=replace(follow, reads=remaining)), effects)
 
 
+def _lacks_document(state: NodeState, read: PendingRead) -> bool:
+    return read.with_document and not state.catalogue.document
+
+
 def has_unconfirmed_reads(follow: FollowState) -> bool:
     """Whether a read waits for the answer to a report."""
     return any(read.min_revision is None for read in follow.reads)
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -40,10 +40,13 @@
         When it arrived, in monotonic seconds.
     min_revision : int or None
         Revision that the answer must include; None until the leader has stated it.
+    with_document : bool
+        Whether the answer must include the configuration as the operator sent it.
     """
 
     ticket: int
     requested_at: float
+    with_document: bool = False
     min_revision: int | None = None
 
 
--- a/lovagewalk/control/tests/test_catalogue_reads.py
+++ b/lovagewalk/control/tests/test_catalogue_reads.py
@@ -44,6 +44,21 @@
     assert _read(fleet, other) == b"document 7"
 
 
+def test_a_read_that_waits_while_the_disk_fills_returns_no_empty_document():
+    """The document is dropped between the request and the leader's confirmation."""
+    fleet = ControlFleet(VM_NAMES, SEEDS)
+    fleet.run(4.0)
+    fleet.change(configuration(3))
+    fleet.run(0.5)
+    name = next(n for n in VM_NAMES if n != fleet.leader().identity.name)
+    ticket = fleet.request_catalogue(name)
+    fleet.feed(name, JournalFilled(fleet.now))
+    fleet.change(configuration(7))
+    fleet.run(READ_TIME_S)
+    result = fleet.answers[ticket]
+    assert result.refusal is not None or result.catalogue.document == b"document 7"
+
+
 def test_a_leader_that_has_committed_nothing_yet_renews_no_lease():
     """It has its predecessor's last entry, but does not know that it is committed."""
     fleet = ControlFleet(SEEDS, SEEDS)
