Answer no change that the audit trail could not take

What auditors could see: a change in force and no record of it, at one VM. Cause: recording was an effect like any other; its exception was logged, and the result was sent all the same. After a failed truncation every later record failed too. Change: RecordAudit is a RequiredEffect; the daemon stops and records it after its restart, when it applies the entry again. Why it works: the audit trail is behind the log at most, never behind an answer.

--- a/lovagewalk/control/_effects.py
+++ b/lovagewalk/control/_effects.py
@@ -4,7 +4,7 @@
 
 from lovagewalk.catalogue import Catalogue, ChangeResult
 from lovagewalk.consensus import LogEntry
-from lovagewalk.core import Effect, Refusal
+from lovagewalk.core import Effect, Refusal, RequiredEffect
 
 from ._events import Order
 
@@ -34,8 +34,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RecordAudit(Effect):
-    """Add a committed change and its result to the audit trail."""
+class RecordAudit(RequiredEffect):
+    """Add a committed change to the audit trail, before its result is sent."""
 
     entry: LogEntry
     result: ChangeResult
--- a/lovagewalk/runtime/tests/test_full_disk.py
+++ b/lovagewalk/runtime/tests/test_full_disk.py
@@ -9,8 +9,13 @@
 from lovagewalk.audit import AuditTrail
 from lovagewalk.catalogue import ChangeResult, NoChange, control_proposal
 from lovagewalk.consensus import LogEntry, PersistEntries
-from lovagewalk.control import JournalFilled, JournalWritable, RecordAudit
-from lovagewalk.core import TimerService, perform
+from lovagewalk.control import (
+    AnswerRequester,
+    JournalFilled,
+    JournalWritable,
+    RecordAudit,
+)
+from lovagewalk.core import Shell, Step, TimerService, perform
 from lovagewalk.journal import Journal
 from lovagewalk.runtime import _storage
 
@@ -108,3 +113,22 @@
         trail.append(index, 0.0, "control", "NoChange", {}, "ok")
     lines = trail.path.read_text().splitlines()
     assert len(lines) == 3
+
+
+async def test_no_change_is_answered_that_the_audit_trail_could_not_take(
+    ports, monkeypatch
+):
+    """The record was logged as failed, and so were all later ones."""
+
+    def refuse(path, size):
+        raise OSError(errno.EROFS, "read-only file system")
+
+    monkeypatch.setattr("os.truncate", refuse)
+    ports.audit._file = FullFile(ports.audit._file)
+    answered, faults = [], []
+    ports.pending_requests = SimpleNamespace(answer=answered.append)
+    shell = Shell(ports.state, ports, ports.timer, faults.append)
+    result = ChangeResult(1)
+    effects = (RecordAudit(_entry(1), result), AnswerRequester(1, result))
+    shell.apply_step(Step(ports.state, effects))
+    assert answered == [] and len(faults) == 1
