--- a/lovagewalk/catalogue/__init__.py
+++ b/lovagewalk/catalogue/__init__.py
@@ -50,6 +50,7 @@
 from ._validity import check_command, check_proposal, find_problems
 
 __all__ = [
+    "MAX_RESULTS",
     "AccessCount",
     "AllocateFence",
     "AllocateTerm",
@@ -70,7 +71,6 @@
     "InstallTerm",
     "IssueKey",
     "KeyEntry",
-    "MAX_RESULTS",
     "Management",
     "NoChange",
     "NoteDivided",
--- a/lovagewalk/catalogue/_validity.py
+++ b/lovagewalk/catalogue/_validity.py
@@ -10,7 +10,7 @@
 from functools import cache
 from typing import Any
 
-from lovagewalk.core import Code, Handlers, Refusal, find_value_problem
+from lovagewalk.core import MAX_PORT, Code, Handlers, Refusal, find_value_problem
 
 from ._commands import (
     Command,
@@ -24,7 +24,6 @@
 from ._state import CustomerEntry, Endpoint, GroupLimits, KeyEntry, RouteEntry
 
 MAX_NAME_LENGTH = 256
-MAX_PORT = 65535
 _HOST = re.compile(r"[0-9A-Za-z.:_-]{1,253}")
 
 Check = Callable[[Any], Iterator[str]]
--- a/lovagewalk/core/__init__.py
+++ b/lovagewalk/core/__init__.py
@@ -21,7 +21,7 @@
 from ._shell import Shell
 from ._timer import TimerService, boot_clock
 from ._types import Effect, Event, RequiredEffect, Step
-from ._values import find_value_problem, parse_count
+from ._values import MAX_PORT, find_value_problem, parse_count
 
 __all__ = [
     "Code",
@@ -31,6 +31,7 @@
     "Event",
     "Handlers",
     "LovageError",
+    "MAX_PORT",
     "Outcome",
     "Refusal",
     "RequiredEffect",
--- a/lovagewalk/core/_values.py
+++ b/lovagewalk/core/_values.py
@@ -6,6 +6,7 @@
 # msgpack and the log of consensus hold signed integers of 64 bits.
 MIN_INT = -(2**63)
 MAX_INT = 2**63 - 1
+MAX_PORT = 65535
 # Numbers of at most this many digits fit into 64 bits.
 MAX_DIGITS = 18
 
--- a/lovagewalk/settings/_address.py
+++ b/lovagewalk/settings/_address.py
@@ -3,9 +3,7 @@
 import ipaddress
 from dataclasses import dataclass
 
-from lovagewalk.core import parse_count
-
-MAX_PORT = 65535
+from lovagewalk.core import MAX_PORT, parse_count
 
 
 @dataclass(frozen=True, slots=True)
