Bound a batch of log entries by its size

What callers could see: a control VM that was replaced or returned never caught up and never voted again, so that a later loss of two others stopped control. Cause: a batch holds up to 200 entries whatever their size, and a message of more than 16 MiB is refused when it is decoded. 200 configurations of 370 routes, 82 kB each, are more than that; the leader sent them again without end. Change: a batch ends at 4 MiB by an estimate from above, with one entry at least. Result: test_each_batch_of_long_configurations_can_be_decoded sends all 200 entries. Why it works: each entry alone is below the limit, and the estimate never is below it.

--- a/lovagewalk/catalogue/__init__.py
+++ b/lovagewalk/catalogue/__init__.py
@@ -21,6 +21,7 @@
     ReplaceConfiguration,
     WithdrawKey,
     control_proposal,
+    estimate_size,
 )
 from ._configuration import check_configuration
 from ._delta import (
@@ -95,6 +96,7 @@
     "check_proposal",
     "control_proposal",
     "diff_catalogues",
+    "estimate_size",
     "find_problems",
     "is_equal_for_followers",
 ]
--- a/lovagewalk/catalogue/_commands.py
+++ b/lovagewalk/catalogue/_commands.py
@@ -1,6 +1,10 @@
 """Commands that change the catalogue through the control log."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
+
+from lovagewalk.core import Handlers
 
 from ._state import (
     ControlVoter,
@@ -215,6 +219,39 @@
     command: Command
 
 
+# Encoded entries take up to five times the bytes of the document that lists them.
+BYTES_PER_DOCUMENT_BYTE = 6
+# A command that describes one entry, with names of at most 256 characters.
+COMMAND_BYTES = 2048
+# One of many counts or names in a command.
+ITEM_BYTES = 512
+
+SizeEstimator = Callable[[Any], int]
+_size_estimators: Handlers[type, SizeEstimator] = Handlers()
+estimates_size = _size_estimators.on
+
+
+def estimate_size(command: Command) -> int:
+    """Return an upper estimate of a command's encoded size, in bytes."""
+    estimator = _size_estimators.get(type(command))
+    return COMMAND_BYTES + (estimator(command) if estimator else 0)
+
+
+@estimates_size(ReplaceConfiguration)
+def _configuration_size(command: ReplaceConfiguration) -> int:
+    return len(command.document) * BYTES_PER_DOCUMENT_BYTE
+
+
+@estimates_size(RecordAccess)
+def _access_size(command: RecordAccess) -> int:
+    return len(command.counts) * ITEM_BYTES
+
+
+@estimates_size(NoteDivided)
+def _divided_size(command: NoteDivided) -> int:
+    return len(command.customers) * ITEM_BYTES
+
+
 def control_proposal(command: Command) -> Proposal:
     """Return a proposal by the control leader itself, without an operator."""
     return Proposal("", "control", 0.0, command)
--- a/lovagewalk/consensus/_replication.py
+++ b/lovagewalk/consensus/_replication.py
@@ -12,7 +12,6 @@
     ELECTION_TIMEOUT_MIN_S,
     HEARTBEAT_INTERVAL_S,
     LEADER_LEASE_S,
-    MAX_BATCH_ENTRIES,
     Progress,
     RaftLog,
     RaftRole,
@@ -82,10 +81,9 @@
         return RaftStep(raft)
     if progress.next_index <= raft.log.base_index:
         return RaftStep(raft)
-    limit = MAX_BATCH_ENTRIES
-    if batch_sent_at and now - batch_sent_at < RESEND_AFTER_S:
-        limit = 0
-    entries = raft.log.slice(progress.next_index, limit)
+    entries: tuple[msg.LogEntry, ...] = ()
+    if not batch_sent_at or now - batch_sent_at >= RESEND_AFTER_S:
+        entries = raft.log.next_batch(progress.next_index)
     if not entries and not heartbeat:
         return RaftStep(raft)
     prev_index = progress.next_index - 1
--- a/lovagewalk/consensus/_state.py
+++ b/lovagewalk/consensus/_state.py
@@ -6,7 +6,7 @@
 
 from immutables import Map
 
-from lovagewalk.catalogue import ChangeControlVoters, ControlVoter
+from lovagewalk.catalogue import ChangeControlVoters, ControlVoter, estimate_size
 from lovagewalk.core import Effect, replace
 
 from ._messages import LogEntry
@@ -37,6 +37,9 @@
 LEADER_LEASE_S = 0.9 * ELECTION_TIMEOUT_MIN_S
 # The limit bounds the size of one append to a follower that lags behind.
 MAX_BATCH_ENTRIES = 200
+# A quarter of the largest message. Even one entry with the longest configuration stays
+# below that limit.
+MAX_BATCH_BYTES = 4 * 1024 * 1024
 # This number of log entries is written in about 5 hours at 2,700 changes a day, the
 # rate in the capacity plan.
 SNAPSHOT_INTERVAL_ENTRIES = 600
@@ -118,6 +121,19 @@
             new_entries = new_entries.delete(covered_index)
         return replace(self, entries=new_entries, base_index=index, base_term=term)
 
+    def next_batch(self, start: int) -> tuple[LogEntry, ...]:
+        """Return the entries from an index on that fit into one message.
+
+        The first one is always returned, whatever its size.
+        """
+        entries = self.slice(start, MAX_BATCH_ENTRIES)
+        size = 0
+        for count, entry in enumerate(entries):
+            size += estimate_size(entry.proposal.command)
+            if count and size > MAX_BATCH_BYTES:
+                return entries[:count]
+        return entries
+
     def slice(self, start: int, limit: int) -> tuple[LogEntry, ...]:
         """Return up to `limit` entries from an index on."""
         end = min(self.last_index, start + limit - 1)
--- a/lovagewalk/journal/_journal.py
+++ b/lovagewalk/journal/_journal.py
@@ -335,8 +335,8 @@
             frame = _frame(encode(without_entries))
             self._replace_file(self._folder / "snapshot", frame)
             journal_data = _frame(encode(PersistVote(record.term, record.voted_for)))
-            if record.keep:
-                journal_data += _frame(encode(PersistEntries(record.keep)))
+            for entry in record.keep:
+                journal_data += _frame(encode(PersistEntries((entry,))))
             self._file.close()
             self._replace_file(self._journal_path, journal_data)
             self._file = open(self._journal_path, "ab")
--- a/lovagewalk/platform/tests/test_configuration.py
+++ b/lovagewalk/platform/tests/test_configuration.py
@@ -3,13 +3,20 @@
 import copy
 import json
 
+import msgpack
 import pytest
 
 from lovagewalk import catalogue as cat
+from lovagewalk.catalogue import estimate_size
+from lovagewalk.codec import decode, encode, to_dict
+from lovagewalk.consensus import AppendRequest, LogEntry, RaftLog
 from lovagewalk.core import Code, LovageError
 from lovagewalk.platform._callers import hash_key
 from lovagewalk.platform._configuration import decode_configuration, decode_heartbeat
 
+# The kind of configuration that a site gets when 350 routes are added to its own.
+LONG_ROUTE_COUNT = 400
+
 CONFIGURATION = {
     "version": 7,
     "routes": [
@@ -154,3 +161,34 @@
     with pytest.raises(LovageError) as caught:
         decode_heartbeat("i-1", body, REGIONS)
     assert caught.value.code is Code.CHANGE_BAD
+
+
+def _long_configuration(version):
+    def add_routes(raw):
+        raw["version"] = version
+        route = raw["routes"][0]
+        raw["routes"] = [
+            {**route, "name": f"r-{n}", "host": f"host{n}x{version}"}
+            for n in range(LONG_ROUTE_COUNT)
+        ]
+
+    return decode_configuration(_encode_changed(add_routes))
+
+
+def test_each_batch_of_long_configurations_can_be_decoded():
+    """A VM that lagged by 200 of them never caught up: each batch was refused."""
+    log = RaftLog()
+    entries = tuple(
+        LogEntry(index, 1, cat.Proposal("", "op", 0.0, _long_configuration(index)))
+        for index in range(1, 201)
+    )
+    log = log.append(entries)
+    received = ()
+    while len(received) < len(entries):
+        batch = log.next_batch(len(received) + 1)
+        message = AppendRequest(1, len(received), 1, batch, 0, 1)
+        received += decode(encode(message)).entries
+    assert received == entries
+    assert estimate_size(entries[0].proposal.command) > len(
+        msgpack.packb(to_dict(entries[0]))
+    )
