--- a/lovagewalk/audit/tests/test_trail.py
+++ b/lovagewalk/audit/tests/test_trail.py
@@ -8,6 +8,7 @@
 from lovagewalk.catalogue import ReplaceConfiguration
 from lovagewalk.core import Code, LovageError
 from lovagewalk.runtime._storage import _audit_detail
+from lovagewalk.tests.disk_faults import TEARS, tear
 
 
 def _write_trail(folder, count, compacted_index=0):
@@ -41,3 +42,29 @@
     document = b'{"apiKeys": ["very-secret-key"]}'
     command = ReplaceConfiguration(3, (), (), (), (), document=document)
     assert "very-secret-key" not in json.dumps(_audit_detail(command))
+
+
+def test_torn_records_after_an_installed_snapshot_do_not_keep_the_vm_from_starting(
+    tmp_path,
+):
+    """The leader's snapshot left a gap, and any tear after it was LW2202 for ever."""
+    refused = []
+    for how in TEARS:
+        for seed in range(50):
+            folder = tmp_path / f"{how} {seed}"
+            folder.mkdir()
+            _write_trail(folder, 40)
+            trail = AuditTrail(folder)
+            trail.sync()
+            synced = trail.path.read_bytes()
+            for index in (101, 102):
+                trail.append(index, 0.0, "op", "PutRoute", {"n": index}, "ok")
+            unsynced = trail.path.read_bytes()[len(synced) :]
+            trail.path.write_bytes(synced + tear(unsynced, how, seed))
+            try:
+                AuditTrail(folder, 100)
+            except LovageError as exc:
+                refused.append((how, seed, str(exc)))
+            else:
+                assert trail.path.read_bytes().startswith(synced)
+    assert refused == []
--- /dev/null
+++ b/lovagewalk/demo/tests/test_disks.py
@@ -0,0 +1,37 @@
+"""Disks of control VMs that refuse writes or tear them, in a fleet in one process."""
+
+import pytest
+
+from lovagewalk.consensus import RaftRole
+from lovagewalk.demo import Fleet
+from lovagewalk.tests.disk_faults import RefusingFile
+
+
+@pytest.fixture
+async def fleet():
+    async with Fleet() as running_fleet:
+        yield running_fleet
+
+
+async def _put_customer(fleet, name, daemon):
+    entry = {"name": name, "owner": "o", "rate": 1.0, "burst": 1.0, "weight": 1.0}
+    await fleet.change({"_type": "PutCustomer", "entry": entry, "expected": 0}, daemon)
+
+
+async def test_a_control_vm_whose_disk_was_full_rejoins_without_ending(fleet):
+    """It ended each time that its disk had room again, on all VMs of a full site."""
+    leader = fleet.leader().cfg.daemon.name
+    daemon = fleet.daemons[next(n for n in fleet.daemons if n != leader)]
+    for number in range(3):
+        journal = daemon.ports.journal
+        journal._file = RefusingFile(journal._file)
+        await _put_customer(fleet, f"new{number}", leader)
+        await fleet.until(lambda: daemon.state.consensus.role is RaftRole.OFFLINE)
+        await fleet.until(
+            lambda: daemon.state.consensus.role is RaftRole.FOLLOWER
+            or daemon.ports.stopped.is_set()
+        )
+        assert not daemon.state.draining and not daemon.ports.stopped.is_set()
+    revision = fleet.leader().state.consensus.last_applied
+    await fleet.until(lambda: daemon.state.consensus.last_applied >= revision)
+    assert daemon.state.catalogue.customer("new2")
