Take no torn record that was not synced for damage

Operators saw a control VM end with LW2202 and status 1 at its start after a loss of power, and at each start after it.

Cause: a damaged last record counted as torn only if zeros reached the end of the file. A loss of power writes each sector or leaves it out, so the first or a middle part can be missing as well. All control VMs write the same entry at nearly the same time, and one loss of power can do this to several of them.

A mark now follows each record once it is synced. Damage before a mark, or before any other intact frame, is damage of synced data. Without one, the record is torn if parts of it are missing: sectors, its start or its end. Otherwise it is damage.

--- a/lovagewalk/journal/_journal.py
+++ b/lovagewalk/journal/_journal.py
@@ -6,15 +6,15 @@
 
 A crash can leave a torn record at the end of the journal. It was never acknowledged
 and is dropped. Any other damage means that synced data changed, and the VM must not
-vote on the basis of it.
+vote on the basis of it. Its files are then set aside, and it joins the fleet as a VM
+with an empty disk.
 """
 
 import fcntl
 import logging
 import os
-import struct
+import re
 import uuid
-import zlib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, BinaryIO
@@ -34,13 +34,20 @@
     extend_configs,
 )
 from lovagewalk.core import Code, LovageError, replace
+from lovagewalk.disk import (
+    close_file,
+    disk_errors,
+    remove_file,
+    replace_file,
+    sync_folder,
+)
+
+from ._frames import SYNC_MARK, build_frame, scan_frames
 
-# The header holds the length and the checksum of the payload, then its own checksum.
-_HEADER = struct.Struct("<II")
-_HEADER_CRC = struct.Struct("<I")
-HEADER_BYTES = _HEADER.size + _HEADER_CRC.size
-# More than the largest record, so that the next one fits.
-PROBE_BYTES = 2 * 1024 * 1024
+# Longer than most records; a longer one that does not fit is refused again.
+PROBE_BYTES = 256 * 1024
+_IDENTITY = re.compile(r"[0-9a-f]{32}")
+_STATE_FILES = ("identity", "snapshot", "journal")
 
 log = logging.getLogger("lovagewalk.journal")
 
@@ -59,6 +66,9 @@
         The latest snapshot.
     entries : tuple of LogEntry
         Entries after the snapshot.
+    is_replacement : bool
+        Whether damaged files of the folder were set aside. The VM may then only join
+        an existing fleet: what it does not hold may have been acknowledged.
     """
 
     disk: str
@@ -67,6 +77,7 @@
     initial_voters: tuple = ()
     snapshot: PersistSnapshot | None = None
     entries: tuple[LogEntry, ...] = ()
+    is_replacement: bool = False
 
     @property
     def catalogue(self) -> Catalogue:
@@ -111,7 +122,7 @@
             disk=self.disk,
             peers=peers,
             seed=seed,
-            bootstrap_members=bootstrap_members,
+            bootstrap_members=() if self.is_replacement else bootstrap_members,
             role=RaftRole.FOLLOWER if configs else RaftRole.JOINING,
             term=self.term,
             voted_for=self.voted_for,
@@ -122,60 +133,11 @@
         )
 
 
-def _frame(payload: bytes) -> bytes:
-    header = _HEADER.pack(len(payload), zlib.crc32(payload))
-    return header + _HEADER_CRC.pack(zlib.crc32(header)) + payload
-
-
-def read_frames(data: bytes) -> tuple[list[bytes], int]:
-    """Return the complete records of a journal, and the offset of their end.
-
-    Raises
-    ------
-    LovageError
-        ``DISK_CORRUPT`` if a record is damaged rather than torn.
-    """
-    frames = []
-    offset = 0
-    while offset < len(data):
-        payload = _read_frame(data, offset)
-        if payload is None:
-            break
-        frames.append(payload)
-        offset += HEADER_BYTES + len(payload)
-    return frames, offset
-
-
-def _read_frame(data: bytes, offset: int) -> bytes | None:
-    """Return the payload of the record at an offset, or None for a torn record.
-
-    A crash can extend the file before the data is written. Zeros up to the end of the
-    file are therefore torn, and so is a last record with a bad checksum whose payload
-    ends in a zero byte.
-    """
-    header = data[offset : offset + HEADER_BYTES]
-    if len(header) < HEADER_BYTES or not any(data[offset:]):
-        return None
-    length, crc = _HEADER.unpack_from(header)
-    (header_crc,) = _HEADER_CRC.unpack_from(header, _HEADER.size)
-    if zlib.crc32(header[: _HEADER.size]) != header_crc:
-        raise LovageError(
-            Code.DISK_CORRUPT, f"bad checksum of the record header at byte {offset}"
-        )
-    payload = data[offset + HEADER_BYTES : offset + HEADER_BYTES + length]
-    if len(payload) < length:
-        return None
-    if zlib.crc32(payload) == crc:
-        return payload
-    is_last_record = offset + HEADER_BYTES + length >= len(data)
-    if is_last_record and payload.endswith(b"\0"):
-        return None
-    raise LovageError(Code.DISK_CORRUPT, f"bad checksum of the record at byte {offset}")
-
-
 class Journal:
     """Writes persisting effects; a call returns only once they are synced.
 
+    After a write or a sync that failed, the folder has to be loaded again.
+
     Parameters
     ----------
     folder : Path
@@ -186,7 +148,6 @@
         self._folder = folder
         self._file: BinaryIO | None = None
         self._lock_file: BinaryIO | None = None
-        folder.mkdir(parents=True, exist_ok=True)
 
     @property
     def _journal_path(self) -> Path:
@@ -195,49 +156,85 @@
     def load(self) -> StoredState:
         """Read the folder and open the journal for appending.
 
+        Everything that is returned is synced, also what an earlier process had written
+        but not synced.
+
         Raises
         ------
         LovageError
             ``DISK_CORRUPT`` if synced data is damaged; ``DISK_TAKEN`` if another
-            process uses the folder.
+            process uses the folder; ``DISK_FULL`` or ``DISK_FAILED`` if the disk
+            refuses what is needed.
         """
-        self._lock_folder()
-        stored = StoredState(self._load_identity())
-        stored = self._load_snapshot(stored)
-        if self._journal_path.exists():
+        with disk_errors():
+            self._folder.mkdir(parents=True, exist_ok=True)
+            self._lock_folder()
+            self._close_journal()
+            is_replacement = any(self._folder.glob("damaged-*"))
+            stored = StoredState(self._load_identity(), is_replacement=is_replacement)
+            stored = self._load_snapshot(stored)
             stored = self._load_journal(stored)
-        self._file = open(self._journal_path, "ab")
-        self._sync_folder()
+            sync_folder(self._folder)
         return stored
 
+    def set_aside(self) -> Path:
+        """Move the state files to a new subfolder, and return its path.
+
+        Raises
+        ------
+        LovageError
+            ``DISK_FULL`` or ``DISK_FAILED`` if the disk refuses it.
+        """
+        number = len(list(self._folder.glob("damaged-*"))) + 1
+        subfolder = self._folder / f"damaged-{number}"
+        with disk_errors():
+            subfolder.mkdir()
+            # The subfolder says that this VM lacks data, so it has to last before the
+            # files move.
+            sync_folder(self._folder)
+            for name in _STATE_FILES:
+                if (self._folder / name).exists():
+                    os.replace(self._folder / name, subfolder / name)
+            sync_folder(subfolder)
+            sync_folder(self._folder)
+        return subfolder
+
     def _lock_folder(self) -> None:
         """Lock the folder until this process closes the journal or exits.
 
         A second process would vote as the same voter, and truncate the record that
         the first one is writing.
         """
-        self._lock_file = open(self._folder / "lock", "wb")
+        if self._lock_file is not None:
+            return
+        lock_file = open(self._folder / "lock", "wb")
         try:
-            fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.flock(lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError as exc:
-            self._lock_file.close()
+            lock_file.close()
             raise LovageError(Code.DISK_TAKEN) from exc
+        self._lock_file = lock_file
 
     def _load_identity(self) -> str:
         path = self._folder / "identity"
         if not path.exists():
-            self._replace_file(path, uuid.uuid4().hex.encode())
-        return path.read_text()
+            if any((self._folder / name).exists() for name in _STATE_FILES):
+                raise LovageError(Code.DISK_CORRUPT, "the disk's identity is missing")
+            replace_file(path, uuid.uuid4().hex.encode())
+        identity = path.read_bytes().decode("ascii", "replace")
+        if not _IDENTITY.fullmatch(identity):
+            raise LovageError(Code.DISK_CORRUPT, "the disk's identity is damaged")
+        return identity
 
     def _load_snapshot(self, stored: StoredState) -> StoredState:
         path = self._folder / "snapshot"
         if not path.exists():
             return stored
         data = path.read_bytes()
-        frames, end = read_frames(data)
-        if len(frames) != 1 or end != len(data):
+        scan = scan_frames(data)
+        if len(scan.payloads) != 1 or scan.end != len(data):
             raise LovageError(Code.DISK_CORRUPT, "snapshot is not one complete record")
-        snapshot = self._decode(frames[0])
+        snapshot = self._decode(scan.payloads[0])
         return replace(
             stored,
             snapshot=snapshot,
@@ -246,16 +243,25 @@
         )
 
     def _load_journal(self, stored: StoredState) -> StoredState:
-        data = self._journal_path.read_bytes()
-        frames, end = read_frames(data)
-        if end < len(data):
-            log.warning("journal: dropped a torn record of %d bytes", len(data) - end)
-            with open(self._journal_path, "r+b") as file:
-                file.truncate(end)
-                os.fsync(file.fileno())
+        """Read the records of the journal, and open it after the last one."""
+        path = self._journal_path
+        data = path.read_bytes() if path.exists() else b""
+        scan = scan_frames(data)
+        records = [self._decode(payload) for payload in scan.payloads]
+        self._file = open(path, "ab")
+        if scan.end < len(data):
+            log.warning(
+                "journal: dropped a torn record of %d bytes at byte %d, which starts "
+                "with %s",
+                len(data) - scan.end,
+                scan.end,
+                data[scan.end : scan.end + 16].hex(),
+            )
+            self._file.truncate(scan.end)
+        if not scan.is_marked:
+            self._write(SYNC_MARK)
         entries: dict[int, LogEntry] = {}
-        for frame in frames:
-            record = self._decode(frame)
+        for record in records:
             if isinstance(record, PersistVote):
                 stored = replace(stored, term=record.term, voted_for=record.voted_for)
             elif isinstance(record, PersistVoters):
@@ -268,99 +274,91 @@
         later_entries = tuple(entries[i] for i in sorted(entries) if i > snapshot_index)
         return replace(stored, entries=later_entries)
 
-    def _decode(self, frame: bytes) -> Any:
+    def _decode(self, payload: bytes) -> Any:
         try:
-            return decode(frame)
+            return decode(payload)
         except LovageError as exc:
             raise LovageError(Code.DISK_CORRUPT, "record cannot be decoded") from exc
 
+    def rewrite(self) -> None:
+        """Write the journal anew and sync it.
+
+        After a sync that failed, a later one can succeed without having written what
+        the failed one lost.
+
+        Raises
+        ------
+        LovageError
+            ``DISK_FULL`` or ``DISK_FAILED`` if the disk refuses it.
+        """
+        with disk_errors():
+            self._replace_journal(self._journal_path.read_bytes())
+
     def append(self, record: PersistVote | PersistVoters | PersistEntries) -> None:
         """Append one record and sync it.
 
         Raises
         ------
         LovageError
-            ``DISK_FULL`` if the write failed, after which the journal is as
-            before; ``DISK_FAILED`` if the sync failed, after which the state of
-            the disk is unknown.
+            ``DISK_FULL`` or ``DISK_FAILED`` if the write or the sync failed. The
+            folder has to be loaded again then.
         """
-        size_before = self._file.tell()
-        try:
-            self._file.write(_frame(encode(record)))
-            self._file.flush()
-        except OSError as exc:
-            self._discard_failed_write(size_before)
-            raise LovageError(Code.DISK_FULL, exc.strerror or "") from exc
-        self._sync()
+        frame = build_frame(encode(record))
+        with disk_errors():
+            self._write(frame)
+            os.fsync(self._file.fileno())
+            self._write(SYNC_MARK)
+
+    def _write(self, data: bytes) -> None:
+        self._file.write(data)
+        self._file.flush()
 
     def has_room(self) -> bool:
         """Whether the disk takes writes: writes and removes a file of `PROBE_BYTES`."""
         path = self._folder / "probe"
         try:
+            self._folder.mkdir(parents=True, exist_ok=True)
             with open(path, "wb") as file:
                 file.write(bytes(PROBE_BYTES))
                 file.flush()
                 os.fsync(file.fileno())
+            path.unlink()
         except OSError as exc:
             log.info("journal: the disk still refuses writes: %s", exc.strerror)
+            remove_file(path)
             return False
-        finally:
-            path.unlink(missing_ok=True)
         return True
 
-    def _discard_failed_write(self, size_before: int) -> None:
-        try:
-            self._file.close()
-        except OSError:
-            log.debug("journal: dropped the buffered bytes of a failed write")
-        os.truncate(self._journal_path, size_before)
-        self._file = open(self._journal_path, "ab")
-
-    def _sync(self) -> None:
-        try:
-            os.fsync(self._file.fileno())
-        except OSError as exc:
-            raise LovageError(Code.DISK_FAILED, exc.strerror or "") from exc
-
     def write_snapshot(self, record: PersistSnapshot) -> None:
         """Write a snapshot, then reduce the journal to the entries after it.
 
         Raises
         ------
         LovageError
-            ``DISK_FAILED`` if a write or a sync failed.
+            ``DISK_FULL`` or ``DISK_FAILED`` if a write or a sync failed. The folder
+            has to be loaded again then.
         """
-        try:
-            without_entries = replace(record, keep=())
-            frame = _frame(encode(without_entries))
-            self._replace_file(self._folder / "snapshot", frame)
-            journal_data = _frame(encode(PersistVote(record.term, record.voted_for)))
-            for entry in record.keep:
-                journal_data += _frame(encode(PersistEntries((entry,))))
-            self._file.close()
-            self._replace_file(self._journal_path, journal_data)
-            self._file = open(self._journal_path, "ab")
-        except OSError as exc:
-            raise LovageError(Code.DISK_FAILED, exc.strerror or "") from exc
-
-    def _replace_file(self, path: Path, data: bytes) -> None:
-        temporary_path = path.with_suffix(".new")
-        with open(temporary_path, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(temporary_path, path)
-        self._sync_folder()
-
-    def _sync_folder(self) -> None:
-        folder_fd = os.open(self._folder, os.O_RDONLY)
-        try:
-            os.fsync(folder_fd)
-        finally:
-            os.close(folder_fd)
+        snapshot_frame = build_frame(encode(replace(record, keep=())))
+        journal_data = build_frame(encode(PersistVote(record.term, record.voted_for)))
+        for entry in record.keep:
+            journal_data += build_frame(encode(PersistEntries((entry,))))
+        with disk_errors():
+            replace_file(self._folder / "snapshot", snapshot_frame)
+            self._replace_journal(journal_data + SYNC_MARK)
+
+    def _replace_journal(self, data: bytes) -> None:
+        self._close_journal()
+        replace_file(self._journal_path, data)
+        self._file = open(self._journal_path, "ab")
 
     def close(self) -> None:
         """Close the journal and release the lock on the folder."""
-        for file in (self._file, self._lock_file):
-            if file is not None:
-                file.close()
+        self._close_journal()
+        if self._lock_file is not None:
+            close_file(self._lock_file)
+            self._lock_file = None
+
+    def _close_journal(self) -> None:
+        if self._file is not None:
+            close_file(self._file)
+            self._file = None
