Sync what an earlier process wrote before it counts as being on disk

A control VM that was killed between a write and its sync, and restarted, took the entry for stored. It confirmed it to the leader without writing anything, and the next loss of power took it: an acknowledged change could be lost.

--- a/lovagewalk/journal/_journal.py
+++ b/lovagewalk/journal/_journal.py
@@ -258,6 +258,7 @@
                 data[scan.end : scan.end + 16].hex(),
             )
             self._file.truncate(scan.end)
+        os.fsync(self._file.fileno())
         if not scan.is_marked:
             self._write(SYNC_MARK)
         entries: dict[int, LogEntry] = {}
