Rejoin control in the same process once the disk takes writes

Cause: the process ended to get back to a known state. What made it end outlives it, and disks that fill up together, or in turn, make all their VMs do so.

The VM leaves the consensus, follows the leader, and loads the folder again as soon as it takes writes. The state that it returns with is that of the disk. The catalogue in force may be newer; the log applies to its own one until it has caught up.

Effects that tell others what is on disk are dropped if the write failed; all others of the step are still performed.

--- a/lovagewalk/audit/_trail.py
+++ b/lovagewalk/audit/_trail.py
@@ -203,7 +203,7 @@
             self._write_synced_bytes(valid_bytes)
 
     def _read_synced_bytes(self) -> int | None:
-        """Return how many bytes of the trail are known to be synced; None if unknown."""
+        """Return how many bytes of the trail are surely synced; None if unknown."""
         try:
             return int(self._synced_path.read_bytes())
         except FileNotFoundError:
--- a/lovagewalk/consensus/_effects.py
+++ b/lovagewalk/consensus/_effects.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from lovagewalk.catalogue import Catalogue, ControlVoter
-from lovagewalk.core import Effect, RequiredEffect
+from lovagewalk.core import DependentEffect, RequiredEffect
 
 from ._messages import LogEntry
 
@@ -51,7 +51,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SendToPeer(Effect):
+class SendToPeer(DependentEffect):
     """Send a message to a peer daemon; delivery is not guaranteed."""
 
     peer: str
--- a/lovagewalk/consensus/_raft.py
+++ b/lovagewalk/consensus/_raft.py
@@ -49,7 +49,7 @@
 
     An unknown sender becomes a peer, so that a new VM can ask to be added, and a
     VM that was removed while unreachable receives the log entry of its removal.
-    A VM that is offline because its disk is full ignores all messages.
+    A VM that is offline because its disk refuses writes ignores all messages.
     """
     if raft.role is RaftRole.OFFLINE or peer == raft.me:
         return RaftStep(raft)
--- a/lovagewalk/consensus/_state.py
+++ b/lovagewalk/consensus/_state.py
@@ -48,8 +48,8 @@
 class RaftRole(Enum):
     """The Raft role of a control VM.
 
-    A VM is joining until it has a voter configuration. It is offline from the time its
-    disk was full until its next start.
+    A VM is joining until it has a voter configuration. It is offline as long
+    as its disk refuses writes.
     """
 
     JOINING = "joining"
--- a/lovagewalk/control/_effects.py
+++ b/lovagewalk/control/_effects.py
@@ -4,13 +4,13 @@
 
 from lovagewalk.catalogue import Catalogue, ChangeResult
 from lovagewalk.consensus import LogEntry
-from lovagewalk.core import Effect, Refusal, RequiredEffect
+from lovagewalk.core import DependentEffect, Effect, Refusal, RequiredEffect
 
 from ._events import Order
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerRequester(Effect):
+class AnswerRequester(DependentEffect):
     """Send the result of a change to the operator or endpoint that requested it."""
 
     ticket: int
--- a/lovagewalk/control/_events.py
+++ b/lovagewalk/control/_events.py
@@ -4,8 +4,9 @@
 from enum import Enum
 from typing import Any
 
-from lovagewalk.catalogue import Endpoint, Proposal
-from lovagewalk.core import Event, every
+from lovagewalk.catalogue import Catalogue, Endpoint, Proposal
+from lovagewalk.consensus import RaftState
+from lovagewalk.core import Event, Refusal, every
 from lovagewalk.groups import InstanceStatus
 
 # Elections and heartbeats are checked more than twice per heartbeat interval, 50 ms.
@@ -95,13 +96,32 @@
 
 
 @dataclass(frozen=True, slots=True)
-class JournalFilled(Event):
-    """The data folder is full, so nothing can be persisted any more."""
+class JournalUnavailable(Event):
+    """The data folder refuses what is needed, so nothing can be persisted any more.
+
+    Attributes
+    ----------
+    reason : Refusal
+        The error of the disk.
+    """
+
+    reason: Refusal
 
 
 @dataclass(frozen=True, slots=True)
-class JournalWritable(Event):
-    """The data folder, which was full, takes writes again."""
+class JournalRestored(Event):
+    """The data folder was loaded again, and takes writes.
+
+    Attributes
+    ----------
+    raft : RaftState
+        The consensus state restored from the folder.
+    catalogue : Catalogue
+        The catalogue of the folder's snapshot, to which the log applies.
+    """
+
+    raft: RaftState
+    catalogue: Catalogue
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/control/_raft_steps.py
+++ b/lovagewalk/control/_raft_steps.py
@@ -133,7 +133,7 @@
     raft: RaftState = state.consensus
     if raft.last_applied >= raft.commit_index:
         return Step(state)
-    catalogue = state.catalogue
+    catalogue = _get_log_catalogue(state)
     control: ControlState = state.control
     tickets = control.tickets
     effects: tuple[Effect, ...] = ()
@@ -152,8 +152,31 @@
         consensus=replace(raft, last_applied=raft.commit_index),
         control=replace(control, tickets=tickets, past_catalogues=past),
     )
-    installed = install_catalogue(state, catalogue, now)
-    return Step(installed.state, effects + installed.effects)
+    adopted = adopt_log_catalogue(state, catalogue, now)
+    return Step(adopted.state, effects + adopted.effects)
+
+
+def _get_log_catalogue(state: NodeState) -> Catalogue:
+    """Return the catalogue that the next log entry applies to."""
+    if state.log_catalogue is None:
+        return state.catalogue
+    return state.log_catalogue
+
+
+def adopt_log_catalogue(
+    state: NodeState, catalogue: Catalogue, now: float
+) -> Step[NodeState]:
+    """Install the catalogue of this VM's log, once it is not behind the one in force.
+
+    While this VM was offline, it has received newer catalogues from the leader. They
+    lack parts that the log has, so one of the same revision is replaced.
+    """
+    if catalogue.revision < state.catalogue.revision:
+        return Step(replace(state, log_catalogue=catalogue))
+    state = replace(state, log_catalogue=None)
+    if catalogue.revision == state.catalogue.revision:
+        return Step(replace(state, catalogue=catalogue))
+    return install_catalogue(state, catalogue, now)
 
 
 def _keep_past_catalogue(control: ControlState, catalogue: Catalogue) -> Map:
@@ -169,10 +192,10 @@
 def _compact_log(state: NodeState) -> Step[NodeState]:
     if not is_compaction_due(state.consensus, SNAPSHOT_INTERVAL_ENTRIES):
         return Step(state)
-    compacted = compact(state.consensus, state.catalogue)
+    compacted = compact(state.consensus, _get_log_catalogue(state))
     return Step(replace(state, consensus=compacted.raft), compacted.effects)
 
 
 def _send_snapshots(state: NodeState, now: float) -> Step[NodeState]:
-    sent = send_snapshots(state.consensus, state.catalogue, now)
+    sent = send_snapshots(state.consensus, _get_log_catalogue(state), now)
     return Step(replace(state, consensus=sent.raft), sent.effects)
--- a/lovagewalk/control/_reducer.py
+++ b/lovagewalk/control/_reducer.py
@@ -9,8 +9,8 @@
 )
 from lovagewalk.consensus import tick as tick_consensus
 from lovagewalk.core import Step, reduces, replace
-from lovagewalk.daemon._changes import install_catalogue
 from lovagewalk.node import NodeState
+from lovagewalk.records import JournalLost, JournalRegained
 
 from . import (
     _catalogue_reads,
@@ -35,8 +35,8 @@
     DrainRequested,
     EndpointHeartbeat,
     EndpointLeft,
-    JournalFilled,
-    JournalWritable,
+    JournalRestored,
+    JournalUnavailable,
     OrderAnswered,
     PeerLost,
     PeerMessage,
@@ -82,9 +82,9 @@
     if received.raft.last_applied == applied_before:
         return _raft_steps.apply_raft_step(state, received, event.at)
     # The snapshot was applied, so its catalogue replaces the one in the state.
-    installed = install_catalogue(state, event.message.catalogue, event.at)
-    step = _raft_steps.apply_raft_step(installed.state, received, event.at)
-    return Step(step.state, step.effects + installed.effects)
+    adopted = _raft_steps.adopt_log_catalogue(state, event.message.catalogue, event.at)
+    step = _raft_steps.apply_raft_step(adopted.state, received, event.at)
+    return Step(step.state, step.effects + adopted.effects)
 
 
 @reduces(ConsensusTick)
@@ -185,19 +185,35 @@
     return replace(state, draining=True, draining_since=now, follow=follow)
 
 
-@reduces(JournalFilled)
-def _journal_filled(state: NodeState, event: JournalFilled) -> Step[NodeState]:
+@reduces(JournalUnavailable)
+def _journal_unavailable(
+    state: NodeState, event: JournalUnavailable
+) -> Step[NodeState]:
     """Take this VM out of the consensus, since it can persist no vote or entry."""
     offline_raft = replace(state.consensus, role=RaftRole.OFFLINE, leader="")
-    return _raft_steps.apply_raft_step(state, RaftStep(offline_raft), event.at)
+    step = _raft_steps.apply_raft_step(state, RaftStep(offline_raft), event.at)
+    record = JournalLost(
+        outcome=event.reason.code.label,
+        detail=event.reason.detail,
+        term=offline_raft.term,
+        last_index=offline_raft.log.last_index,
+    )
+    return Step(step.state, step.effects + (record,))
 
 
-@reduces(JournalWritable)
-def _journal_writable(state: NodeState, event: JournalWritable) -> Step[NodeState]:
-    """Restart gracefully, to take part in the consensus with what is on disk.
+@reduces(JournalRestored)
+def _journal_restored(state: NodeState, event: JournalRestored) -> Step[NodeState]:
+    """Take part in the consensus again, with what is on disk.
 
-    The state in memory contains votes and entries that the disk has refused.
+    The state in memory contained votes and entries that the disk has refused.
     """
-    if state.draining:
-        return Step(state)
-    return Step(_start_draining(state, event.at))
+    record = JournalRegained(
+        term=event.raft.term,
+        last_index=event.raft.log.last_index,
+        role=event.raft.role.value,
+        disk=event.raft.disk,
+    )
+    step = _raft_steps.adopt_log_catalogue(state, event.catalogue, event.at)
+    step = Step(step.state, step.effects + (record,))
+    raft_step = RaftStep(event.raft)
+    return step.then(_raft_steps.apply_raft_step(step.state, raft_step, event.at))
--- a/lovagewalk/core/__init__.py
+++ b/lovagewalk/core/__init__.py
@@ -4,7 +4,7 @@
 socket; `Shell` runs it on an event loop. See docs/EMBEDDING.md for an example.
 """
 
-from ._errors import Code, LovageError, Outcome, Refusal
+from ._errors import Code, LovageError, Outcome, Refusal, RequirementFailed
 from ._handlers import Handlers
 from ._random import Draw, draw
 from ._registry import (
@@ -20,11 +20,12 @@
 from ._replace import replace
 from ._shell import Shell
 from ._timer import TimerService, boot_clock
-from ._types import Effect, Event, RequiredEffect, Step
+from ._types import DependentEffect, Effect, Event, RequiredEffect, Step
 from ._values import MAX_PORT, find_value_problem, parse_count
 
 __all__ = [
     "Code",
+    "DependentEffect",
     "Draw",
     "DuplicateHandlerError",
     "Effect",
@@ -35,6 +36,7 @@
     "Outcome",
     "Refusal",
     "RequiredEffect",
+    "RequirementFailed",
     "Shell",
     "Step",
     "TimerService",
--- a/lovagewalk/core/_errors.py
+++ b/lovagewalk/core/_errors.py
@@ -51,6 +51,7 @@
     DISK_FULL = (2203, Outcome.FAILED, 1105, "data folder is full")
     DISK_TAKEN = (2204, Outcome.FAILED, 1105, "data folder is used by another process")
     EFFECT_FAILED = (2205, Outcome.FAILED, 1105, "a required effect failed")
+    DISK_UNREADABLE = (2206, Outcome.FAILED, 1105, "data folder of another version")
     FRAME_BAD = (2301, Outcome.NOT_RUN, 1105, "peer frame not accepted")
 
     def __init__(self, number: int, outcome: Outcome, errno: int, text: str) -> None:
@@ -111,3 +112,7 @@
     def code(self) -> Code:
         """The code of the refusal."""
         return self.refusal.code
+
+
+class RequirementFailed(LovageError):
+    """A required effect failed, and its performer has started the recovery."""
--- a/lovagewalk/core/_shell.py
+++ b/lovagewalk/core/_shell.py
@@ -7,10 +7,10 @@
 
 from reactivex.subject import Subject
 
-from ._errors import Code, LovageError
+from ._errors import Code, LovageError, RequirementFailed
 from ._registry import perform, reduce
 from ._timer import TimerService
-from ._types import Effect, Event, RequiredEffect, Step
+from ._types import DependentEffect, Effect, Event, RequiredEffect, Step
 
 S = TypeVar("S")
 
@@ -23,7 +23,8 @@
     Events that a performer emits while another event is handled wait in a queue,
     so reductions never nest. If a reducer raises, the exception is logged and the
     state stays unchanged. Exceptions of a performer are logged too; a `LovageError`,
-    or any exception of a `RequiredEffect`, stops the shell.
+    or any exception of a `RequiredEffect`, stops the shell. After `RequirementFailed`
+    it goes on, without the dependent effects of the same step.
 
     Parameters
     ----------
@@ -93,14 +94,22 @@
         Front ends use it for changes of the state that no event causes.
         """
         self.state = step.state
+        has_requirements = True
         for effect in step.effects:
             if self._stopped:
                 return
-            self._perform(effect)
+            if has_requirements or not isinstance(effect, DependentEffect):
+                has_requirements &= self._perform(effect)
 
-    def _perform(self, effect: Effect) -> None:
+    def _perform(self, effect: Effect) -> bool:
+        """Perform an effect; return whether dependent effects may follow."""
         try:
             perform(self.ports, effect)
+        except RequirementFailed as exc:
+            self.failures[type(effect).__name__] += 1
+            name = type(effect).__name__
+            log.error("core: %s failed; dependent effects are dropped: %s", name, exc)
+            return False
         except LovageError as exc:
             self._stop(exc)
         except Exception as exc:
@@ -110,6 +119,7 @@
             if isinstance(effect, RequiredEffect):
                 detail = f"{name}: {type(exc).__name__}"
                 self._stop(LovageError(Code.EFFECT_FAILED, detail))
+        return True
 
     def _handle(self, event: Event) -> None:
         try:
--- a/lovagewalk/core/_types.py
+++ b/lovagewalk/core/_types.py
@@ -30,13 +30,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RequiredEffect(Effect):
-    """Base class of effects that the later effects of a step depend on.
+    """Base class of effects that the dependent effects of their step need.
 
     A message that says that an entry is on disk follows the effect that writes it. If
-    performing such an effect fails, no later effect may be performed.
+    performing such an effect fails, no later `DependentEffect` may be performed.
     """
 
 
+@dataclass(frozen=True, slots=True)
+class DependentEffect(Effect):
+    """Base class of effects that tell others what the required effects have done."""
+
+
 @dataclass(frozen=True, slots=True)
 class Step(Generic[S]):
     """Result of one reduction.
--- a/lovagewalk/demo/tests/test_disks.py
+++ b/lovagewalk/demo/tests/test_disks.py
@@ -1,5 +1,9 @@
 """Disks of control VMs that refuse writes or tear them, in a fleet in one process."""
 
+import asyncio
+import errno
+import os
+
 import pytest
 
 from lovagewalk.consensus import RaftRole
@@ -35,3 +39,34 @@
     revision = fleet.leader().state.consensus.last_applied
     await fleet.until(lambda: daemon.state.consensus.last_applied >= revision)
     assert daemon.state.catalogue.customer("new2")
+
+
+async def test_a_leader_whose_sync_failed_confirms_nothing_and_rejoins(
+    fleet, monkeypatch
+):
+    """Another leader decides the change, and the VM returns with what is on disk."""
+    daemon = fleet.leader()
+    name = daemon.cfg.daemon.name
+    journal_fd = daemon.ports.journal._file.fileno()
+    is_failing = [True]
+    sync = os.fsync
+
+    def fail(fd):
+        if is_failing[0] and fd == journal_fd:
+            raise OSError(errno.EIO, "input/output error")
+        sync(fd)
+
+    monkeypatch.setattr(os, "fsync", fail)
+    other = next(n for n in fleet.daemons if n != name)
+    change = asyncio.create_task(_put_customer(fleet, "new", other))
+    await fleet.until(lambda: daemon.state.consensus.role is RaftRole.OFFLINE)
+    is_failing[0] = False
+    await change
+    await fleet.until(
+        lambda: all(d.state.catalogue.customer("new") for d in fleet.daemons.values())
+    )
+    await fleet.until(lambda: daemon.state.consensus.role is not RaftRole.OFFLINE)
+    await fleet.until(fleet.leader)
+    revision = fleet.leader().state.consensus.last_applied
+    await fleet.until(lambda: daemon.state.consensus.last_applied >= revision)
+    assert daemon.fault is None and not daemon.ports.stopped.is_set()
--- a/lovagewalk/edge/_daemon.py
+++ b/lovagewalk/edge/_daemon.py
@@ -84,7 +84,7 @@
         Raises
         ------
         LovageError
-            If the data folder is damaged.
+            ``DISK_TAKEN`` if another process uses the data folder.
         """
         state = self._initial_state()
         self.ports.shell = Shell(state, self.ports, self.ports.timer, self.on_fatal)
--- a/lovagewalk/journal/_journal.py
+++ b/lovagewalk/journal/_journal.py
@@ -142,16 +142,21 @@
     ----------
     folder : Path
         The data folder; created if missing.
+
+    Attributes
+    ----------
+    folder : Path
+        The data folder.
     """
 
     def __init__(self, folder: Path) -> None:
-        self._folder = folder
+        self.folder = folder
         self._file: BinaryIO | None = None
         self._lock_file: BinaryIO | None = None
 
     @property
     def _journal_path(self) -> Path:
-        return self._folder / "journal"
+        return self.folder / "journal"
 
     def load(self) -> StoredState:
         """Read the folder and open the journal for appending.
@@ -162,19 +167,19 @@
         Raises
         ------
         LovageError
-            ``DISK_CORRUPT`` if synced data is damaged; ``DISK_TAKEN`` if another
-            process uses the folder; ``DISK_FULL`` or ``DISK_FAILED`` if the disk
-            refuses what is needed.
+            ``DISK_CORRUPT`` if synced data is damaged; ``DISK_UNREADABLE`` if it is
+            whole, but not of this version; ``DISK_TAKEN`` if another process uses the
+            folder; ``DISK_FULL`` or ``DISK_FAILED`` if the disk refuses what is needed.
         """
         with disk_errors():
-            self._folder.mkdir(parents=True, exist_ok=True)
+            self.folder.mkdir(parents=True, exist_ok=True)
             self._lock_folder()
             self._close_journal()
-            is_replacement = any(self._folder.glob("damaged-*"))
+            is_replacement = any(self.folder.glob("damaged-*"))
             stored = StoredState(self._load_identity(), is_replacement=is_replacement)
             stored = self._load_snapshot(stored)
             stored = self._load_journal(stored)
-            sync_folder(self._folder)
+            sync_folder(self.folder)
         return stored
 
     def set_aside(self) -> Path:
@@ -185,18 +190,18 @@
         LovageError
             ``DISK_FULL`` or ``DISK_FAILED`` if the disk refuses it.
         """
-        number = len(list(self._folder.glob("damaged-*"))) + 1
-        subfolder = self._folder / f"damaged-{number}"
+        number = len(list(self.folder.glob("damaged-*"))) + 1
+        subfolder = self.folder / f"damaged-{number}"
         with disk_errors():
             subfolder.mkdir()
             # The subfolder says that this VM lacks data, so it has to last before the
             # files move.
-            sync_folder(self._folder)
+            sync_folder(self.folder)
             for name in _STATE_FILES:
-                if (self._folder / name).exists():
-                    os.replace(self._folder / name, subfolder / name)
+                if (self.folder / name).exists():
+                    os.replace(self.folder / name, subfolder / name)
             sync_folder(subfolder)
-            sync_folder(self._folder)
+            sync_folder(self.folder)
         return subfolder
 
     def _lock_folder(self) -> None:
@@ -207,7 +212,7 @@
         """
         if self._lock_file is not None:
             return
-        lock_file = open(self._folder / "lock", "wb")
+        lock_file = open(self.folder / "lock", "wb")
         try:
             fcntl.flock(lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError as exc:
@@ -216,9 +221,9 @@
         self._lock_file = lock_file
 
     def _load_identity(self) -> str:
-        path = self._folder / "identity"
+        path = self.folder / "identity"
         if not path.exists():
-            if any((self._folder / name).exists() for name in _STATE_FILES):
+            if any((self.folder / name).exists() for name in _STATE_FILES):
                 raise LovageError(Code.DISK_CORRUPT, "the disk's identity is missing")
             replace_file(path, uuid.uuid4().hex.encode())
         identity = path.read_bytes().decode("ascii", "replace")
@@ -227,7 +232,7 @@
         return identity
 
     def _load_snapshot(self, stored: StoredState) -> StoredState:
-        path = self._folder / "snapshot"
+        path = self.folder / "snapshot"
         if not path.exists():
             return stored
         data = path.read_bytes()
@@ -279,7 +284,8 @@
         try:
             return decode(payload)
         except LovageError as exc:
-            raise LovageError(Code.DISK_CORRUPT, "record cannot be decoded") from exc
+            # Its checksum is right, so it is whole, and another version can read it.
+            raise LovageError(Code.DISK_UNREADABLE, "record cannot be decoded") from exc
 
     def rewrite(self) -> None:
         """Write the journal anew and sync it.
@@ -316,9 +322,9 @@
 
     def has_room(self) -> bool:
         """Whether the disk takes writes: writes and removes a file of `PROBE_BYTES`."""
-        path = self._folder / "probe"
+        path = self.folder / "probe"
         try:
-            self._folder.mkdir(parents=True, exist_ok=True)
+            self.folder.mkdir(parents=True, exist_ok=True)
             with open(path, "wb") as file:
                 file.write(bytes(PROBE_BYTES))
                 file.flush()
@@ -344,7 +350,7 @@
         for entry in record.keep:
             journal_data += build_frame(encode(PersistEntries((entry,))))
         with disk_errors():
-            replace_file(self._folder / "snapshot", snapshot_frame)
+            replace_file(self.folder / "snapshot", snapshot_frame)
             self._replace_journal(journal_data + SYNC_MARK)
 
     def _replace_journal(self, data: bytes) -> None:
--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -71,6 +71,9 @@
         control leader; 0 before its first report.
     retry_credits : Map of str to float
         Retries still allowed to each customer; without an entry, the maximum.
+    log_catalogue : Catalogue or None
+        The catalogue of this control VM's log, as long as it is older than `catalogue`,
+        which came from the leader meanwhile; None otherwise.
     draining_since : float
         When draining began, in monotonic seconds.
     consensus, control, follow
@@ -80,6 +83,7 @@
 
     identity: Identity
     catalogue: Catalogue = field(default_factory=Catalogue)
+    log_catalogue: Catalogue | None = None
     fresh_until: float = 0.0
     sessions: Map = field(default_factory=Map)
     requests: Map = field(default_factory=Map)
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -64,7 +64,7 @@
         Raises
         ------
         LovageError
-            If the data folder is damaged.
+            ``DISK_TAKEN`` if another process uses the data folder.
         """
         cfg, ports = self.cfg, self.ports
         ports.shell = Shell(self._initial_state(), ports, ports.timer, self.on_fatal)
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -235,6 +235,40 @@
     leader: str
 
 
+@logged_as("journal", "disk refuses writes")
+@dataclass(frozen=True, slots=True)
+class JournalLost(LogRecord):
+    """The data folder refuses what is needed; this VM takes no part in control.
+
+    Attributes
+    ----------
+    term, last_index : int
+        Term and last log index in memory; the disk may lack them.
+    """
+
+    outcome: str
+    detail: str
+    term: int
+    last_index: int
+
+
+@logged_as("journal", "data folder loaded again")
+@dataclass(frozen=True, slots=True)
+class JournalRegained(LogRecord):
+    """This VM takes part in control again, with what its data folder holds.
+
+    Attributes
+    ----------
+    disk : str
+        Identity of the disk; another one than before if its files were set aside.
+    """
+
+    term: int
+    last_index: int
+    role: str
+    disk: str
+
+
 @logged_as("control", "proposal refused")
 @dataclass(frozen=True, slots=True)
 class ProposalRefused(LogRecord):
--- a/lovagewalk/runtime/_process.py
+++ b/lovagewalk/runtime/_process.py
@@ -4,14 +4,15 @@
 import secrets
 from pathlib import Path
 
-from lovagewalk.audit import AuditTrail
+from lovagewalk.consensus import RaftRole, RaftState
 from lovagewalk.control import ControlState, DrainRequested
-from lovagewalk.core import LovageError, replace
+from lovagewalk.core import Code, LovageError, replace
 from lovagewalk.daemon import install_catalogue
 from lovagewalk.journal import Journal
 from lovagewalk.node import NodeState
 
 from ._ports import Ports
+from ._storage import load_storage, return_to_consensus
 
 log = logging.getLogger("lovagewalk.daemon")
 
@@ -40,6 +41,8 @@
     ) -> NodeState:
         """Return a control VM's first state, restored from its data folder.
 
+        If the disk refuses to be read or written, the VM starts without the folder.
+
         Parameters
         ----------
         peers : tuple of str
@@ -50,19 +53,43 @@
         Raises
         ------
         LovageError
-            If the data folder is damaged.
+            ``DISK_TAKEN`` if another process uses the folder.
         """
-        self.ports.journal = Journal(folder)
-        stored = self.ports.journal.load()
-        snapshot_index = stored.snapshot.index if stored.snapshot else 0
-        self.ports.audit = AuditTrail(folder, snapshot_index)
         other_names = tuple(name for name in peers if name != self.name)
+        self.ports.journal = Journal(folder)
+        try:
+            stored = load_storage(self.ports)
+        except LovageError as exc:
+            if exc.code is Code.DISK_TAKEN:
+                raise
+            return self._build_offline_state(state, other_names, bootstrap_members, exc)
         raft = stored.restore_raft(
             self.name, other_names, secrets.randbits(62), bootstrap_members
         )
         state = replace(state, consensus=raft, control=ControlState())
         return install_catalogue(state, stored.catalogue, self.ports.now()).state
 
+    def _build_offline_state(
+        self,
+        state: NodeState,
+        peers: tuple[str, ...],
+        bootstrap_members: tuple[str, ...],
+        exc: LovageError,
+    ) -> NodeState:
+        """Return the state of a control VM whose data folder cannot be loaded yet."""
+        log.error("daemon: starts without its data folder: %s", exc)
+        self.ports.peers.consensus_disabled = True
+        self.ports.spawn(return_to_consensus(self.ports))
+        raft = RaftState(
+            me=self.name,
+            disk="",
+            peers=peers,
+            seed=secrets.randbits(62),
+            bootstrap_members=bootstrap_members,
+            role=RaftRole.OFFLINE,
+        )
+        return replace(state, consensus=raft, control=ControlState())
+
     def on_fatal(self, exc: LovageError) -> None:
         """Stop the daemon because of a fault."""
         self.fault = exc
--- a/lovagewalk/runtime/_storage.py
+++ b/lovagewalk/runtime/_storage.py
@@ -1,10 +1,18 @@
-"""Performers of the effects that persist data: journal, snapshots, audit trail."""
+"""The data folder of a control VM: performers that write to it, and its recovery.
+
+A disk that refuses a write takes the VM out of the consensus, not out of service. It
+follows the leader like a VM without a disk, and returns with what is on disk once the
+folder can be loaded again.
+"""
 
 import logging
-from collections.abc import Callable
+import secrets
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from hashlib import sha256
 from typing import Any
 
+from lovagewalk.audit import AuditTrail
 from lovagewalk.catalogue import Command, IssueKey, ReplaceConfiguration
 from lovagewalk.codec import to_dict
 from lovagewalk.consensus import (
@@ -12,57 +20,100 @@
     PersistSnapshot,
     PersistVote,
     PersistVoters,
+    RaftState,
 )
-from lovagewalk.control import JournalFilled, JournalWritable, RecordAudit
-from lovagewalk.core import Code, Handlers, LovageError, performs
+from lovagewalk.control import JournalRestored, JournalUnavailable, RecordAudit
+from lovagewalk.core import Code, Handlers, LovageError, RequirementFailed, performs
+from lovagewalk.journal import Journal, StoredState
 
 from ._ports import Ports
 
 # A full disk is cleaned up by an operator, within minutes; a probe takes milliseconds.
 PROBE_PERIOD_S = 0.5
+# The period doubles up to this while the disk refuses writes, since each probe of a
+# slow disk blocks the event loop.
+MAX_PROBE_PERIOD_S = 4.0
 
 log = logging.getLogger("lovagewalk.journal")
 
 
-def _append(ports: Ports, record: PersistVote | PersistVoters | PersistEntries) -> None:
-    """Append a record; on a full disk, leave the consensus.
+def load_storage(ports: Ports) -> StoredState:
+    """Load the data folder.
 
-    Later records are not written then: on disk, they would follow a gap.
+    Raises
+    ------
+    LovageError
+        If the disk refuses what is needed, another process uses the folder, or the
+        folder is of another version.
     """
-    if ports.peers.consensus_disabled:
+    journal: Journal = ports.journal
+    stored = journal.load()
+    snapshot_index = stored.snapshot.index if stored.snapshot else 0
+    ports.audit = AuditTrail(journal.folder, snapshot_index)
+    return stored
+
+
+def leave_consensus(ports: Ports, exc: LovageError) -> None:
+    """Take no part in the consensus until the data folder can be loaded again.
+
+    Nothing is written until then: on disk, it would follow a gap.
+    """
+    ports.peers.consensus_disabled = True
+    ports.feed(JournalUnavailable(ports.now(), exc.refusal))
+    ports.spawn(return_to_consensus(ports))
+
+
+async def return_to_consensus(ports: Ports) -> None:
+    """Load the data folder as soon as it takes writes, and report what it holds."""
+    period_s = PROBE_PERIOD_S
+    last_error = ""
+    while True:
+        await ports.timer.sleep(period_s)
+        period_s = min(2 * period_s, MAX_PROBE_PERIOD_S)
+        if not ports.journal.has_room():
+            continue
+        try:
+            stored = load_storage(ports)
+            ports.journal.rewrite()
+        except LovageError as exc:
+            if str(exc) != last_error:
+                log.error("journal: cannot load the data folder yet: %s", exc)
+            last_error = str(exc)
+            continue
+        raft: RaftState = ports.state.consensus
+        restored = stored.restore_raft(
+            raft.me, raft.peers, secrets.randbits(62), raft.bootstrap_members
+        )
+        ports.peers.consensus_disabled = False
+        ports.feed(JournalRestored(ports.now(), restored, stored.catalogue))
         return
-    try:
-        ports.journal.append(record)
-    except LovageError as exc:
-        _leave_consensus(ports, exc)
 
 
-def _leave_consensus(ports: Ports, exc: LovageError) -> None:
-    """Take no part in the consensus while the disk is full, if other voters remain.
+@contextmanager
+def _required(ports: Ports) -> Iterator[None]:
+    """Leave the consensus if a write fails, whatever the reason.
 
     Raises
     ------
-    LovageError
-        The given error, if it is another one or this VM is the only voter.
+    RequirementFailed
+        If the write failed.
     """
-    if exc.code is not Code.DISK_FULL or ports.state.consensus.quorum == 1:
-        raise exc
-    if ports.peers.consensus_disabled:
-        return
-    log.error("journal: %s; this VM no longer takes part in control", exc)
-    ports.peers.consensus_disabled = True
-    ports.feed(JournalFilled(ports.now()))
-    ports.spawn(_await_room(ports))
+    try:
+        yield
+    except Exception as exc:
+        if not isinstance(exc, LovageError):
+            log.exception("journal: a record could not be written")
+            exc = LovageError(Code.EFFECT_FAILED, type(exc).__name__)
+        leave_consensus(ports, exc)
+        raise RequirementFailed(exc.code, exc.refusal.detail) from exc
 
 
-async def _await_room(ports: Ports) -> None:
-    """Wait until the disk takes writes again, and report it."""
-    while True:
-        await ports.timer.sleep(PROBE_PERIOD_S)
-        if ports.journal.has_room():
-            log.warning("journal: the disk takes writes again; restarting")
-            ports.feed(JournalWritable(ports.now()))
-            return
+def _append(ports: Ports, record: PersistVote | PersistVoters | PersistEntries) -> None:
+    """Append a record; if the disk refuses it, leave the consensus."""
+    if ports.peers.consensus_disabled:
+        return
+    with _required(ports):
+        ports.journal.append(record)
 
 
 @performs(PersistVote)
@@ -84,8 +135,9 @@
 def _persist_snapshot(ports: Ports, effect: PersistSnapshot) -> None:
     if ports.peers.consensus_disabled:
         return
-    ports.audit.sync()
-    ports.journal.write_snapshot(effect)
+    with _required(ports):
+        ports.audit.sync()
+        ports.journal.write_snapshot(effect)
 
 
 def _audit_detail(command: Command) -> dict[str, Any]:
@@ -116,19 +168,16 @@
 @performs(RecordAudit)
 def _record_audit(ports: Ports, effect: RecordAudit) -> None:
     if ports.peers.consensus_disabled:
-        # After its restart, this VM applies the entry again and records it then.
+        # Once the folder is loaded, this VM applies the entry again and records it.
         return
     proposal = effect.entry.proposal
-    detail = _audit_detail(proposal.command)
     refusal = effect.result.refusal
-    try:
+    with _required(ports):
         ports.audit.append(
             effect.entry.index,
             proposal.proposed_at,
             proposal.operator,
             type(proposal.command).__name__,
-            detail,
+            _audit_detail(proposal.command),
             str(refusal) if refusal else "ok",
         )
-    except LovageError as exc:
-        _leave_consensus(ports, exc)
