Set damaged state files aside and join as a VM with an empty disk

Operators saw a control VM with damaged synced data end with LW2202 at each start until they moved its folder away; an empty identity file was taken for the identity of a disk, and other bytes in it ended the start with an exception without a code.

Cause: the start answered a condition that lasts by ending, although the fleet handles a VM with an empty disk.

Evidence: two VMs of a fleet whose journals are damaged in turn ended at each start; they are voters again with other disks now, and no change is lost.

The files are kept in a subfolder, an error with LW2202 names it, and the VM takes a new identity, under which it keeps no promise of the damaged disk. It may only join: with the files of a majority set aside nothing is decided until they are back, so that nothing acknowledged is lost without a word. Whole records that this version cannot read (LW2206) are left as they are, so that a build that is rolled back everywhere sets no folder aside.

--- a/lovagewalk/demo/tests/test_disks.py
+++ b/lovagewalk/demo/tests/test_disks.py
@@ -70,3 +70,24 @@
     revision = fleet.leader().state.consensus.last_applied
     await fleet.until(lambda: daemon.state.consensus.last_applied >= revision)
     assert daemon.fault is None and not daemon.ports.stopped.is_set()
+
+
+async def test_damaged_disks_of_two_vms_in_turn_lose_no_change(fleet):
+    """Each start ended with LW2202; now the VM joins as one with an empty disk."""
+    for number, name in enumerate(("vm1", "vm2")):
+        await _put_customer(fleet, f"new{number}", name)
+        daemon = fleet.daemons[name]
+        disk = daemon.state.consensus.disk
+        await fleet.kill_daemon(name)
+        path = daemon.ports.journal.folder / "journal"
+        path.write_bytes(bytes((path.read_bytes()[0] ^ 1,)) + path.read_bytes()[1:])
+        await fleet.start_daemon(name)
+        restarted = fleet.daemons[name]
+        await fleet.until(lambda: restarted.state.consensus.is_voter)
+        assert restarted.state.consensus.disk != disk
+    await fleet.until(
+        lambda: all(
+            d.state.catalogue.customer("new0") and d.state.catalogue.customer("new1")
+            for d in fleet.daemons.values()
+        )
+    )
--- /dev/null
+++ b/lovagewalk/journal/tests/test_set_aside.py
@@ -0,0 +1,51 @@
+"""Damaged data folders are set aside, and their VMs join as ones with empty disks."""
+
+import pytest
+
+from lovagewalk.catalogue import ControlVoter
+from lovagewalk.consensus import PersistVote, PersistVoters, RaftRole
+from lovagewalk.core import Code, LovageError
+from lovagewalk.journal import Journal
+
+
+def _write_journal(folder):
+    journal = Journal(folder)
+    disk = journal.load().disk
+    journal.append(PersistVoters((ControlVoter("vm1", disk),)))
+    journal.append(PersistVote(1, "vm1"))
+    journal.close()
+    return disk
+
+
+@pytest.mark.parametrize("content", [b"", b"other bytes", b"\xff" * 32])
+def test_a_damaged_identity_is_reported(tmp_path, content):
+    """An empty one was taken for the identity of a disk."""
+    _write_journal(tmp_path)
+    (tmp_path / "identity").write_bytes(content)
+    with pytest.raises(LovageError) as caught:
+        Journal(tmp_path).load()
+    assert caught.value.code is Code.DISK_CORRUPT
+
+
+def test_a_missing_identity_is_reported_if_there_are_records(tmp_path):
+    _write_journal(tmp_path)
+    (tmp_path / "identity").unlink()
+    with pytest.raises(LovageError) as caught:
+        Journal(tmp_path).load()
+    assert caught.value.code is Code.DISK_CORRUPT
+
+
+def test_a_vm_whose_folder_was_set_aside_may_only_join(tmp_path):
+    """Another identity keeps no promise of the damaged disk."""
+    disk = _write_journal(tmp_path)
+    journal = Journal(tmp_path)
+    journal.load()
+    subfolder = journal.set_aside()
+    stored = journal.load()
+    assert (subfolder / "identity").read_text() == disk != stored.disk
+    assert stored.entries == stored.initial_voters == () and stored.term == 0
+    raft = stored.restore_raft("vm1", ("vm2",), 1, ("vm1", "vm2"))
+    assert raft.role is RaftRole.JOINING and raft.bootstrap_members == ()
+    journal.append(PersistVote(2, ""))
+    journal.close()
+    assert Journal(tmp_path).load().is_replacement, "it may not bootstrap later either"
--- a/lovagewalk/runtime/_storage.py
+++ b/lovagewalk/runtime/_storage.py
@@ -38,7 +38,7 @@
 
 
 def load_storage(ports: Ports) -> StoredState:
-    """Load the data folder.
+    """Load the data folder; damaged state files are set aside before.
 
     Raises
     ------
@@ -47,7 +47,19 @@
         folder is of another version.
     """
     journal: Journal = ports.journal
-    stored = journal.load()
+    try:
+        stored = journal.load()
+    except LovageError as exc:
+        if exc.code is not Code.DISK_CORRUPT:
+            raise
+        subfolder = journal.set_aside()
+        log.critical(
+            "journal: %s; its files are kept in %s, and this VM joins as one with an "
+            "empty disk",
+            exc,
+            subfolder.name,
+        )
+        stored = journal.load()
     snapshot_index = stored.snapshot.index if stored.snapshot else 0
     ports.audit = AuditTrail(journal.folder, snapshot_index)
     return stored
--- a/lovagewalk/runtime/tests/test_full_disk.py
+++ b/lovagewalk/runtime/tests/test_full_disk.py
@@ -205,3 +205,17 @@
         _storage.load_storage(ports)
     assert caught.value.code is Code.DISK_UNREADABLE
     assert (ports.journal.folder / "journal").read_bytes() == before
+
+
+async def test_damaged_files_are_set_aside_and_the_vm_starts(ports):
+    """Each start ended with LW2202, until an operator moved the folder away."""
+    for index in (1, 2):
+        perform(ports, PersistEntries((_entry(index),)))
+    ports.journal.close()
+    path = ports.journal.folder / "journal"
+    damaged = bytes((path.read_bytes()[0] ^ 1,)) + path.read_bytes()[1:]
+    path.write_bytes(damaged)
+    stored = _storage.load_storage(ports)
+    assert stored.entries == () and stored.is_replacement
+    kept = ports.journal.folder / "damaged-1" / "journal"
+    assert kept.read_bytes() == damaged
