Wait for a port in use, for settings that are accepted, and through SIGHUP

Operators saw a daemon end with a stack trace at each start while a port was in use, the fixed metrics port among them, with status 2 while its settings were not accepted, and by the signal if SIGHUP arrived while it was still importing its modules.

Cause: the start answered conditions that last by ending. All VMs get the same ports and the same settings, so all of them end.

Evidence: with the metrics port or the operators' port taken the start raised OSError without a code; SIGHUP 0.05 to 0.3 s after the start ended it with -1.

Listeners, except that for metrics, are opened in turn, each as soon as its address is free, that for the balancer's checks last: a VM that cannot serve is not sent callers. Settings that are not accepted are read again each second; ports out of range and missing seeds are found there now, not by an exception later. Variables of the environment last as long as the process, so those still end it with status 2.

--- a/lovagewalk/cli/_processes.py
+++ b/lovagewalk/cli/_processes.py
@@ -33,8 +33,8 @@
         the daemon runs.
     """
     daemon = Daemon(cfg, TimerService())
-    await daemon.start()
     on_stop_signals(daemon.drain)
+    await daemon.start()
 
     def reload_control_addresses() -> tuple[str, ...]:
         new_cfg = load_settings(path)
--- a/lovagewalk/control/_catalogue_reads.py
+++ b/lovagewalk/control/_catalogue_reads.py
@@ -60,7 +60,7 @@
 def answer_reads(state: NodeState, now: float) -> Step[NodeState]:
     """Answer the confirmed reads, and refuse those that have waited too long.
 
-    The document may be lost while a read waits: a disk that refuses writes ends this VM's log.
+    The document may be lost while a read waits, if the disk refuses a write.
     """
     follow: FollowState = state.follow
     remaining: tuple[PendingRead, ...] = ()
--- a/lovagewalk/edge/_daemon.py
+++ b/lovagewalk/edge/_daemon.py
@@ -88,18 +88,25 @@
         """
         state = self._initial_state()
         self.ports.shell = Shell(state, self.ports, self.ports.timer, self.on_fatal)
-        host = self.cfg.listen.host
-        self.peers_port = await self.ports.peers.listen(host, self.peers_port)
-        self.operators_port = await self.ports.operators.listen(
-            host, self.operators_port
-        )
-        if "entry" in self.cfg.daemon.roles:
-            listener = self.ports.callers.listener
-            self.callers_port = await listener.start(host, self.callers_port)
+        await self._listen()
         for event_type in TICKS:
             self.ports.shell.subscribe(event_type)
         log.info("daemon: %s started", self.cfg.daemon.name)
 
+    async def _listen(self) -> None:
+        """Open the listeners; each waits until its address is free."""
+        ports, host = self.ports, self.cfg.listen.host
+        self.peers_port = await self.listen(
+            "peers", ports.peers, Address(host, self.peers_port)
+        )
+        self.operators_port = await self.listen(
+            "operators", ports.operators, Address(host, self.operators_port)
+        )
+        if "entry" in self.cfg.daemon.roles:
+            self.callers_port = await self.listen(
+                "callers", ports.callers.listener, Address(host, self.callers_port)
+            )
+
     def _initial_state(self) -> NodeState:
         daemon = self.cfg.daemon
         identity = Identity(
--- a/lovagewalk/edge/_mysql_server.py
+++ b/lovagewalk/edge/_mysql_server.py
@@ -317,7 +317,7 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self, host: str, port: int) -> int:
+    async def listen(self, host: str, port: int) -> int:
         """Listen on an address and return the port."""
         self._server = await asyncio.start_server(self._serve, host, port, backlog=1024)
         return self._server.sockets[0].getsockname()[1]
--- a/lovagewalk/edge/_operators.py
+++ b/lovagewalk/edge/_operators.py
@@ -75,7 +75,11 @@
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
         site = web.TCPSite(self._runner, host, port)
-        await site.start()
+        try:
+            await site.start()
+        except OSError:
+            await self._runner.cleanup()
+            raise
         return site._server.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
--- a/lovagewalk/edge/tests/harness.py
+++ b/lovagewalk/edge/tests/harness.py
@@ -55,7 +55,7 @@
             share = Share(name, 1e6, 1e6, 1e6, 0.0, FAR_FUTURE_S)
             state = replace(state, shares=state.shares.set(name, share))
         self.ports.shell = Shell(state, self.ports, self.timer)
-        self.port = await self.ports.callers.listener.start(HOST, 0)
+        self.port = await self.ports.callers.listener.listen(HOST, 0)
         self.ports.shell.subscribe(PollTick)
         self.ports.shell.subscribe(SweepTick)
         self.apply_commands(*self.initial_commands())
--- a/lovagewalk/platform/__main__.py
+++ b/lovagewalk/platform/__main__.py
@@ -1,28 +1,20 @@
 """Entry point of a daemon on the platform."""
 
+import signal
 import sys
 
-import uvloop
-
-from lovagewalk.core import Code, LovageError
-from lovagewalk.runtime import set_up_structured_logs
-
-from ._daemon import run_daemon
-from ._settings import load_platform_settings
-
-EXIT_FAULT = 1
-EXIT_BAD_SETTINGS = 2
-
 
 def main() -> int:
     """Run a daemon and return its exit status."""
+    # Without a handler, the request to reload the settings ends the process. The
+    # imports take long enough for one to arrive.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from lovagewalk.runtime import run_program, set_up_structured_logs
+
+    from ._daemon import run_daemon
+
     set_up_structured_logs("INFO")
-    try:
-        uvloop.run(run_daemon(load_platform_settings()))
-    except LovageError as exc:
-        print(exc, file=sys.stderr)
-        return EXIT_BAD_SETTINGS if exc.code is Code.SETTINGS_BAD else EXIT_FAULT
-    return 0
+    return run_program(run_daemon)
 
 
 if __name__ == "__main__":
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -11,12 +11,11 @@
 from lovagewalk.runtime import (
     CallerServer,
     DaemonProcess,
-    HttpHandler,
-    HttpServer,
     MetricsPage,
     Peers,
     Ports,
     SettingsReloader,
+    load_when_accepted,
     on_reload_signal,
     on_stop_signals,
 )
@@ -26,7 +25,12 @@
 from ._endpoints import EndpointClient
 from ._http_handlers import HttpHandlers
 from ._provider import ProviderClient
-from ._settings import METRICS_PORT, PlatformSettings, load_control_names, settings_path
+from ._settings import (
+    METRICS_PORT,
+    PlatformSettings,
+    load_platform_settings,
+    read_environment,
+)
 
 # The load balancer removes a daemon after two failed checks, a second apart.
 OUT_OF_ROTATION_S = 2.2
@@ -53,10 +57,6 @@
         self.ports.provider = ProviderClient(self.ports, cfg.provider)
         secret = cfg.secret.encode()
         self.ports.peers = Peers(self.ports, name, secret, Address.try_parse)
-        self._servers: list[HttpServer] = []
-        self.settings_reloader = SettingsReloader(
-            self.ports, settings_path(), load_control_names
-        )
 
     async def start(self) -> None:
         """Load the data folder, open the listeners and start the timers.
@@ -68,25 +68,17 @@
         """
         cfg, ports = self.cfg, self.ports
         ports.shell = Shell(self._initial_state(), ports, ports.timer, self.on_fatal)
-        await ports.peers.listen(cfg.host, cfg.peers_port)
-        metrics_address = Address(cfg.host, METRICS_PORT)
-        await self._serve(metrics_address, MetricsPage(ports).handle)
-        await self._serve(cfg.operators, ports.operators.handle_control)
-        await self._serve(cfg.health, ports.operators.handle_health)
-        if cfg.callers is not None:
-            await ports.callers.listen(cfg.callers.host, cfg.callers.port)
+        metrics = MetricsPage(ports)
+        # The daemon serves without its metrics as well.
+        ports.spawn(self.serve(Address(cfg.host, METRICS_PORT), metrics.handle))
+        await self.listen("peers", ports.peers, Address(cfg.host, cfg.peers_port))
+        await self.serve(cfg.operators, ports.operators.handle_control)
+        await self.listen("callers", ports.callers, cfg.callers)
+        await self.serve(cfg.health, ports.operators.handle_health)
         for event_type in CONTROL_TICKS if self.is_control else ENTRY_TICKS:
             ports.shell.subscribe(event_type)
-        self.settings_reloader.start()
         log.info("daemon started", extra={"daemon": cfg.name, "zone": cfg.zone})
 
-    async def _serve(self, address: Address | None, handler: HttpHandler) -> None:
-        if address is not None:
-            refusal_logger = self.ports.decision_log.log_refused_request
-            server = HttpServer(handler, refusal_logger)
-            await server.listen(address.host, address.port)
-            self._servers.append(server)
-
     def _initial_state(self) -> NodeState:
         cfg = self.cfg
         identity = Identity(
@@ -114,15 +106,26 @@
         """Stop the timers, and close listeners, connections and files."""
         self.ports.timer.close()
         self.ports.callers.stop()
-        for server in self._servers:
-            server.close()
         await super().close()
 
 
-async def run_daemon(cfg: PlatformSettings) -> None:
-    """Run one daemon until it is asked to stop."""
-    daemon = PlatformDaemon(cfg, TimerService())
+async def run_daemon() -> None:
+    """Run one daemon until it is asked to stop.
+
+    Raises
+    ------
+    LovageError
+        ``SETTINGS_BAD`` if the environment lacks a variable.
+    """
+    path, _ = read_environment()
+    timer = TimerService()
+    cfg = await load_when_accepted(timer, load_platform_settings)
+    daemon = PlatformDaemon(cfg, timer)
     on_stop_signals(daemon.drain)
-    on_reload_signal(daemon.settings_reloader.reload)
+    reloader = SettingsReloader(
+        daemon.ports, path, lambda: load_platform_settings().control_names
+    )
+    on_reload_signal(reloader.reload)
     await daemon.start()
+    reloader.start()
     await daemon.run()
--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -8,7 +8,14 @@
 from typing import Any
 
 from lovagewalk.core import Code, LovageError
-from lovagewalk.settings import MIN_SECRET_LENGTH, Address, TableReader, parse_address
+from lovagewalk.settings import (
+    MIN_SECRET_LENGTH,
+    Address,
+    TableReader,
+    is_port,
+    parse_address,
+    require_variable,
+)
 
 SETTINGS_VARIABLE = "LOVAGEWALK_SETTINGS"
 SECRET_VARIABLE = "LOVAGEWALK_FLEET_SECRET"
@@ -65,14 +72,16 @@
         return tuple(f"{host}:{self.peers_port}" for host in self.seeds)
 
 
-def settings_path() -> Path:
-    """Return the path that the environment names; no daemon starts without one."""
-    return Path(os.environ.get(SETTINGS_VARIABLE, ""))
+def read_environment(environ: Mapping[str, str] = os.environ) -> tuple[Path, str]:
+    """Return the path of the settings file and the secret.
 
-
-def load_control_names() -> tuple[str, ...]:
-    """Reload the settings and return the names of the control VMs to contact first."""
-    return load_platform_settings().control_names
+    Raises
+    ------
+    LovageError
+        ``SETTINGS_BAD``, which names the first wrong variable.
+    """
+    path = Path(require_variable(environ, SETTINGS_VARIABLE))
+    return path, require_variable(environ, SECRET_VARIABLE, MIN_SECRET_LENGTH)
 
 
 def load_platform_settings(environ: Mapping[str, str] = os.environ) -> PlatformSettings:
@@ -83,19 +92,11 @@
     LovageError
         ``SETTINGS_BAD``, which names the first wrong setting.
     """
-    path = environ.get(SETTINGS_VARIABLE, "")
-    if not path:
-        raise LovageError(Code.SETTINGS_BAD, f"{SETTINGS_VARIABLE} is not set")
+    path, secret = read_environment(environ)
     try:
-        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, ValueError, RecursionError) as exc:
         raise LovageError(Code.SETTINGS_BAD, f"settings file: {exc}") from exc
-    secret = environ.get(SECRET_VARIABLE, "")
-    if len(secret) < MIN_SECRET_LENGTH:
-        raise LovageError(
-            Code.SETTINGS_BAD,
-            f"{SECRET_VARIABLE}: shorter than {MIN_SECRET_LENGTH} characters",
-        )
     return decode_settings(raw, secret)
 
 
@@ -109,6 +110,9 @@
     """
     reader = TableReader(raw, Code.SETTINGS_BAD)
     listen = reader.table("listenAddrs")
+    seeds = _decode_seed_hosts(reader)
+    if not seeds and listen.address("controlPlane") is None:
+        raise LovageError(Code.SETTINGS_BAD, "seedNodes: an entry VM needs one")
     return PlatformSettings(
         name=reader.get("nodeName", str),
         host=reader.get("ip", str),
@@ -118,7 +122,7 @@
         health=listen.address("ready"),
         operators=listen.address("controlPlane"),
         peers_port=_decode_peers_port(reader),
-        seeds=_decode_seed_hosts(reader),
+        seeds=seeds,
         bootstrap=reader.get("bootstrap", bool, False),
         data_folder=reader.get("dataDir", str, ""),
         regions=reader.get("zones", dict, {}),
@@ -131,8 +135,8 @@
 def _decode_peers_port(reader: TableReader) -> int:
     """Return the first of the two ports that are reserved for internal use."""
     ports = reader.get("internalPorts", list)
-    if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
-        raise LovageError(Code.SETTINGS_BAD, "internalPorts: not two numbers")
+    if len(ports) != 2 or not all(map(is_port, ports)):
+        raise LovageError(Code.SETTINGS_BAD, "internalPorts: not two ports")
     return ports[0]
 
 
--- a/lovagewalk/platform/tests/test_start.py
+++ b/lovagewalk/platform/tests/test_start.py
@@ -1,15 +1,38 @@
 """Conditions that a daemon meets at its start, and at each start after it."""
 
 import asyncio
+import os
+import signal
 import socket
+import subprocess
+import sys
+import time
 
 import pytest
 
 from lovagewalk.core import TimerService
 from lovagewalk.platform import _daemon
-from lovagewalk.platform._settings import decode_settings
+from lovagewalk.platform._settings import (
+    SECRET_VARIABLE,
+    SETTINGS_VARIABLE,
+    decode_settings,
+    load_platform_settings,
+)
+from lovagewalk.runtime import _program, load_when_accepted
 
 HOST = "127.0.0.1"
+INTERPRETER_START_S = 0.15
+ENTRY_SETTINGS = """
+nodeName = "edge-1"
+ip = "127.0.0.1"
+zone = "z"
+region = "r"
+internalPorts = [7560, 7575]
+seedNodes = ["10.1.0.29:8462"]
+[listenAddrs]
+frontend = "127.0.0.1:8465"
+ready = "127.0.0.1:8460"
+"""
 
 
 def _free_port():
@@ -95,3 +118,49 @@
         while not daemon.ports.state.consensus.is_leader:
             await asyncio.sleep(0.05)
     await daemon.close()
+
+
+def _write_settings(path, text):
+    path.write_text(text)
+    return {**os.environ, SETTINGS_VARIABLE: str(path), SECRET_VARIABLE: "long-enough"}
+
+
+async def test_a_daemon_waits_for_settings_that_are_accepted(tmp_path, monkeypatch):
+    """Each start ended with status 2, on every VM that got the same file."""
+    path = tmp_path / "settings.toml"
+    for name, value in _write_settings(path, "nodeName =").items():
+        monkeypatch.setenv(name, value)
+    monkeypatch.setattr(_program, "SETTINGS_RETRY_S", 0.01)
+    loading = asyncio.create_task(
+        load_when_accepted(TimerService(), load_platform_settings)
+    )
+    for text in ("", ENTRY_SETTINGS.replace("7560", "99999")):
+        path.write_text(text)
+        await asyncio.sleep(0.1)
+        assert not loading.done()
+    path.write_text(ENTRY_SETTINGS.replace('"10.1.0.29:8462"', ""))
+    await asyncio.sleep(0.1)
+    assert not loading.done(), "an entry VM needs seeds"
+    path.write_text(ENTRY_SETTINGS)
+    cfg = await asyncio.wait_for(loading, 5.0)
+    assert cfg.seeds == ("10.1.0.29",)
+
+
+def test_a_reload_signal_during_the_start_does_not_end_the_process(tmp_path):
+    """Without a handler, SIGHUP ends a process that is still importing its modules."""
+    environ = _write_settings(tmp_path / "settings.toml", "nodeName =")
+    process = subprocess.Popen(
+        [sys.executable, "-m", "lovagewalk.platform"],
+        env=environ,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+    )
+    with process:
+        # The interpreter itself takes some time until the first line runs.
+        time.sleep(INTERPRETER_START_S)
+        process.send_signal(signal.SIGHUP)
+        line = process.stdout.readline()
+        assert b"waits for other settings" in line, "ended while it imported modules"
+        process.send_signal(signal.SIGHUP)
+        process.terminate()
+        assert process.wait(10.0) == -signal.SIGTERM
--- a/lovagewalk/runtime/__init__.py
+++ b/lovagewalk/runtime/__init__.py
@@ -19,6 +19,7 @@
 )
 from ._instance_poller import InstancePoller, NoStatusError
 from ._lines import LINE_END, LineSplitter
+from ._listening import listen_when_free
 from ._logs import BoundedHandler, JsonFormatter, set_up_structured_logs
 from ._metrics import Metrics, customer_class_label
 from ._metrics_page import MetricsPage, render_metrics
@@ -28,6 +29,7 @@
 from ._pool_client import OpenRefusedError, PoolClient
 from ._ports import Ports
 from ._process import DaemonProcess
+from ._program import load_when_accepted, run_program
 from ._reload import SettingsReloader
 from ._signals import on_reload_signal, on_stop_signals
 from ._sockets import set_tcp_options
@@ -61,9 +63,12 @@
     "SettingsReloader",
     "customer_class_label",
     "json_response",
+    "listen_when_free",
+    "load_when_accepted",
     "on_reload_signal",
     "on_stop_signals",
     "render_metrics",
+    "run_program",
     "send_request",
     "set_result_if_pending",
     "set_tcp_options",
--- a/lovagewalk/runtime/_process.py
+++ b/lovagewalk/runtime/_process.py
@@ -10,7 +10,10 @@
 from lovagewalk.daemon import install_catalogue
 from lovagewalk.journal import Journal
 from lovagewalk.node import NodeState
+from lovagewalk.settings import Address
 
+from ._http import HttpHandler, HttpServer
+from ._listening import Listener, listen_when_free
 from ._ports import Ports
 from ._storage import load_storage, return_to_consensus
 
@@ -31,6 +34,7 @@
         self.name = name
         self.fault: LovageError | None = None
         self._drain_timeout_s = drain_timeout_s
+        self._http_servers: list[HttpServer] = []
 
     def load_control_state(
         self,
@@ -90,6 +94,33 @@
         )
         return replace(state, consensus=raft, control=ControlState())
 
+    async def listen(
+        self, purpose: str, server: Listener, address: Address | None
+    ) -> int:
+        """Open a listener once its address is free; there is none without an address.
+
+        Parameters
+        ----------
+        purpose : str
+            What the listener is for, as the log names it.
+
+        Returns
+        -------
+        int
+            The port; 0 if none was opened.
+        """
+        if address is None:
+            return 0
+        return await listen_when_free(
+            self.ports, purpose, lambda: server.listen(address.host, address.port)
+        )
+
+    async def serve(self, address: Address | None, handler: HttpHandler) -> None:
+        """Serve HTTP on an address once it is free; not at all without an address."""
+        server = HttpServer(handler, self.ports.decision_log.log_refused_request)
+        self._http_servers.append(server)
+        await self.listen("HTTP", server, address)
+
     def on_fatal(self, exc: LovageError) -> None:
         """Stop the daemon because of a fault."""
         self.fault = exc
@@ -119,6 +150,8 @@
         """Close everything at once, as a crash would."""
         self.ports.close()
         self.ports.shell.close()
+        for server in self._http_servers:
+            server.close()
         self.ports.endpoints.close_all()
         self.ports.peers.close()
         if self.ports.journal is not None:
--- a/lovagewalk/settings/__init__.py
+++ b/lovagewalk/settings/__init__.py
@@ -1,6 +1,7 @@
 """Settings of processes, read from INI files and validated as a whole."""
 
-from ._address import Address, parse_address
+from ._address import Address, is_port, parse_address
+from ._environment import require_variable
 from ._load import MIN_SECRET_LENGTH, Problem, SettingsError, load_settings
 from ._reader import TableReader, parse_json
 from ._schema import (
@@ -32,7 +33,9 @@
     "SettingsError",
     "StandinFileSettings",
     "TableReader",
+    "is_port",
     "load_settings",
     "parse_address",
     "parse_json",
+    "require_variable",
 ]
--- a/lovagewalk/settings/_address.py
+++ b/lovagewalk/settings/_address.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 from dataclasses import dataclass
+from typing import Any
 
 from lovagewalk.core import MAX_PORT, parse_count
 
@@ -22,6 +23,11 @@
             return None
 
 
+def is_port(value: Any) -> bool:
+    """Whether a decoded value is the number of a port."""
+    return type(value) is int and 0 < value <= MAX_PORT
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Return host and port of ``IP:PORT``.
 
@@ -33,6 +39,6 @@
     host, _, port_text = text.rpartition(":")
     ipaddress.ip_address(host)
     port = parse_count(port_text)
-    if not 0 < port <= MAX_PORT:
+    if not is_port(port):
         raise ValueError("port out of range")
     return host, port
--- a/lovagewalk/standin/_server.py
+++ b/lovagewalk/standin/_server.py
@@ -114,7 +114,7 @@
             lambda: StandinSession(self),
             lambda session: StandinIdentityProvider(self, session),
         )
-        self.port = await listener.start(self.cfg.host, self.port)
+        self.port = await listener.listen(self.cfg.host, self.port)
         self._listener = listener
         self.shell.subscribe(types.ApplyTick)
 
