Compact the control log by its size as well as by its length

Operators would see all control VMs ended for their memory at the same entry, and again at each start, which reads the same entries.

Cause: the log is compacted after 600 entries, whatever their size. Each change of a configuration is one entry with all its routes.

--- a/lovagewalk/audit/_trail.py
+++ b/lovagewalk/audit/_trail.py
@@ -213,7 +213,8 @@
             return None
 
     def _write_synced_bytes(self, count: int) -> None:
-        replace_file(self._synced_path, str(count).encode())
+        """Record how much is synced; a loss of power may leave an earlier count."""
+        replace_file(self._synced_path, str(count).encode(), sync_name=False)
 
     def _keep_damaged(self, data: bytes, valid_bytes: int) -> None:
         """Keep a copy of a trail of which synced records are damaged."""
--- a/lovagewalk/consensus/_replication.py
+++ b/lovagewalk/consensus/_replication.py
@@ -12,6 +12,7 @@
     ELECTION_TIMEOUT_MIN_S,
     HEARTBEAT_INTERVAL_S,
     LEADER_LEASE_S,
+    MAX_LOG_BYTES,
     Progress,
     RaftLog,
     RaftRole,
@@ -383,5 +384,12 @@
 
 
 def is_compaction_due(raft: RaftState, interval: int) -> bool:
-    """Whether `interval` or more entries were applied since the last snapshot."""
-    return raft.last_applied - raft.log.base_index >= interval
+    """Whether the log has become long or large since the last snapshot.
+
+    Parameters
+    ----------
+    interval : int
+        Number of applied entries from which on it is long.
+    """
+    applied = raft.last_applied - raft.log.base_index
+    return applied >= interval or (applied > 0 and raft.log.size > MAX_LOG_BYTES)
--- a/lovagewalk/consensus/_state.py
+++ b/lovagewalk/consensus/_state.py
@@ -43,6 +43,9 @@
 # This number of log entries is written in about 5 hours at 2,700 changes a day, the
 # rate in the capacity plan.
 SNAPSHOT_INTERVAL_ENTRIES = 600
+# By the estimate of their encoded size, which is about three times what entries take
+# in memory: some 20 MB of the 296 MB of a control VM.
+MAX_LOG_BYTES = 64 * 1024 * 1024
 
 
 class RaftRole(Enum):
@@ -78,12 +81,15 @@
         The entries by index.
     base_index, base_term : int
         Index and term of the last entry that the snapshot covers.
+    size : int
+        Estimated size of the entries, in bytes.
     """
 
     entries: Map = field(default_factory=Map)
     last_index: int = 0
     base_index: int = 0
     base_term: int = 0
+    size: int = 0
 
     @property
     def last_term(self) -> int:
@@ -100,26 +106,32 @@
     def append(self, entries: tuple[LogEntry, ...]) -> "RaftLog":
         """Append entries after the last one."""
         new_entries = self.entries
+        size = self.size
         for entry in entries:
             new_entries = new_entries.set(entry.index, entry)
+            size += _estimate_entry_size(entry)
         last_index = entries[-1].index if entries else self.last_index
-        return replace(self, entries=new_entries, last_index=last_index)
+        return replace(self, entries=new_entries, last_index=last_index, size=size)
 
     def truncate(self, from_index: int) -> "RaftLog":
         """Drop the entries from an index on."""
-        new_entries = self.entries
-        for index in range(from_index, self.last_index + 1):
-            new_entries = new_entries.delete(index)
+        remaining = self._without(range(from_index, self.last_index + 1))
         last_index = min(self.last_index, from_index - 1)
-        return replace(self, entries=new_entries, last_index=last_index)
+        return replace(remaining, last_index=last_index)
 
     def compact(self, index: int) -> "RaftLog":
         """Drop the entries up to an index that a snapshot covers."""
-        term = self.term_at(index)
-        new_entries = self.entries
-        for covered_index in range(self.base_index + 1, index + 1):
-            new_entries = new_entries.delete(covered_index)
-        return replace(self, entries=new_entries, base_index=index, base_term=term)
+        remaining = self._without(range(self.base_index + 1, index + 1))
+        return replace(remaining, base_index=index, base_term=self.term_at(index))
+
+    def _without(self, indexes: range) -> "RaftLog":
+        """Return the log without the entries at some indexes."""
+        entries = self.entries
+        size = self.size
+        for index in indexes:
+            size -= _estimate_entry_size(entries[index])
+            entries = entries.delete(index)
+        return replace(self, entries=entries, size=size)
 
     def next_batch(self, start: int) -> tuple[LogEntry, ...]:
         """Return the entries from an index on that fit into one message.
@@ -129,7 +141,7 @@
         entries = self.slice(start, MAX_BATCH_ENTRIES)
         size = 0
         for count, entry in enumerate(entries):
-            size += estimate_size(entry.proposal.command)
+            size += _estimate_entry_size(entry)
             if count and size > MAX_BATCH_BYTES:
                 return entries[:count]
         return entries
@@ -140,6 +152,10 @@
         return tuple(self.entries[index] for index in range(start, end + 1))
 
 
+def _estimate_entry_size(entry: LogEntry) -> int:
+    return estimate_size(entry.proposal.command)
+
+
 @dataclass(frozen=True, slots=True)
 class Progress:
     """Replication progress of one peer, as recorded by the leader.
--- a/lovagewalk/disk/_files.py
+++ b/lovagewalk/disk/_files.py
@@ -40,8 +40,15 @@
         os.close(folder_fd)
 
 
-def replace_file(path: Path, data: bytes) -> None:
-    """Replace a file by synced data; a crash leaves the old or the new content."""
+def replace_file(path: Path, data: bytes, sync_name: bool = True) -> None:
+    """Replace a file by synced data; a crash leaves the old or the new content.
+
+    Parameters
+    ----------
+    sync_name : bool
+        Whether the new content lasts when the call returns; if not, it lasts from the
+        next sync of the folder on.
+    """
     temporary_path = path.with_suffix(".new")
     try:
         with open(temporary_path, "wb") as file:
@@ -53,7 +60,8 @@
         remove_file(temporary_path)
         raise
     os.replace(temporary_path, path)
-    sync_folder(path.parent)
+    if sync_name:
+        sync_folder(path.parent)
 
 
 def remove_file(path: Path) -> None:
