Soak: disks that refuse writes, and power lost by all daemons at once

The soak restarted processes with whole files. A daemon's files can now grow by a few bytes only, which cuts a write short, and all daemons can be killed at once with the record that they were writing, and all of the audit trail that was not synced, torn. A process that ends by itself violates a guarantee. Seeds below 2000 keep the schedules under which some of them failed.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -70,6 +70,32 @@
     """Kill a daemon, append an incomplete record to its journal, and restart it."""
 
 
+@dataclass(frozen=True, slots=True)
+class FillDisk(Fault):
+    """Let a daemon's files grow by a few bytes only, so that a write is cut short.
+
+    Attributes
+    ----------
+    room_bytes : int
+        How much its journal may still grow.
+    """
+
+    room_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class LosePower(Fault):
+    """Kill all daemons at once, and tear what they had not synced.
+
+    Attributes
+    ----------
+    tear_seed : int
+        Seed of the tears.
+    """
+
+    tear_seed: int
+
+
 @dataclass(frozen=True, slots=True)
 class HarmLink(Fault):
     """Disturb a link between two daemons."""
@@ -85,21 +111,32 @@
     fault: Fault
 
 
+# Target of a fault that acts on all daemons.
+ALL_DAEMONS = "all"
+# Seeds below have the schedules under which some of them failed, without faults of
+# disks that refuse or tear writes.
+FIRST_DISK_SEED = 2000
+
 FaultGenerator = Callable[[random.Random], Fault]
 _generators: list[tuple[float, FaultGenerator]] = []
+_disk_generators: list[tuple[float, FaultGenerator]] = []
 
 
-def fault_generator(weight: float) -> Callable[[FaultGenerator], FaultGenerator]:
+def fault_generator(
+    weight: float, of_disks: bool = False
+) -> Callable[[FaultGenerator], FaultGenerator]:
     """Register the decorated function as a generator of faults.
 
     Parameters
     ----------
     weight : float
         Relative frequency of these faults.
+    of_disks : bool
+        Whether only seeds from `FIRST_DISK_SEED` on have these faults.
     """
 
     def register(generate: FaultGenerator) -> FaultGenerator:
-        _generators.append((weight, generate))
+        (_disk_generators if of_disks else _generators).append((weight, generate))
         return generate
 
     return register
@@ -140,6 +177,16 @@
     return Pause(rng.choice(INSTANCES), rng.uniform(0.2, 3.0))
 
 
+@fault_generator(4.0, of_disks=True)
+def _fill_disk(rng: random.Random) -> Fault:
+    return FillDisk(rng.choice(DAEMONS), rng.uniform(0.2, 4.0), rng.randrange(200))
+
+
+@fault_generator(2.0, of_disks=True)
+def _lose_power(rng: random.Random) -> Fault:
+    return LosePower(ALL_DAEMONS, rng.uniform(0.1, 1.0), rng.randrange(2**32))
+
+
 @fault_generator(4.0)
 def _harm_link(rng: random.Random) -> Fault:
     source, target = rng.sample(DAEMONS, 2)
@@ -150,11 +197,14 @@
 def plan_faults(seed: int, seconds: float) -> tuple[TimedFault, ...]:
     """Return the faults of a run, which depend on the arguments alone."""
     rng = random.Random(seed)
-    weights = [weight for weight, _ in _generators]
+    generators = _generators
+    if seed >= FIRST_DISK_SEED:
+        generators = _generators + _disk_generators
+    weights = [weight for weight, _ in generators]
     planned: list[TimedFault] = []
     at_s = rng.expovariate(1 / MEAN_GAP_S)
     while at_s < seconds:
-        _, generate = rng.choices(_generators, weights)[0]
+        _, generate = rng.choices(generators, weights)[0]
         fault = generate(rng)
         if not _exceeds_tolerance(planned, fault, at_s):
             planned.append(TimedFault(at_s, fault))
@@ -169,7 +219,7 @@
     """
     for earlier in planned:
         since_end_s = at_s - earlier.at_s - earlier.fault.for_s
-        same_target = earlier.fault.target == fault.target
+        same_target = _have_same_target(earlier.fault, fault)
         if same_target and since_end_s < 0 and not isinstance(fault, HarmLink):
             return True
         if _loses_rows(earlier.fault) and _loses_rows(fault):
@@ -181,5 +231,11 @@
     return False
 
 
+def _have_same_target(first: Fault, second: Fault) -> bool:
+    if ALL_DAEMONS in (first.target, second.target):
+        return first.target not in INSTANCES and second.target not in INSTANCES
+    return first.target == second.target
+
+
 def _loses_rows(fault: Fault) -> bool:
     return isinstance(fault, Kill) and fault.target in INSTANCES
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -1,7 +1,10 @@
 """The fleet of a soak run: three daemons linked by proxies, and three instances."""
 
 import asyncio
+import functools
 import logging
+import random
+import resource
 import shutil
 import signal
 from collections.abc import Callable
@@ -20,17 +23,20 @@
 from lovagewalk.demo import free_port, run
 from lovagewalk.edge._group_client import MONITOR_USER, STATUS_QUERY
 from lovagewalk.groups import Role
-from lovagewalk.journal._journal import _frame as frame
+from lovagewalk.journal._frames import SYNC_MARK, build_frame
 from lovagewalk.operators import OperatorError
+from lovagewalk.tests.disk_faults import TEARS, tear
 
 from ._callers import REQUEST_ERRORS
 from ._faults import (
     DAEMONS,
     INSTANCES,
     Fault,
+    FillDisk,
     HarmLink,
     Kill,
     LoseDisk,
+    LosePower,
     Pause,
     Stop,
     TearLog,
@@ -43,7 +49,8 @@
 STATUS_LIMIT_S = 0.5
 _VOTING_ROLES = (Role.PRIMARY.value, Role.REPLICA.value)
 # The beginning of a journal record whose end was never written.
-TORN_RECORD = frame(b"torn" * 100)[:60]
+LOST_RECORD = build_frame(b"torn" * 300)
+TORN_RECORD = LOST_RECORD[:60]
 
 
 log = logging.getLogger("lovagewalk.soak")
@@ -179,6 +186,14 @@
         task = asyncio.create_task(coro, name=repr(fault))
         self.fault_tasks.add(task)
 
+    def find_ended(self):
+        """Return the exit status of each process that is not running, by name."""
+        return {
+            name: process.returncode
+            for name, process in self.processes.items()
+            if process.returncode is not None
+        }
+
     async def wait_for_faults(self):
         """Wait until every fault has ended."""
         for task in self.fault_tasks:
@@ -284,6 +299,58 @@
             file.write(TORN_RECORD)
 
 
+@performs(FillDisk)
+def _fill_disk(fleet: SoakFleet, fault: FillDisk) -> None:
+    fleet.start_fault(fault, _limit_file_size(fleet, fault))
+
+
+async def _limit_file_size(fleet: SoakFleet, fault: FillDisk) -> None:
+    """Limit the size of the files that a process writes, for some time."""
+    process = fleet.processes[fault.target]
+    path = fleet.folder / fault.target / "journal"
+    if process.returncode is not None or not path.exists():
+        return
+    limit = path.stat().st_size + fault.room_bytes
+    _, hard_limit = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (limit, hard_limit))
+    await asyncio.sleep(fault.for_s)
+    if process.returncode is None:
+        limits = (hard_limit, hard_limit)
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limits)
+
+
+@performs(LosePower)
+def _lose_power(fleet: SoakFleet, fault: LosePower) -> None:
+    for name in DAEMONS:
+        rng = random.Random(f"{fault.tear_seed} {name}")
+        vm_fault = Kill(name, fault.for_s)
+        restart = _restart_after(
+            fleet, vm_fault, signal.SIGKILL, functools.partial(_tear_files, rng)
+        )
+        fleet.start_fault(fault, restart)
+
+
+def _tear_files(rng: random.Random, folder: Path) -> None:
+    """Tear the last record of the journal, and what the audit trail has not synced."""
+    journal, audit = folder / "journal", folder / "audit"
+    if journal.exists() and SYNC_MARK in journal.read_bytes():
+        data = journal.read_bytes()
+        synced = data[: data.rindex(SYNC_MARK) + len(SYNC_MARK)]
+        unsynced = data[len(synced) :] or LOST_RECORD
+        journal.write_bytes(synced + _tear(unsynced, rng))
+    if audit.exists():
+        data = audit.read_bytes()
+        path = folder / "audit-synced"
+        synced_bytes = int(path.read_bytes()) if path.exists() else 0
+        if synced_bytes < len(data):
+            torn = _tear(data[synced_bytes:], rng)
+            audit.write_bytes(data[:synced_bytes] + torn)
+
+
+def _tear(data: bytes, rng: random.Random) -> bytes:
+    return tear(data, rng.choice(sorted(TEARS)), rng.random())
+
+
 @performs(HarmLink)
 def _harm_link(fleet: SoakFleet, fault: HarmLink) -> None:
     fleet.start_fault(fault, _disturb_link(fleet, fault))
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -93,6 +93,14 @@
     after_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessEnded(Event):
+    """A process ended that no fault had stopped."""
+
+    name: str
+    status: int
+
+
 @dataclass(frozen=True, slots=True)
 class CheckerState:
     """State of the checker.
@@ -235,3 +243,9 @@
 def _not_recovered(state: CheckerState, event: NotRecovered) -> Step[CheckerState]:
     text = f"the fleet has not recovered {event.after_s:.0f} s after the last fault"
     return Step(_add_violation(state, event.at, text))
+
+
+@reduces(ProcessEnded)
+def _process_ended(state: CheckerState, event: ProcessEnded) -> Step[CheckerState]:
+    text = f"{event.name} ended by itself with status {event.status}"
+    return Step(_add_violation(state, event.at, text))
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -24,7 +24,13 @@
     WithdrawnSession,
 )
 from ._faults import plan_faults
-from ._promises import CheckerState, NotRecovered, RowsRead, WriteOutcome
+from ._promises import (
+    CheckerState,
+    NotRecovered,
+    ProcessEnded,
+    RowsRead,
+    WriteOutcome,
+)
 
 WRITERS = 6
 LIMITED_CALLERS = 3
@@ -126,6 +132,8 @@
 async def _check_recovery(fleet, operator, shell, timer) -> None:
     """Wait until all faults have ended, then read everything back."""
     await fleet.wait_for_faults()
+    for name, status in fleet.find_ended().items():
+        shell.feed(ProcessEnded(timer.now(), name, status))
     try:
         async with asyncio.timeout(RECOVERY_LIMIT_S):
             while not await _try_read_back(fleet, operator, shell, timer):
--- a/soak/tests/test_faults.py
+++ b/soak/tests/test_faults.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from soak._faults import INSTANCES, Kill, LoseDisk, plan_faults
+from soak._faults import FIRST_DISK_SEED, INSTANCES, Kill, LoseDisk, plan_faults
 
 
 def test_a_seed_always_generates_the_same_faults():
@@ -23,7 +23,10 @@
 
 
 def test_every_kind_of_fault_is_generated():
-    kinds = {
-        type(f.fault).__name__ for seed in range(20) for f in plan_faults(seed, 60.0)
-    }
-    assert kinds == {"Kill", "Stop", "Pause", "LoseDisk", "TearLog", "HarmLink"}
+    def kinds(first_seed):
+        plans = (plan_faults(seed, 60.0) for seed in range(first_seed, first_seed + 20))
+        return {type(f.fault).__name__ for faults in plans for f in faults}
+
+    earlier = {"Kill", "Stop", "Pause", "LoseDisk", "TearLog", "HarmLink"}
+    assert kinds(0) == earlier, "regressions keep their schedules"
+    assert kinds(FIRST_DISK_SEED) == earlier | {"FillDisk", "LosePower"}
