Accept announcements of endpoints at IP addresses only

Operators of a fleet could announce an endpoint at the host 'nowhere' or 7; it was answered with 200, and daemons tried to connect to it. Cause: the front end turned any value into a text, and the check of commands admits names. Evidence: the generated values with these two examples fail before and pass now. The front end parses the address, as the platform's does; the answer is 400 with a code.

--- a/lovagewalk/edge/_operators.py
+++ b/lovagewalk/edge/_operators.py
@@ -1,6 +1,7 @@
 """HTTP server for operators, endpoints, load balancers and metrics collectors."""
 
 import hmac
+import ipaddress
 import uuid
 from collections.abc import Awaitable, Callable
 from hashlib import sha256
@@ -199,7 +200,7 @@
     return Endpoint(
         name=str(body["name"]),
         group=str(body["group"]),
-        host=str(body["host"]),
+        host=_parse_ip(body["host"]),
         port=int(body["port"]),
         zone=str(body["zone"]),
         region=str(body["region"]),
@@ -209,6 +210,19 @@
     )
 
 
+def _parse_ip(value: Any) -> str:
+    """Return the text of an IP address.
+
+    Raises
+    ------
+    ValueError
+        If the value is not such a text.
+    """
+    if not isinstance(value, str):
+        raise ValueError("host is not a text")
+    return str(ipaddress.ip_address(value))
+
+
 def _refusal_response(refusal: Refusal, status: int) -> web.Response:
     return web.json_response(
         {
--- a/lovagewalk/edge/tests/test_odd_values.py
+++ b/lovagewalk/edge/tests/test_odd_values.py
@@ -1,5 +1,6 @@
 """Changes, announcements and answers of instances with odd values."""
 
+import ipaddress
 import json
 
 import pytest
@@ -71,6 +72,8 @@
 @example(("port",), 99999)
 @example(("port",), -1)
 @example(("host",), "no address")
+@example(("host",), "nowhere")
+@example(("host",), 7)
 @example(("sequence",), 2**70)
 @example(("connections",), 2**70)
 @example(("zone",), "\ud800")
@@ -85,6 +88,7 @@
     if proposal is not None:
         check_storable(proposal)
         assert 0 < proposal.command.endpoint.port < 65536
+        assert ipaddress.ip_address(proposal.command.endpoint.host)
 
 
 @given(st.integers(0, len(STATUS) - 1), odd_values)
