Leave an entry that cannot be applied out, on all VMs alike

Operators would see control stop on all VMs: a handler that raises for a committed entry raised again at each step of each VM, and after each restart.

Cause: applying was assumed to succeed. Evidence: with a handler that raises for one version, no later change was answered; they are now, and after a restart too. Only suspected: no entry that does this is known.

Handlers depend on the catalogue and the entry alone, so they raise on every VM. The entry changes nothing, its proposer is refused, and a log line names it.

--- a/lovagewalk/control/_raft_steps.py
+++ b/lovagewalk/control/_raft_steps.py
@@ -2,9 +2,15 @@
 
 from immutables import Map
 
-from lovagewalk.catalogue import Catalogue, ChangeResult, apply_proposal
+from lovagewalk.catalogue import (
+    AppliedChange,
+    Catalogue,
+    ChangeResult,
+    apply_proposal,
+)
 from lovagewalk.consensus import (
     SNAPSHOT_INTERVAL_ENTRIES,
+    LogEntry,
     RaftState,
     RaftStep,
     SendToPeer,
@@ -16,7 +22,12 @@
 from lovagewalk.core import Code, Effect, Refusal, Step, replace
 from lovagewalk.daemon._changes import install_catalogue
 from lovagewalk.node import NodeState
-from lovagewalk.records import LeaderCaughtUp, LeadershipGained, LeadershipLost
+from lovagewalk.records import (
+    EntryNotApplied,
+    LeaderCaughtUp,
+    LeadershipGained,
+    LeadershipLost,
+)
 
 from . import _leader
 from ._effects import AnswerRequester, RecordAudit
@@ -26,6 +37,8 @@
 # The leader keeps this many past catalogues for deltas. Daemons report every 0.5 s;
 # frequent changes create some tens of revisions in that time.
 MAX_PAST_CATALOGUES = 64
+# Enough for an exception, and short enough for a log line.
+MAX_DETAIL_LENGTH = 200
 
 
 def apply_raft_step(
@@ -139,9 +152,9 @@
     effects: tuple[Effect, ...] = ()
     for index in range(raft.last_applied + 1, raft.commit_index + 1):
         entry = raft.log.entries[index]
-        applied = apply_proposal(catalogue, index, entry.proposal)
+        applied, records = _apply_entry(catalogue, entry)
         catalogue = applied.catalogue
-        effects += (RecordAudit(entry, applied.result),)
+        effects += records + (RecordAudit(entry, applied.result),)
         ticket = tickets.get(index)
         if ticket is not None:
             tickets = tickets.delete(index)
@@ -156,6 +169,26 @@
     return Step(adopted.state, effects + adopted.effects)
 
 
+def _apply_entry(
+    catalogue: Catalogue, entry: LogEntry
+) -> tuple[AppliedChange, tuple[Effect, ...]]:
+    """Apply an entry; one that cannot be applied changes nothing, on any VM.
+
+    It is committed, so all VMs meet it, and again at each start.
+    """
+    try:
+        return apply_proposal(catalogue, entry.index, entry.proposal), ()
+    except Exception as exc:
+        command = type(entry.proposal.command).__name__
+        detail = f"{command} cannot be applied: {type(exc).__name__}"
+        result = ChangeResult(entry.index, Refusal(Code.CHANGE_BAD, detail))
+        unchanged = replace(catalogue, revision=entry.index)
+        record = EntryNotApplied(
+            index=entry.index, request=command, detail=repr(exc)[:MAX_DETAIL_LENGTH]
+        )
+        return AppliedChange(unchanged, result), (record,)
+
+
 def _get_log_catalogue(state: NodeState) -> Catalogue:
     """Return the catalogue that the next log entry applies to."""
     if state.log_catalogue is None:
--- a/lovagewalk/control/tests/test_odd_entries.py
+++ b/lovagewalk/control/tests/test_odd_entries.py
@@ -53,3 +53,25 @@
             fleet.run(1.0)
             assert fleet.answers[odd_ticket].refusal.code is Code.CHANGE_BAD, command
             assert fleet.answers[ticket].refusal is None, command
+
+
+def test_an_entry_that_cannot_be_applied_does_not_stop_later_changes(monkeypatch):
+    """Every step of every VM raised its exception again, and again at each start."""
+
+    def apply_or_raise(catalogue, index, proposal):
+        if getattr(proposal.command, "version", 0) == 7:
+            raise ZeroDivisionError("a handler with a fault")
+        return cat.apply_proposal(catalogue, index, proposal)
+
+    monkeypatch.setattr("lovagewalk.control._raft_steps.apply_proposal", apply_or_raise)
+    fleet = ControlFleet(VM_NAMES, VM_NAMES)
+    fleet.run(3.0)
+    refused = fleet.change(configuration(7))
+    fleet.run(0.5)
+    assert fleet.answers[refused].refusal.code is Code.CHANGE_BAD
+    accepted = fleet.change(configuration(8))
+    fleet.run(0.5)
+    assert fleet.answers[accepted].refusal is None
+    fleet.start(VM_NAMES[0])
+    fleet.run(3.0)
+    assert {state.catalogue.version for state in fleet.states.values()} == {8}
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -269,6 +269,24 @@
     disk: str
 
 
+@logged_as("control", "entry not applied")
+@dataclass(frozen=True, slots=True)
+class EntryNotApplied(LogRecord):
+    """A committed entry raised an exception and was left out, on all control VMs.
+
+    Attributes
+    ----------
+    request : str
+        Type of the command.
+    detail : str
+        The exception.
+    """
+
+    index: int
+    request: str
+    detail: str
+
+
 @logged_as("control", "proposal refused")
 @dataclass(frozen=True, slots=True)
 class ProposalRefused(LogRecord):
