--- a/lovagewalk/runtime/_metrics.py
+++ b/lovagewalk/runtime/_metrics.py
@@ -7,6 +7,7 @@
 import aioprometheus
 from aioprometheus import Gauge, Histogram, Registry
 
+from lovagewalk.consensus import RaftRole
 from lovagewalk.groups import GroupView
 from lovagewalk.node import NodeState
 from lovagewalk.routing import AnswerCaller
@@ -125,6 +126,11 @@
             "Whether this daemon leads control.",
             registry=self.registry,
         )
+        self.has_data_folder = Gauge(
+            "lovagewalk_control_data_folder",
+            "Whether this control VM can write to its data folder.",
+            registry=self.registry,
+        )
         self.latency = Histogram(
             "lovagewalk_statement_seconds",
             "Time from a statement's arrival to its answer by customer.",
@@ -249,6 +255,9 @@
         self.peer_bytes.set({}, sent_bytes)
         raft = state.consensus
         self.is_control_leader.set({}, int(raft is not None and raft.is_leader))
+        if raft is not None:
+            is_available = raft.role is not RaftRole.OFFLINE
+            self.has_data_folder.set({}, int(is_available))
         for name, config in state.catalogue.groups.items():
             self.group_term.set({"group": name}, config.term)
         for name, view in state.groups.items():
