Keep damaged state files by renaming them; no folder is made for them

The platform's disks offer no folders inside the data folder, so setting the files aside would have been refused there, and the VM would have stayed offline. They are renamed, and a file with the reason says that this VM lacks data.

--- a/lovagewalk/journal/_journal.py
+++ b/lovagewalk/journal/_journal.py
@@ -48,6 +48,8 @@
 PROBE_BYTES = 256 * 1024
 _IDENTITY = re.compile(r"[0-9a-f]{32}")
 _STATE_FILES = ("identity", "snapshot", "journal")
+# One for each time that damaged state files were set aside.
+REPLACEMENT_FILES = "damaged-*"
 
 log = logging.getLogger("lovagewalk.journal")
 
@@ -175,34 +177,37 @@
             self.folder.mkdir(parents=True, exist_ok=True)
             self._lock_folder()
             self._close_journal()
-            is_replacement = any(self.folder.glob("damaged-*"))
+            is_replacement = any(self.folder.glob(REPLACEMENT_FILES))
             stored = StoredState(self._load_identity(), is_replacement=is_replacement)
             stored = self._load_snapshot(stored)
             stored = self._load_journal(stored)
             sync_folder(self.folder)
         return stored
 
-    def set_aside(self) -> Path:
-        """Move the state files to a new subfolder, and return its path.
+    def set_aside(self, reason: str) -> str:
+        """Rename the state files, and return what their names end with now.
+
+        Parameters
+        ----------
+        reason : str
+            Why; it is kept beside the files.
 
         Raises
         ------
         LovageError
             ``DISK_FULL`` or ``DISK_FAILED`` if the disk refuses it.
         """
-        number = len(list(self.folder.glob("damaged-*"))) + 1
-        subfolder = self.folder / f"damaged-{number}"
+        number = len(list(self.folder.glob(REPLACEMENT_FILES))) + 1
+        suffix = f"damaged-{number}"
         with disk_errors():
-            subfolder.mkdir()
-            # The subfolder says that this VM lacks data, so it has to last before the
-            # files move.
-            sync_folder(self.folder)
+            # It says that this VM lacks data, so it has to last before they move.
+            replace_file(self.folder / suffix, reason.encode())
             for name in _STATE_FILES:
-                if (self.folder / name).exists():
-                    os.replace(self.folder / name, subfolder / name)
-            sync_folder(subfolder)
+                path = self.folder / name
+                if path.exists():
+                    os.replace(path, path.with_name(f"{name}-{suffix}"))
             sync_folder(self.folder)
-        return subfolder
+        return suffix
 
     def _lock_folder(self) -> None:
         """Lock the folder until this process closes the journal or exits.
--- a/lovagewalk/journal/tests/test_set_aside.py
+++ b/lovagewalk/journal/tests/test_set_aside.py
@@ -40,9 +40,10 @@
     disk = _write_journal(tmp_path)
     journal = Journal(tmp_path)
     journal.load()
-    subfolder = journal.set_aside()
+    suffix = journal.set_aside("bad checksum")
     stored = journal.load()
-    assert (subfolder / "identity").read_text() == disk != stored.disk
+    assert (tmp_path / f"identity-{suffix}").read_text() == disk != stored.disk
+    assert (tmp_path / suffix).read_text() == "bad checksum"
     assert stored.entries == stored.initial_voters == () and stored.term == 0
     raft = stored.restore_raft("vm1", ("vm2",), 1, ("vm1", "vm2"))
     assert raft.role is RaftRole.JOINING and raft.bootstrap_members == ()
--- a/lovagewalk/runtime/_storage.py
+++ b/lovagewalk/runtime/_storage.py
@@ -32,7 +32,7 @@
 PROBE_PERIOD_S = 0.5
 # The period doubles up to this while the disk refuses writes, since each probe of a
 # slow disk blocks the event loop.
-MAX_PROBE_PERIOD_S = 4.0
+MAX_PROBE_PERIOD_S = 1.0
 
 log = logging.getLogger("lovagewalk.journal")
 
@@ -52,12 +52,12 @@
     except LovageError as exc:
         if exc.code is not Code.DISK_CORRUPT:
             raise
-        subfolder = journal.set_aside()
+        suffix = journal.set_aside(str(exc))
         log.critical(
-            "journal: %s; its files are kept in %s, and this VM joins as one with an "
-            "empty disk",
+            "journal: %s; the files are kept as *-%s, and this VM joins as one with "
+            "an empty disk",
             exc,
-            subfolder.name,
+            suffix,
         )
         stored = journal.load()
     snapshot_index = stored.snapshot.index if stored.snapshot else 0
--- a/lovagewalk/runtime/tests/test_full_disk.py
+++ b/lovagewalk/runtime/tests/test_full_disk.py
@@ -217,5 +217,5 @@
     path.write_bytes(damaged)
     stored = _storage.load_storage(ports)
     assert stored.entries == () and stored.is_replacement
-    kept = ports.journal.folder / "damaged-1" / "journal"
+    kept = ports.journal.folder / "journal-damaged-1"
     assert kept.read_bytes() == damaged
