--- a/lovagewalk/journal/_journal.py
+++ b/lovagewalk/journal/_journal.py
@@ -226,11 +226,15 @@
         self._lock_file = lock_file
 
     def _load_identity(self) -> str:
+        """Return the identity of the disk; a new folder gets one after its journal."""
         path = self.folder / "identity"
         if not path.exists():
-            if any((self.folder / name).exists() for name in _STATE_FILES):
+            if any(_has_content(self.folder / name) for name in _STATE_FILES):
                 raise LovageError(Code.DISK_CORRUPT, "the disk's identity is missing")
+            replace_file(self._journal_path, b"")
             replace_file(path, uuid.uuid4().hex.encode())
+        if not self._journal_path.exists():
+            raise LovageError(Code.DISK_CORRUPT, "the journal is missing")
         identity = path.read_bytes().decode("ascii", "replace")
         if not _IDENTITY.fullmatch(identity):
             raise LovageError(Code.DISK_CORRUPT, "the disk's identity is damaged")
@@ -255,7 +259,7 @@
     def _load_journal(self, stored: StoredState) -> StoredState:
         """Read the records of the journal, and open it after the last one."""
         path = self._journal_path
-        data = path.read_bytes() if path.exists() else b""
+        data = path.read_bytes()
         scan = scan_frames(data)
         records = [self._decode(payload) for payload in scan.payloads]
         self._file = open(path, "ab")
@@ -283,6 +287,10 @@
                 entries.update((entry.index, entry) for entry in record.entries)
         snapshot_index = stored.snapshot.index if stored.snapshot else 0
         later_entries = tuple(entries[i] for i in sorted(entries) if i > snapshot_index)
+        if later_entries and later_entries[0].index != snapshot_index + 1:
+            raise LovageError(
+                Code.DISK_CORRUPT, f"no entry or snapshot of index {snapshot_index + 1}"
+            )
         return replace(stored, entries=later_entries)
 
     def _decode(self, payload: bytes) -> Any:
@@ -374,3 +382,7 @@
         if self._file is not None:
             close_file(self._file)
             self._file = None
+
+
+def _has_content(path: Path) -> bool:
+    return path.exists() and path.stat().st_size > 0
--- a/lovagewalk/journal/tests/test_set_aside.py
+++ b/lovagewalk/journal/tests/test_set_aside.py
@@ -2,8 +2,15 @@
 
 import pytest
 
-from lovagewalk.catalogue import ControlVoter
-from lovagewalk.consensus import PersistVote, PersistVoters, RaftRole
+from lovagewalk.catalogue import Catalogue, ControlVoter, NoChange, control_proposal
+from lovagewalk.consensus import (
+    LogEntry,
+    PersistEntries,
+    PersistSnapshot,
+    PersistVote,
+    PersistVoters,
+    RaftRole,
+)
 from lovagewalk.core import Code, LovageError
 from lovagewalk.journal import Journal
 
@@ -35,6 +42,31 @@
     assert caught.value.code is Code.DISK_CORRUPT
 
 
+def test_a_missing_journal_is_reported(tmp_path):
+    """Its votes would be forgotten, and the VM could vote twice in a term."""
+    _write_journal(tmp_path)
+    (tmp_path / "journal").unlink()
+    with pytest.raises(LovageError) as caught:
+        Journal(tmp_path).load()
+    assert caught.value.code is Code.DISK_CORRUPT
+
+
+def test_a_missing_snapshot_is_reported_if_entries_follow_it(tmp_path):
+    """The VM would apply the entries to an empty catalogue."""
+    _write_journal(tmp_path)
+    journal = Journal(tmp_path)
+    journal.load()
+    entries = tuple(LogEntry(i, 1, control_proposal(NoChange())) for i in (1, 2, 3))
+    journal.append(PersistEntries(entries))
+    journal.write_snapshot(PersistSnapshot(2, 1, (), Catalogue(), entries[2:], 1, ""))
+    journal.close()
+    assert Journal(tmp_path).load().entries == entries[2:]
+    (tmp_path / "snapshot").unlink()
+    with pytest.raises(LovageError) as caught:
+        Journal(tmp_path).load()
+    assert caught.value.code is Code.DISK_CORRUPT
+
+
 def test_a_vm_whose_folder_was_set_aside_may_only_join(tmp_path):
     """Another identity keeps no promise of the damaged disk."""
     disk = _write_journal(tmp_path)
--- a/lovagewalk/runtime/_storage.py
+++ b/lovagewalk/runtime/_storage.py
@@ -92,6 +92,9 @@
                 log.error("journal: cannot load the data folder yet: %s", exc)
             last_error = str(exc)
             continue
+        except Exception:
+            log.exception("journal: loading the data folder failed")
+            continue
         raft: RaftState = ports.state.consensus
         restored = stored.restore_raft(
             raft.me, raft.peers, secrets.randbits(62), raft.bootstrap_members
