Take a hole of any length for a tear

A record with a shorter hole than 512 bytes in its middle was taken for damage, and all control VMs that lost the same part of the same record would have set their files aside at once.

Evidence: torn journals with one hole of 16 to 199 bytes are refused with the hole of 512 bytes that was asked for, and none now. A record holds no 16 zeros by itself; a changed bit in a synced record is refused as before.

--- a/lovagewalk/journal/_frames.py
+++ b/lovagewalk/journal/_frames.py
@@ -18,8 +18,9 @@
 HEADER_BYTES = _HEADER.size + _HEADER_CRC.size
 # A header whose length is neither zero nor 16 MiB or more.
 _HEADER_START = re.compile(rb"(?=(?:[^\0]..|.[^\0].|..[^\0])\0)", re.DOTALL)
-# A loss of power writes a sector completely or not at all.
-_MISSING_SECTOR = bytes(512)
+# Parts of a write that a loss of power left out are zeros, of any length. Encoded
+# records hold shorter runs of zeros, as in numbers.
+_HOLE = bytes(16)
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,9 +112,7 @@
         raise LovageError(
             Code.DISK_CORRUPT, f"bad checksum of the synced record at byte {offset}"
         )
-    has_missing_part = (
-        tail.startswith(b"\0") or tail.endswith(b"\0") or _MISSING_SECTOR in tail
-    )
+    has_missing_part = tail.startswith(b"\0") or tail.endswith(b"\0") or _HOLE in tail
     is_short = any(_is_short(tail, start) for start in (0, len(SYNC_MARK)))
     if not has_missing_part and not is_short:
         raise LovageError(
--- a/lovagewalk/tests/disk_faults.py
+++ b/lovagewalk/tests/disk_faults.py
@@ -75,11 +75,19 @@
     )
 
 
+def _hole(data, rng):
+    """Leave out a part of any length, as one of several blocks of a write."""
+    start = rng.randrange(len(data))
+    length = min(rng.randrange(16, 200), len(data) - start)
+    return data[:start] + bytes(length) + data[start + length :]
+
+
 TEARS = {
     "prefix": _prefix,
     "prefix then zeros": _prefix_then_zeros,
     "zeros then the rest": _zeros_then_rest,
     "holes": _holes,
+    "one hole": _hole,
 }
 
 
