--- a/lovagewalk/control/tests/control_fleet.py
+++ b/lovagewalk/control/tests/control_fleet.py
@@ -121,7 +121,10 @@
     def start(self, name, may_bootstrap=False):
         """Start a VM, or start it again from its disk."""
         self.boots += 1
-        stored = self.disks[name].load()
+        self.restore(name, self.disks[name].load(), may_bootstrap)
+
+    def restore(self, name, stored, may_bootstrap=False):
+        """Set a VM's state to the one that a start from stored data gives."""
         peers = tuple(seed for seed in self.seeds if seed != name)
         bootstrap_members = self.seeds if may_bootstrap else ()
         state = NodeState(
--- a/lovagewalk/control/tests/harsh_fleet.py
+++ b/lovagewalk/control/tests/harsh_fleet.py
@@ -8,18 +8,12 @@
     PersistSnapshot,
     PersistVote,
     PersistVoters,
+    RaftRole,
     is_consensus_message,
 )
-from lovagewalk.control import (
-    ControlState,
-    FollowState,
-    JournalRestored,
-    JournalUnavailable,
-)
+from lovagewalk.control import JournalRestored, JournalUnavailable
 from lovagewalk.core import Code, DependentEffect, Refusal, reduce
-from lovagewalk.daemon import install_catalogue
 from lovagewalk.journal import Journal
-from lovagewalk.node import Identity, NodeState
 from lovagewalk.tests.disk_faults import TEARS, tear
 
 from .control_fleet import ControlFleet
@@ -108,16 +102,7 @@
             self.disks[name] = JournalDisk(folder, f"{self.seed} {self.boots}")
         disk = self.disks[name]
         disk.is_losing_power = disk.is_full = False
-        stored = disk.load()
-        peers = tuple(seed for seed in self.seeds if seed != name)
-        bootstrap_members = self.seeds if may_bootstrap else ()
-        state = NodeState(
-            Identity(name, "z", "r", b"secret", control=True, entry=False),
-            consensus=stored.restore_raft(name, peers, self.boots, bootstrap_members),
-            control=ControlState(),
-            follow=FollowState(self.seeds, name, str(self.boots)),
-        )
-        self.states[name] = install_catalogue(state, stored.catalogue, self.now).state
+        self.restore(name, disk.load(), may_bootstrap)
 
     def feed(self, name, event):
         if name not in self.states:
@@ -137,8 +122,7 @@
                 return
             except DiskRefused:
                 was_refused = True
-        is_offline = self.states[name].consensus.role.value == "offline"
-        if was_refused and not is_offline:
+        if was_refused and not self._is_offline(name):
             self.feed(name, JournalUnavailable(self.now, FULL))
 
     def _is_on_hold(self, effect):
@@ -150,6 +134,10 @@
         message = getattr(effect, "message", None)
         return message is None or is_consensus_message(message)
 
+    def _is_offline(self, name):
+        state = self.states.get(name)
+        return state is not None and state.consensus.role is RaftRole.OFFLINE
+
     def fill_disk(self, name):
         self.disks[name].is_full = True
 
@@ -157,11 +145,10 @@
         """Give the disk room again; the VM loads its folder and returns."""
         disk = self.disks[name]
         disk.is_full = False
-        state = self.states.get(name)
-        if state is None or state.consensus.role.value != "offline":
+        if not self._is_offline(name):
             return
         stored = disk.load()
-        raft = state.consensus
+        raft = self.states[name].consensus
         restored = stored.restore_raft(
             raft.me, raft.peers, secrets.randbits(62), raft.bootstrap_members
         )
