--- a/lovagewalk/control/_raft_steps.py
+++ b/lovagewalk/control/_raft_steps.py
@@ -37,8 +37,6 @@
 # The leader keeps this many past catalogues for deltas. Daemons report every 0.5 s;
 # frequent changes create some tens of revisions in that time.
 MAX_PAST_CATALOGUES = 64
-# Enough for an exception, and short enough for a log line.
-MAX_DETAIL_LENGTH = 200
 
 
 def apply_raft_step(
@@ -180,12 +178,12 @@
         return apply_proposal(catalogue, entry.index, entry.proposal), ()
     except Exception as exc:
         command = type(entry.proposal.command).__name__
-        detail = f"{command} cannot be applied: {type(exc).__name__}"
-        result = ChangeResult(entry.index, Refusal(Code.CHANGE_BAD, detail))
+        # The text of the exception may repeat a value of the entry, such as a key.
+        detail = type(exc).__name__
+        refusal = Refusal(Code.CHANGE_BAD, f"{command} cannot be applied: {detail}")
+        result = ChangeResult(entry.index, refusal)
         unchanged = replace(catalogue, revision=entry.index)
-        record = EntryNotApplied(
-            index=entry.index, request=command, detail=repr(exc)[:MAX_DETAIL_LENGTH]
-        )
+        record = EntryNotApplied(index=entry.index, request=command, detail=detail)
         return AppliedChange(unchanged, result), (record,)
 
 
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -279,7 +279,7 @@
     request : str
         Type of the command.
     detail : str
-        The exception.
+        Type of the exception.
     """
 
     index: int
