Write again what a failed sync may have lost, at each load

What went wrong: after a sync that failed, the kernel keeps the bytes in its cache and counts them as written. A process that was killed before it reloaded its folder left them to the next one, which read them, synced without effect and counted them as being on disk; the next loss of power took them. The audit trail did the same also within one process: a later sync succeeded, and the log entries that it covered were dropped.

The fake of a loss of power follows inodes now, since a rename brings a synced file to the path; it is stricter about syncs that failed and otherwise records the same.

--- a/lovagewalk/audit/_trail.py
+++ b/lovagewalk/audit/_trail.py
@@ -198,10 +198,22 @@
                 "audit: truncated %d bytes after the last valid record",
                 len(data) - valid_bytes,
             )
-            os.truncate(self.path, valid_bytes)
+        if data:
+            self._write_again(data[:valid_bytes], synced_bytes or 0)
         if is_damaged:
             self._write_synced_bytes(valid_bytes)
 
+    def _write_again(self, valid_data: bytes, synced_bytes: int) -> None:
+        """Write the records again that are not known to be synced.
+
+        After a sync that failed, a later one can succeed without having written what
+        the failed one lost. A crash in between leaves them out; the log brings them
+        again.
+        """
+        os.truncate(self.path, min(synced_bytes, len(valid_data)))
+        with open(self.path, "ab") as file:
+            file.write(valid_data[synced_bytes:])
+
     def _read_synced_bytes(self) -> int | None:
         """Return how many bytes of the trail are surely synced; None if unknown."""
         try:
--- a/lovagewalk/audit/tests/test_trail.py
+++ b/lovagewalk/audit/tests/test_trail.py
@@ -8,7 +8,7 @@
 from lovagewalk.catalogue import ReplaceConfiguration
 from lovagewalk.core import LovageError
 from lovagewalk.runtime._storage import _audit_detail
-from lovagewalk.tests.disk_faults import TEARS, tear
+from lovagewalk.tests.disk_faults import TEARS, PowerLossDisk, tear
 
 
 def _write_trail(folder, count, compacted_index=0):
@@ -92,3 +92,22 @@
             else:
                 assert trail.path.read_bytes().startswith(synced)
     assert refused == []
+
+
+def test_records_whose_sync_failed_are_written_again_before_they_count_as_synced(
+    tmp_path, monkeypatch
+):
+    """A later sync succeeded without them, and their log entries were dropped."""
+    disk = PowerLossDisk(monkeypatch, tmp_path / "audit")
+    trail = AuditTrail(tmp_path)
+    trail.append(1, 0.0, "op", "PutRoute", {}, "ok")
+    trail.sync()
+    trail.append(2, 0.0, "op", "PutRoute", {}, "ok")
+    disk.refuse_sync(trail.sync)
+    trail.close()
+    restarted = AuditTrail(tmp_path)
+    restarted.sync()
+    restarted.close()
+    disk.leave(b"")
+    with open(tmp_path / "audit") as lines:
+        assert verify_lines(lines).records == 2
--- a/lovagewalk/journal/_journal.py
+++ b/lovagewalk/journal/_journal.py
@@ -164,7 +164,8 @@
         """Read the folder and open the journal for appending.
 
         Everything that is returned is synced, also what an earlier process had written
-        but not synced.
+        but not synced. The journal is written anew for that: after a sync that failed,
+        a later one can succeed without having written what the failed one lost.
 
         Raises
         ------
@@ -262,7 +263,6 @@
         data = path.read_bytes()
         scan = scan_frames(data)
         records = [self._decode(payload) for payload in scan.payloads]
-        self._file = open(path, "ab")
         if scan.end < len(data):
             log.warning(
                 "journal: dropped a torn record of %d bytes at byte %d, which starts "
@@ -271,10 +271,8 @@
                 scan.end,
                 data[scan.end : scan.end + 16].hex(),
             )
-            self._file.truncate(scan.end)
-        os.fsync(self._file.fileno())
-        if not scan.is_marked:
-            self._write(SYNC_MARK)
+        mark = b"" if scan.is_marked else SYNC_MARK
+        self._replace_journal(data[: scan.end] + mark)
         entries: dict[int, LogEntry] = {}
         for record in records:
             if isinstance(record, PersistVote):
@@ -300,20 +298,6 @@
             # Its checksum is right, so it is whole, and another version can read it.
             raise LovageError(Code.DISK_UNREADABLE, "record cannot be decoded") from exc
 
-    def rewrite(self) -> None:
-        """Write the journal anew and sync it.
-
-        After a sync that failed, a later one can succeed without having written what
-        the failed one lost.
-
-        Raises
-        ------
-        LovageError
-            ``DISK_FULL`` or ``DISK_FAILED`` if the disk refuses it.
-        """
-        with disk_errors():
-            self._replace_journal(self._journal_path.read_bytes())
-
     def append(self, record: PersistVote | PersistVoters | PersistEntries) -> None:
         """Append one record and sync it.
 
--- a/lovagewalk/journal/tests/test_torn_records.py
+++ b/lovagewalk/journal/tests/test_torn_records.py
@@ -108,3 +108,20 @@
     assert disk.synced == (tmp_path / "journal").read_bytes()[: len(disk.synced)]
     disk.leave(b"")
     assert len(Journal(tmp_path).load().entries) == 2
+
+
+def test_an_entry_whose_sync_failed_in_a_killed_process_counts_only_once_on_disk(
+    tmp_path, monkeypatch
+):
+    """The next process read it from the kernel's cache and took it for synced."""
+    disk = PowerLossDisk(monkeypatch, tmp_path / "journal")
+    journal = Journal(tmp_path)
+    journal.load()
+    _append(journal, 1, 0)
+    disk.refuse_sync(lambda: _append(journal, 2, 0))
+    journal.close()
+    restarted = Journal(tmp_path)
+    count = len(restarted.load().entries)
+    restarted.close()
+    disk.leave(b"")
+    assert len(Journal(tmp_path).load().entries) == count
--- a/lovagewalk/runtime/_storage.py
+++ b/lovagewalk/runtime/_storage.py
@@ -86,7 +86,6 @@
             continue
         try:
             stored = load_storage(ports)
-            ports.journal.rewrite()
         except LovageError as exc:
             if str(exc) != last_error:
                 log.error("journal: cannot load the data folder yet: %s", exc)
--- a/lovagewalk/tests/disk_faults.py
+++ b/lovagewalk/tests/disk_faults.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from lovagewalk.core import LovageError
+
 SECTOR_BYTES = 512
 
 
@@ -14,7 +16,7 @@
 
 
 class PowerLossDisk:
-    """Records what has been synced to a file, and fails at a sync.
+    """Records what has been synced to a file, by inode, and fails at a sync.
 
     Parameters
     ----------
@@ -27,25 +29,59 @@
     def __init__(self, monkeypatch, path):
         self._sync = os.fsync
         self._path = path
-        self._is_failing = False
-        self.synced = b""
+        self._failure = None
+        self._synced_by_inode = {}
+        self._lost_from_by_inode = {}
+        self._truncate = os.truncate
         monkeypatch.setattr(os, "fsync", self._fsync)
+        monkeypatch.setattr(os, "truncate", self._truncate_file)
+
+    @property
+    def synced(self):
+        """The synced bytes of the file that has the path now."""
+        return self._synced_by_inode.get(self._path.stat().st_ino, b"")
 
     def _fsync(self, fd):
-        if self._is_failing:
-            raise PowerLoss
+        inode = os.fstat(fd).st_ino
+        if isinstance(self._failure, OSError):
+            synced = self._synced_by_inode.get(inode, b"")
+            self._lost_from_by_inode.setdefault(inode, len(synced))
+        if self._failure is not None:
+            raise self._failure
         self._sync(fd)
-        if self._path.exists() and os.path.samestat(os.fstat(fd), self._path.stat()):
-            self.synced = self._path.read_bytes()
+        if inode in self._lost_from_by_inode:
+            return
+        for file in self._path.parent.iterdir():
+            if file.stat().st_ino == inode:
+                self._synced_by_inode[inode] = file.read_bytes()
+
+    def _truncate_file(self, path, length):
+        self._truncate(path, length)
+        inode = os.stat(path).st_ino
+        if length <= self._lost_from_by_inode.get(inode, -1):
+            # Whatever is written from there on is new to the kernel.
+            del self._lost_from_by_inode[inode]
 
     def lose_power(self, write):
         """Run `write`, whose sync fails, and return the bytes that are not synced."""
-        self._is_failing = True
-        with pytest.raises(PowerLoss):
-            write()
-        self._is_failing = False
+        self._fail_during(write, PowerLoss(), PowerLoss)
         return self._path.read_bytes()[len(self.synced) :]
 
+    def refuse_sync(self, write):
+        """Run `write`, whose sync fails with an error of the disk.
+
+        The bytes stay readable until the power is lost, and later syncs of the same
+        file succeed without writing them.
+        """
+        error = OSError(errno.EIO, os.strerror(errno.EIO))
+        self._fail_during(write, error, LovageError)
+
+    def _fail_during(self, write, failure, raised_type):
+        self._failure = failure
+        with pytest.raises(raised_type):
+            write()
+        self._failure = None
+
     def leave(self, unsynced):
         """Leave the synced bytes in the file, and then what is left of the others."""
         self._path.write_bytes(self.synced + unsynced)
