Wait briefly for control VMs that are not known to lead

What callers saw: after the control leader was lost without a word (its VM suspended or cut off), leases and shares came up to 1 s later than the new leader.

Cause: a daemon asks the control VMs in turn. While the others elect a leader it comes round to the silent one again, and waited there for twice as long as for an answer of the leader. A control VM that had been elected itself went on waiting as well.

Change: 0.25 s for a VM that has neither answered as the leader nor been named as such; the doubled waiting time holds for the known leader alone. A control VM whose target does not answer reports to the leader that its log names.

--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -46,7 +46,7 @@
     if not reply.is_latest:
         return _redirect(step, peer, reply)
     state = step.state
-    follow = replace(follow, answered_at=now, target=peer)
+    follow = replace(follow, answered_at=now, target=peer, known_leader=peer)
     state = replace(state, follow=follow)
     state = _record_samples(state, reply)
     if state.identity.entry and reply.entry_daemons != state.entry_daemons:
@@ -113,10 +113,19 @@
     follow: FollowState = step.state.follow
     if reply.leader and reply.leader != peer:
         follow = replace(
-            follow, target=reply.leader, last_asked_req=0, is_report_urgent=True
+            follow,
+            target=reply.leader,
+            known_leader=reply.leader,
+            last_asked_req=0,
+            is_report_urgent=True,
         )
     elif peer == follow.target:
-        follow = replace(follow, target=next_control_vm(step.state), last_asked_req=0)
+        follow = replace(
+            follow,
+            target=next_control_vm(step.state),
+            known_leader="",
+            last_asked_req=0,
+        )
     return Step(replace(step.state, follow=follow), step.effects)
 
 
@@ -145,6 +154,7 @@
         follow,
         target=next_control_vm(state),
         answered_seq=follow.seq,
+        known_leader="",
         last_asked_req=0,
         is_report_urgent=follow.answered_at >= follow.sent_at,
     )
--- a/lovagewalk/control/_reports.py
+++ b/lovagewalk/control/_reports.py
@@ -2,7 +2,7 @@
 
 from immutables import Map
 
-from lovagewalk.consensus import RaftRole, SendToPeer
+from lovagewalk.consensus import RaftRole, RaftState, SendToPeer
 from lovagewalk.core import Step, replace
 from lovagewalk.groups import is_primary_suspect
 from lovagewalk.node import NodeState
@@ -18,6 +18,7 @@
     LEADERLESS_RETRY_S,
     LEASE_S,
     MAX_ANSWER_TIMEOUT_S,
+    PROBE_TIMEOUT_S,
     FollowState,
 )
 
@@ -27,7 +28,8 @@
 
 def tick(state: NodeState, now: float) -> Step[NodeState]:
     """Send a report if one is due or urgent."""
-    step = _record_lease_change(_expedite_final_report(state, now), now)
+    state = _follow_elected_leader(_expedite_final_report(state, now))
+    step = _record_lease_change(state, now)
     step = step.then(report_accesses(step.state, now))
     step = step.then(_notify_suspects(step.state, now))
     step = step.then(answer_reads(step.state, now))
@@ -46,6 +48,25 @@
     return replace(state, follow=replace(state.follow, is_report_urgent=True))
 
 
+def _follow_elected_leader(state: NodeState) -> NodeState:
+    """Report to the leader that this control VM knows if the target does not answer."""
+    follow: FollowState = state.follow
+    raft: RaftState = state.consensus
+    if not has_log(state) or raft.leader in ("", follow.target):
+        return state
+    if follow.answered_at >= follow.sent_at:
+        return state
+    follow = replace(
+        follow,
+        target=raft.leader,
+        known_leader=raft.leader,
+        answered_seq=follow.seq,
+        last_asked_req=0,
+        is_report_urgent=True,
+    )
+    return replace(state, follow=follow)
+
+
 def _record_lease_change(state: NodeState, now: float) -> Step[NodeState]:
     """Record and log that the lease was gained or lost."""
     follow: FollowState = state.follow
@@ -70,9 +91,9 @@
     """
     follow: FollowState = state.follow
     elapsed_s = now - follow.sent_at
-    if follow.answered_seq < follow.seq and elapsed_s < follow.answer_timeout_s:
+    if follow.answered_seq < follow.seq and elapsed_s < _current_timeout_s(follow):
         return False
-    if elapsed_s >= FOLLOW_PERIOD_S:
+    if elapsed_s >= FOLLOW_PERIOD_S or follow.answered_seq < follow.seq:
         return True
     if elapsed_s < URGENT_PERIOD_S:
         return False
@@ -133,6 +154,7 @@
         is_report_urgent=False,
         unanswered=_remove_expired(follow.unanswered, now).set(request.seq, now),
         answer_timeout_s=_answer_timeout_s(follow),
+        known_leader=(follow.known_leader if follow.answered_seq == follow.seq else ""),
     )
     state = replace(state, shares=shares, follow=follow)
     return Step(state, (SendToPeer(target, request),))
@@ -146,9 +168,16 @@
     return unanswered
 
 
+def _current_timeout_s(follow: FollowState) -> float:
+    """Return how long to wait for the answer to the latest report."""
+    if follow.target == follow.known_leader:
+        return follow.answer_timeout_s
+    return min(follow.answer_timeout_s, PROBE_TIMEOUT_S)
+
+
 def _answer_timeout_s(follow: FollowState) -> float:
-    """Return how long to wait for the next answer: twice as long after a missed one."""
-    if follow.answered_seq == follow.seq:
+    """Return how long to wait for the leader: twice as long after a missed answer."""
+    if follow.answered_seq == follow.seq or follow.target != follow.known_leader:
         return follow.answer_timeout_s
     return min(follow.answer_timeout_s * 2, MAX_ANSWER_TIMEOUT_S)
 
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -26,6 +26,9 @@
 # An answer is awaited for half a lease at most, so that one more report fits into the
 # lease.
 MAX_ANSWER_TIMEOUT_S = 1.5
+# A VM that is not known to lead answers within several round trips between regions.
+# Among unresponsive VMs, the leader is found before the lease expires.
+PROBE_TIMEOUT_S = 0.25
 # Unless a link fails, an answer takes less than 1.5 times as long as the last one.
 ANSWER_TIMEOUT_MARGIN = 1.5
 
@@ -83,7 +86,10 @@
     unanswered : Map of int to float
         Send times of the reports that may still be answered, by number.
     answer_timeout_s : float
-        Time to wait for an answer before another VM is contacted, in seconds.
+        Time to wait for the leader's answer before another VM is contacted, in seconds.
+    known_leader : str
+        The control VM that last answered as the leader or was named as such; empty
+        since it has missed an answer.
     reads : tuple of PendingRead
         Requests for the latest catalogue, by their arrival.
     access_batch : Proposal or None
@@ -109,6 +115,7 @@
     holds_lease: bool = False
     unanswered: Map = field(default_factory=Map)
     answer_timeout_s: float = FOLLOW_PERIOD_S
+    known_leader: str = ""
     reads: tuple[PendingRead, ...] = ()
     access_batch: Proposal | None = None
     access_batch_number: int = 0
--- a/lovagewalk/control/_token_requests.py
+++ b/lovagewalk/control/_token_requests.py
@@ -88,7 +88,13 @@
     if follow.target != peer:
         return replace(state, follow=replace(follow, last_asked_req=0))
     if leader and leader != peer:
-        follow = replace(follow, target=leader, last_asked_req=0, is_report_urgent=True)
+        follow = replace(
+            follow,
+            target=leader,
+            known_leader=leader,
+            last_asked_req=0,
+            is_report_urgent=True,
+        )
     else:
         follow = replace(follow, last_asked_req=0, next_ask_at=now + LEADERLESS_RETRY_S)
     return replace(state, follow=follow)
--- a/lovagewalk/control/tests/test_follow.py
+++ b/lovagewalk/control/tests/test_follow.py
@@ -20,6 +20,7 @@
     def __init__(self, answer_delay_s):
         self.now = 100.0
         self.leader = "c1"
+        self.silent = ""
         self.answer_delay_s = answer_delay_s
         self.wire = []
         self.reports = []
@@ -58,6 +59,8 @@
         if not isinstance(message, FollowRequest):
             return
         self.reports.append((self.now, peer))
+        if peer == self.silent:
+            return
         is_leader = peer == self.leader
         grants = ()
         if is_leader:
@@ -135,3 +138,23 @@
         follower._feed(PeerLost(follower.now, follower.state.follow.target))
         follower.run(0.02)
     assert len(follower.reports) <= 2.0 / 0.1 + 1
+
+
+@pytest.mark.parametrize("election_s", [0.3, 0.5, 0.7, 0.9, 1.1])
+def test_a_new_leader_is_found_soon_while_the_old_one_is_silent(election_s):
+    """The old leader's VM is suspended; its links stay open and bring no answer.
+
+    While the others elect a leader, the daemon comes round to the silent VM again.
+    """
+    follower = Follower(0.04)
+    follower.run(2.0)
+    follower.silent = "c1"
+    follower.leader = ""
+    follower.run(election_s)
+    follower.leader = "c3"
+    elected_at = follower.now
+    while follower.state.follow.target != "c3" or (
+        follower.state.follow.answered_at < elected_at
+    ):
+        follower.run(STEP_S)
+    assert follower.now - elected_at <= 0.5
