A new leader counts entry daemons that have not reported yet

What callers saw: after each change of the control leader, endpoints refused connections (TOOMANY) and small customers were refused. The first few daemons that reported were told that they share an endpoint's connections among themselves, and bursts that are too small for the whole fleet were divided among them.

Change: every daemon keeps the number that its leader stated; a new leader states at least that many until all can have reported.

--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -49,7 +49,7 @@
     follow = replace(follow, answered_at=now, target=peer, known_leader=peer)
     state = replace(state, follow=follow)
     state = _record_samples(state, reply)
-    if state.identity.entry and reply.entry_daemons != state.entry_daemons:
+    if reply.entry_daemons != state.entry_daemons:
         state = resize_pools(replace(state, entry_daemons=reply.entry_daemons))
     lease_until = follow.sent_at + LEASE_S
     shares = state.shares
--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -104,13 +104,12 @@
     """Record in the log the customers whose limits are about to be divided."""
     control: ControlState = state.control
     divided = state.catalogue.divided | control.proposed_divided
-    entry_daemons = _ledger.count_entry_daemons(control, now)
     entries = (state.catalogue.customer(report.customer) for report in request.shares)
     new_customers = frozenset(
         entry.name
         for entry in entries
         if entry and entry.name not in divided
-        if not _ledger.is_on_demand(entry, entry_daemons)
+        if not _ledger.is_on_demand(state, control, entry, now)
     )
     if not new_customers:
         return Step(state)
@@ -226,7 +225,7 @@
         revision=state.catalogue.revision,
         delta=delta,
         grants=granted.grants,
-        entry_daemons=_ledger.count_entry_daemons(control, now),
+        entry_daemons=_ledger.count_entry_daemons(state, control, now),
         samples=_collect_samples(state, now),
     )
     follower = replace(
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -271,7 +271,6 @@
 ) -> GrantResult:
     """Decide the grants to a daemon that has just reported."""
     request = control.followers[peer].request
-    entry_daemons = count_entry_daemons(control, now)
     ledgers = control.ledgers
     grants: tuple[ShareGrant, ...] = ()
     for report in request.shares:
@@ -287,7 +286,7 @@
             # expired since; the next report records it again.
             continue
         may_grow = not request.draining and may_grant(state, now)
-        if may_grow and is_on_demand(entry, entry_daemons):
+        if may_grow and is_on_demand(state, control, entry, now):
             grant = ShareGrant(report.customer, 0.0, 0.0, 0.0, on_demand=True)
         else:
             is_divided = report.customer in state.catalogue.divided
@@ -362,21 +361,31 @@
     return Target(entry.rate * fraction, max(entry.burst * fraction, min_burst))
 
 
-def is_on_demand(entry: CustomerEntry, entry_daemons: int) -> bool:
+def is_on_demand(
+    state: NodeState, control: ControlState, entry: CustomerEntry, now: float
+) -> bool:
     """Whether a customer's burst is too small to be divided between daemons.
 
     A fraction of a token admits no request. The leader then keeps the whole
     bucket and grants tokens one by one as daemons request them.
     """
-    return entry.burst < entry_daemons * MIN_PART_TOKENS
+    return entry.burst < count_entry_daemons(state, control, now) * MIN_PART_TOKENS
+
 
+def count_entry_daemons(state: NodeState, control: ControlState, now: float) -> int:
+    """Count the daemons that serve callers and reported within `FOLLOWER_LOST_S`.
 
-def count_entry_daemons(control: ControlState, now: float) -> int:
-    """Count the daemons that serve callers and reported within `FOLLOWER_LOST_S`."""
-    return sum(
+    A new leader has not heard from all of them yet; until it can have, their number
+    is at least the one that its predecessor stated.
+    """
+    count = sum(
         follower.request.entry and now - follower.seen_at < FOLLOWER_LOST_S
         for follower in control.followers.values()
     )
+    raft: RaftState = state.consensus
+    if now - raft.elected_at < FOLLOWER_LOST_S:
+        count = max(count, state.entry_daemons)
+    return count
 
 
 def _decide_grant(
--- a/lovagewalk/control/_token_queue.py
+++ b/lovagewalk/control/_token_queue.py
@@ -111,11 +111,10 @@
         return Step(state)
     if not _ledger.may_grant(state, now):
         return Step(state)
-    entry_daemons = _ledger.count_entry_daemons(control, now)
     answers: dict[str, TokenAnswer] = {}
     effects: tuple[Effect, ...] = ()
     for customer in customers:
-        result = _serve_customer(state, control, customer, entry_daemons, now)
+        result = _serve_customer(state, control, customer, now)
         queued = control.queued_customers
         if not result.ledger.queue:
             queued = queued - {customer}
@@ -137,7 +136,6 @@
     state: NodeState,
     control: ControlState,
     customer: str,
-    entry_daemons: int,
     now: float,
 ) -> QueueResult:
     """Grant the free tokens in order, then deny late needs and recall shares."""
@@ -156,7 +154,7 @@
     ledger = replace(ledger, tokens=tokens, queue=tuple(waiting))
     if not waiting:
         return QueueResult(ledger, admitted)
-    on_demand = _ledger.is_on_demand(entry, entry_daemons)
+    on_demand = _ledger.is_on_demand(state, control, entry, now)
     result = QueueResult(ledger)
     if _ledger.knows_all_holdings(state, control, customer, now):
         # Before, each report may free tokens at once.
