Let callers wait for a restarted daemon's first lease

Cause: a daemon that has just started knows neither a catalogue nor how soon it will, and refused at once.

Change: a caller that comes before the first lease of this run waits for it, at most 1.2 s from the first such caller on; then all are refused, and later ones at once. A lease that is lost later still refuses at once. Draining ends the wait.

--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -62,6 +62,10 @@
     groups : Map of str to GroupView
     pools : Map of str to Pool
     shares : Map of str to Share
+    early_callers : Map of int to CallerConnected
+        Callers that came before the first lease since this daemon started.
+    await_lease_until : float
+        When these callers are refused, in monotonic seconds; 0 before the first one.
     conn_endpoints : Map of int to str
         Endpoint of each pool connection, open or opening.
     access_counts : Map of AccessKey to int
@@ -90,6 +94,8 @@
     groups: Map = field(default_factory=Map)
     pools: Map = field(default_factory=Map)
     shares: Map = field(default_factory=Map)
+    early_callers: Map = field(default_factory=Map)
+    await_lease_until: float = 0.0
     conn_endpoints: Map = field(default_factory=Map)
     access_counts: Map = field(default_factory=Map)
     retry_credits: Map = field(default_factory=Map)
--- a/lovagewalk/routing/_callers.py
+++ b/lovagewalk/routing/_callers.py
@@ -18,6 +18,12 @@
 from ._state import Phase, Request
 from ._transactions import abort_transaction
 
+# How long a daemon that has just started lets callers wait for its first lease. The
+# first leader is elected within a second of a loss of power, and callers of the
+# platform give up after two seconds.
+FIRST_LEASE_WAIT_S = 1.2
+# Each caller that waits takes a connection, of which a small VM holds a few thousand.
+MAX_EARLY_CALLERS = 1000
 # Half of the shortest time that a platform gives a process to stop; the rest is left
 # for the statement in progress.
 TRANSACTION_DRAIN_S = 3.5
@@ -25,6 +31,44 @@
 
 @reduces(CallerConnected)
 def _caller_connected(state: NodeState, event: CallerConnected) -> Step[NodeState]:
+    step = _open_session(state, event, event.at)
+    is_stale = any(
+        isinstance(effect, CloseCaller) and effect.refusal.code is Code.CONFIG_STALE
+        for effect in step.effects
+    )
+    if not is_stale or not _may_await_first_lease(state, event.at):
+        return step
+    early_callers = state.early_callers.set(event.caller, event)
+    await_lease_until = state.await_lease_until or event.at + FIRST_LEASE_WAIT_S
+    return Step(
+        replace(state, early_callers=early_callers, await_lease_until=await_lease_until)
+    )
+
+
+def _may_await_first_lease(state: NodeState, now: float) -> bool:
+    """Whether a caller may wait for the first lease since this daemon started."""
+    if state.fresh_until or len(state.early_callers) >= MAX_EARLY_CALLERS:
+        return False
+    return not state.await_lease_until or now < state.await_lease_until
+
+
+def answer_early_callers(state: NodeState, now: float) -> Step[NodeState]:
+    """Open the sessions that wait for the first lease, or refuse them in the end."""
+    step = Step(state)
+    if not state.early_callers:
+        return step
+    is_waiting = now >= state.fresh_until and now < state.await_lease_until
+    if is_waiting and not state.draining:
+        return step
+    step = Step(replace(state, early_callers=type(state.early_callers)()))
+    for event in sorted(state.early_callers.values(), key=lambda event: event.caller):
+        step = step.then(_open_session(step.state, event, now))
+    return step
+
+
+def _open_session(
+    state: NodeState, event: CallerConnected, now: float
+) -> Step[NodeState]:
     route = state.catalogue.route(event.route)
     key = state.catalogue.key(event.key_id)
     refusal = None
@@ -33,7 +77,7 @@
     elif route.route_class is RouteClass.KEYED and key is None:
         refusal = Refusal(Code.KEY_UNKNOWN)
     if refusal is not None:
-        if event.at >= state.fresh_until:
+        if now >= state.fresh_until:
             refusal = stale_refusal()
         return Step(state, (CloseCaller(event.caller, refusal),))
     session = Session(
@@ -43,8 +87,8 @@
         route=event.route,
         group=route.group,
     )
-    refusal = authorise(state, session, event.at)
-    if refusal is None and refuses_operations(state, event.at):
+    refusal = authorise(state, session, now)
+    if refusal is None and refuses_operations(state, now):
         refusal = Refusal(Code.DRAINING)
     if refusal is not None:
         return Step(state, (CloseCaller(event.caller, refusal),))
@@ -56,6 +100,9 @@
 def _caller_disconnected(
     state: NodeState, event: CallerDisconnected
 ) -> Step[NodeState]:
+    if event.caller in state.early_callers:
+        early_callers = state.early_callers.delete(event.caller)
+        return Step(replace(state, early_callers=early_callers))
     session = state.sessions.get(event.caller)
     if session is None:
         return Step(state)
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -48,7 +48,8 @@
 
 @reduces(SweepTick)
 def _sweep(state: NodeState, event: SweepTick) -> Step[NodeState]:
-    step = _admit_all_waiting(state, event.at)
+    step = _callers.answer_early_callers(state, event.at)
+    step = step.then(_admit_all_waiting(step.state, event.at))
     for request in step.state.requests.values():
         step = step.then(_sweep_request(step.state, request, event.at))
     for name, view in step.state.groups.items():
