Try a peer again every 0.3 s beside the attempt that hangs

Cause: an attempt to connect waited up to 1 s, since each failed one doubled its timeout. One that began in the last second of the partition lost its SYN, and the kernel sends the next one after 1 s.

Change: another attempt starts beside it every 0.3 s; the first that opens is used. The peer is still reported as lost after 0.3 s, so that another control VM is asked.

Evidence: three of the four new tests fail on the code before. The assertion on the doubled timeouts is replaced by one that no dial is left over.

--- a/lovagewalk/runtime/_peers.py
+++ b/lovagewalk/runtime/_peers.py
@@ -28,10 +28,10 @@
 # Many times the three round trips of a handshake with a remote region.
 HANDSHAKE_TIMEOUT_S = 3.0
 # Several round trips between regions. The kernel retransmits a lost SYN only after
-# 1 s; a new connection attempt is sooner.
-CONNECT_TIMEOUT_S = 0.3
+# 1 s; a new connection attempt beside the first one is sooner.
+CONNECT_ATTEMPT_DELAY_S = 0.3
 # A reply over a congested network path takes about this long.
-MAX_CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
 # The longest handshake message holds a version, a name, a nonce and a digest.
 MAX_HANDSHAKE_BYTES = 1024
 MAX_NAME_LENGTH = 64
@@ -85,6 +85,10 @@
     ).digest()
 
 
+class ConnectTimeout(TimeoutError):
+    """No attempt to connect to a peer was answered in time."""
+
+
 class Link:
     """An authenticated connection to one daemon."""
 
@@ -132,7 +136,6 @@
         self._network = network or Network()
         self._links: dict[str, Link] = {}
         self._dial_queues: dict[str, list[bytes]] = {}
-        self._connect_timeouts: dict[str, float] = {}
         self._server: asyncio.Server | None = None
         self.consensus_disabled = False
         self._last_message: Any = None
@@ -193,7 +196,8 @@
                 raise LovageError(Code.FRAME_BAD, "the peer states another name")
         except (OSError, TimeoutError, EOFError, LovageError, ValueError) as exc:
             log.debug("peers: cannot reach %s: %r", peer, exc)
-            self._ports.feed(PeerLost(self._ports.now(), peer))
+            if not isinstance(exc, ConnectTimeout):
+                self._ports.feed(PeerLost(self._ports.now(), peer))
             await self._ports.timer.sleep(REDIAL_DELAY_S)
             self._dial_queues.pop(peer, None)
             return
@@ -206,13 +210,39 @@
     async def _connect(
         self, peer: str, address: Address
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Open a connection; each failed attempt doubles the timeout of the next."""
-        timeout_s = self._connect_timeouts.get(peer, CONNECT_TIMEOUT_S)
-        self._connect_timeouts[peer] = min(timeout_s * 2, MAX_CONNECT_TIMEOUT_S)
-        async with asyncio.timeout(timeout_s):
-            streams = await asyncio.open_connection(address.host, address.port)
-        del self._connect_timeouts[peer]
-        return streams
+        """Open a connection; as long as none opens, start another attempt beside it.
+
+        The first attempt that stays without an answer reports the peer as lost.
+
+        Raises
+        ------
+        ConnectTimeout
+            If no attempt has opened within `CONNECT_TIMEOUT_S`.
+        """
+        attempts: set[asyncio.Task] = set()
+        try:
+            for number in range(round(CONNECT_TIMEOUT_S / CONNECT_ATTEMPT_DELAY_S)):
+                if number == 1:
+                    self._ports.feed(PeerLost(self._ports.now(), peer))
+                attempts.add(
+                    asyncio.create_task(
+                        asyncio.open_connection(address.host, address.port)
+                    )
+                )
+                done, attempts = await asyncio.wait(
+                    attempts,
+                    timeout=CONNECT_ATTEMPT_DELAY_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if done:
+                    opened = done.pop()
+                    attempts |= done
+                    return opened.result()
+            raise ConnectTimeout
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+                attempt.add_done_callback(_close_unused)
 
     async def _client_handshake(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -310,6 +340,12 @@
             link.close()
 
 
+def _close_unused(attempt: asyncio.Task) -> None:
+    """Close a connection that opened beside the one in use."""
+    if not attempt.cancelled() and attempt.exception() is None:
+        attempt.result()[1].close()
+
+
 def _unpack_handshake(payload: bytes, field_count: int) -> tuple[Any, ...]:
     try:
         fields = msgpack.unpackb(payload)
--- a/lovagewalk/runtime/tests/test_peers.py
+++ b/lovagewalk/runtime/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Links between daemons while VMs stop and start again."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
@@ -8,6 +9,7 @@
 from lovagewalk.control._messages import SuspectNotice
 from lovagewalk.core import TimerService
 from lovagewalk.runtime import Peers, Ports
+from lovagewalk.runtime._peers import CONNECT_ATTEMPT_DELAY_S, REDIAL_DELAY_S
 from lovagewalk.settings import Address
 
 HOST = "127.0.0.1"
@@ -79,7 +81,39 @@
             pair.dialler.send("c", SuspectNotice(()))
             await asyncio.sleep(0.02)
         assert len(hanging_dials) == 2
-        assert not pair.dialler._connect_timeouts
+        assert not pair.dialler._dial_queues
+
+
+@pytest.fixture
+def partition(monkeypatch):
+    """Let connection attempts hang that start while the network is partitioned."""
+    real_open_connection = asyncio.open_connection
+    network = SimpleNamespace(is_cut=True)
+
+    async def open_connection(host, port):
+        if network.is_cut:
+            await asyncio.Event().wait()
+        return await real_open_connection(host, port)
+
+    monkeypatch.setattr(asyncio, "open_connection", open_connection)
+    return network
+
+
+@pytest.mark.parametrize("cut_s", [1.2, 2.0, 2.35, 2.7])
+async def test_a_peer_is_reached_soon_after_a_partition_has_healed(partition, cut_s):
+    """An attempt of the partition's last second waits for the kernel's next SYN."""
+    async with PeerPair() as pair:
+        started_at = asyncio.get_running_loop().time()
+        healed_at = 0.0
+        while not pair.listener._ports.shell.count(PeerMessage):
+            pair.dialler.send("c", SuspectNotice(()))
+            await asyncio.sleep(0.02)
+            now = asyncio.get_running_loop().time()
+            if partition.is_cut and now - started_at >= cut_s:
+                partition.is_cut = False
+                healed_at = now
+        waited_s = asyncio.get_running_loop().time() - healed_at
+        assert waited_s <= CONNECT_ATTEMPT_DELAY_S + REDIAL_DELAY_S + 0.2
 
 
 async def test_a_closed_link_is_reported_at_both_ends():
