--- /dev/null
+++ b/lovagewalk/buckets/__init__.py
@@ -0,0 +1,42 @@
+"""Buckets that one daemon owns: who owns one, its queue, and requests for tokens.
+
+A customer's burst may be too small to be divided among all daemons. The control leader
+then lends the whole bucket to one entry daemon, its owner. The other daemons request
+tokens there.
+"""
+
+from ._choice import choose_owner
+from ._messages import (
+    BucketOffer,
+    BucketOwner,
+    TokenAdmission,
+    TokenAnswer,
+    TokenAsk,
+    TokenDenial,
+    TokenNeed,
+)
+from ._queue import (
+    MAX_RETRY_AFTER_S,
+    DeniedNeed,
+    QueuedNeed,
+    admit_needs,
+    deny_late_needs,
+    insert_by_priority,
+)
+
+__all__ = [
+    "MAX_RETRY_AFTER_S",
+    "BucketOffer",
+    "BucketOwner",
+    "DeniedNeed",
+    "QueuedNeed",
+    "TokenAdmission",
+    "TokenAnswer",
+    "TokenAsk",
+    "TokenDenial",
+    "TokenNeed",
+    "admit_needs",
+    "choose_owner",
+    "deny_late_needs",
+    "insert_by_priority",
+]
--- a/lovagewalk/codec/_codec.py
+++ b/lovagewalk/codec/_codec.py
@@ -9,6 +9,7 @@
 from cattrs.strategies import configure_tagged_union
 from immutables import Map
 
+from lovagewalk import buckets
 from lovagewalk import catalogue as cat
 from lovagewalk import consensus
 from lovagewalk.control import _messages as control
@@ -45,8 +46,9 @@
         control.ProposalResult,
         control.ShareRecall,
         control.SuspectNotice,
-        control.TokenAnswer,
-        control.TokenAsk,
+        buckets.BucketOffer,
+        buckets.TokenAnswer,
+        buckets.TokenAsk,
     )
 }
 
--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -1,5 +1,6 @@
 """The daemon's side of reports: applies answers, recalls and catalogue changes."""
 
+from lovagewalk.buckets import BucketOffer
 from lovagewalk.catalogue import CatalogueDelta, apply_delta
 from lovagewalk.consensus import add_peers
 from lovagewalk.core import Step, replace
@@ -8,12 +9,19 @@
 from lovagewalk.node import NodeState
 from lovagewalk.records import SeedsReplaced
 from lovagewalk.routing import _sweep
-from lovagewalk.shares import Share, expire, grow, shrink
+from lovagewalk.shares import (
+    Share,
+    expire,
+    forget_requested,
+    grow,
+    leave_owner,
+    shrink,
+)
 
 from ._catalogue_reads import answer_reads, confirm_reads
 from ._messages import CatalogueUpdate, FollowReply, ShareGrant, ShareRecall
 from ._peer_messages import on_message
-from ._readiness import holds_shares
+from ._readiness import holds_shares, is_leaving
 from ._reports import has_log, next_control_vm
 from ._state import (
     ANSWER_TIMEOUT_MARGIN,
@@ -51,10 +59,10 @@
     state = _record_samples(state, reply)
     if reply.entry_daemons != state.entry_daemons:
         state = resize_pools(replace(state, entry_daemons=reply.entry_daemons))
-    lease_until = follow.sent_at + LEASE_S
     shares = state.shares
     for grant in reply.grants:
         share = shares.get(grant.customer) or Share(grant.customer, updated_at=now)
+        lease_until = follow.sent_at + (grant.lease_s or LEASE_S)
         share = _apply_grant(share, grant, lease_until, now)
         shares = shares.set(grant.customer, share)
     state = replace(state, shares=shares)
@@ -116,17 +124,14 @@
             follow,
             target=reply.leader,
             known_leader=reply.leader,
-            last_asked_req=0,
             is_report_urgent=True,
         )
     elif peer == follow.target:
-        follow = replace(
-            follow,
-            target=next_control_vm(step.state),
-            known_leader="",
-            last_asked_req=0,
-        )
-    return Step(replace(step.state, follow=follow), step.effects)
+        follow = replace(follow, target=next_control_vm(step.state), known_leader="")
+    else:
+        return Step(step.state, step.effects)
+    shares = forget_requested(step.state.shares)
+    return Step(replace(step.state, follow=follow, shares=shares), step.effects)
 
 
 def on_seeds_changed(state: NodeState, seeds: tuple[str, ...]) -> Step[NodeState]:
@@ -146,7 +151,11 @@
 
 
 def on_peer_lost(state: NodeState, peer: str) -> NodeState:
-    """Switch to the next control VM at once, since the lost one will not answer."""
+    """Switch to the next control VM at once, since the lost one will not answer.
+
+    A lost owner is not asked for tokens again until the leader names it.
+    """
+    state = replace(state, shares=leave_owner(state.shares, peer))
     follow: FollowState = state.follow
     if peer != follow.target or peer == state.identity.name:
         return state
@@ -155,10 +164,9 @@
         target=next_control_vm(state),
         answered_seq=follow.seq,
         known_leader="",
-        last_asked_req=0,
         is_report_urgent=follow.answered_at >= follow.sent_at,
     )
-    return replace(state, follow=follow)
+    return replace(state, follow=follow, shares=forget_requested(state.shares))
 
 
 def _apply_grant(
@@ -166,11 +174,16 @@
 ) -> Share:
     """Set a share to a grant, and renew its lease."""
     share = expire(share, now)
+    was_whole_bucket = share.is_whole_bucket
     share = shrink(share, grant.rate, grant.burst, now)
     added_rate = max(grant.rate - share.rate, 0.0)
     added_burst = max(grant.burst - share.burst, 0.0)
     share = grow(share, added_rate, added_burst, grant.tokens, now)
-    return replace(share, lease_until=lease_until, on_demand=grant.on_demand)
+    share = replace(share, lease_until=lease_until, on_demand=grant.on_demand)
+    if share.is_whole_bucket and not was_whole_bucket:
+        # The requests that wait for another daemon's answer are queued here instead.
+        share = replace(share, owner="", last_asked_req=0, asked_at=0.0)
+    return share
 
 
 def _serve_waiting(
@@ -183,6 +196,22 @@
     return step
 
 
+@on_message(BucketOffer)
+def on_bucket_offer(
+    state: NodeState, peer: str, message: BucketOffer, now: float
+) -> Step[NodeState]:
+    """Report a customer, so that the answer can lend its bucket to this daemon."""
+    if is_leaving(state, now):
+        return Step(state)
+    share = state.shares.get(message.customer) or Share(
+        message.customer, updated_at=now
+    )
+    share = replace(share, on_demand=False)
+    shares = state.shares.set(message.customer, share)
+    follow = replace(state.follow, is_report_urgent=True)
+    return Step(replace(state, shares=shares, follow=follow))
+
+
 @on_message(ShareRecall)
 def on_share_recall(
     state: NodeState, peer: str, message: ShareRecall, now: float
--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -77,7 +77,7 @@
     A daemon's run is recorded before it is granted shares, and removed once it has
     returned all of them. A customer is recorded before its limits are divided.
     """
-    step = _propose_divided(state, request, now)
+    step = _propose_divided(state, peer, request, now)
     state = step.state
     control: ControlState = state.control
     holds_shares = any(report.burst > 0 for report in request.shares)
@@ -99,9 +99,9 @@
 
 
 def _propose_divided(
-    state: NodeState, request: FollowRequest, now: float
+    state: NodeState, peer: str, request: FollowRequest, now: float
 ) -> Step[NodeState]:
-    """Record in the log the customers whose limits are about to be divided."""
+    """Record in the log the customers whose limits are about to be divided or lent."""
     control: ControlState = state.control
     divided = state.catalogue.divided | control.proposed_divided
     entries = (state.catalogue.customer(report.customer) for report in request.shares)
@@ -109,7 +109,8 @@
         entry.name
         for entry in entries
         if entry and entry.name not in divided
-        if not _ledger.is_on_demand(state, control, entry, now)
+        if _is_lent_to(control, entry.name, peer)
+        or not _ledger.is_on_demand(state, control, entry, now)
     )
     if not new_customers:
         return Step(state)
@@ -122,6 +123,11 @@
     )
 
 
+def _is_lent_to(control: ControlState, customer: str, peer: str) -> bool:
+    ownership = control.owners.get(customer)
+    return ownership is not None and ownership.owner == peer
+
+
 @on_message(SuspectNotice)
 def on_suspect_notice(
     state: NodeState, peer: str, message: SuspectNotice, now: float
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -20,11 +20,14 @@
 from lovagewalk.node import NodeState
 
 from ._messages import FollowRequest, ShareGrant, ShareReport
+from ._ownership import UNREPORTED_KEY, adopt_owner, holding_key
 from ._state import (
     FOLLOWER_LOST_S,
     LEASE_MARGIN,
     LEASE_S,
+    OWNER_LEASE_S,
     ControlState,
+    Follower,
     Holding,
     Ledger,
 )
@@ -45,8 +48,6 @@
 # A burst is divided only if each daemon's part holds at least this many tokens: one
 # for the next request, and one to move to another daemon.
 MIN_PART_TOKENS = 2.0
-# The key of what daemons may hold that have not reported yet to a new leader.
-UNREPORTED_KEY = ""
 # A target has at least this burst, so that a daemon's first request finds a token even
 # while there is no leader.
 MIN_TARGET_TOKENS = 1.0
@@ -76,11 +77,6 @@
     burst: float
 
 
-def holding_key(peer: str, request: FollowRequest) -> str:
-    """Return the key of a daemon's run in `Ledger.holdings`."""
-    return f"{peer}/{request.boot}"
-
-
 def record_reports(
     state: NodeState,
     control: ControlState,
@@ -91,7 +87,6 @@
     """Return the ledgers with the holdings and the demand that a daemon reports."""
     ledgers = control.ledgers
     key = holding_key(peer, request)
-    expires_at = now + LEASE_S * LEASE_MARGIN
     is_consecutive = _is_consecutive(control, peer, request)
     for report in request.shares:
         entry = state.catalogue.customer(report.customer)
@@ -99,7 +94,7 @@
             continue
         ledger = get_ledger(state, control, report.customer, now)
         ledger = refresh_ledger(state, control, ledger, entry, now)
-        holding = Holding(report.rate, report.burst, expires_at)
+        holding = Holding(report.rate, report.burst, _reported_expiry(ledger, key, now))
         ledger = _reduce_unreported(ledger, key, holding, is_consecutive)
         ledger = _set_holding(ledger, key, holding)
         ledger = _record_demand(ledger, peer, request, report)
@@ -109,6 +104,17 @@
     return ledgers
 
 
+def _reported_expiry(ledger: Ledger, key: str, now: float) -> float:
+    """Return when the lease of a share that is reported has certainly expired.
+
+    A grant that answers the report extends it.
+    """
+    previous = ledger.holdings.get(key)
+    if previous is None:
+        return now + LEASE_S * LEASE_MARGIN
+    return max(previous.expires_at, now + OWNER_LEASE_S * LEASE_MARGIN)
+
+
 def _is_consecutive(control: ControlState, peer: str, request: FollowRequest) -> bool:
     """Whether no report of this run may have reached another leader since the last."""
     follower = control.followers.get(peer)
@@ -222,22 +228,34 @@
     free_rate = max(_free_rate(ledger, entry), 0.0)
     free_burst = max(_free_burst(ledger, entry), 0.0)
     gained_tokens = max(now - ledger.updated_at, 0.0) * free_rate
+    filling_since = ledger.updated_at
     if not may_grant(state, now):
-        gained_tokens = 0.0
+        gained_tokens, filling_since = 0.0, now
     tokens = max(min(ledger.tokens + gained_tokens, free_burst), 0.0)
     ledger = replace(ledger, tokens=tokens, updated_at=max(now, ledger.updated_at))
     if UNREPORTED_KEY in ledger.holdings and knows_all_holdings(
         state, control, ledger.customer, now
     ):
         ledger = _set_holding(ledger, UNREPORTED_KEY, Holding(0.0, 0.0, now))
-        return _remove_expired(ledger, now)
+        return _remove_expired(ledger, entry, now, filling_since)
     if now - ledger.swept_at < SWEEP_PERIOD_S:
         return ledger
-    return _remove_expired(ledger, now)
+    return _remove_expired(ledger, entry, now, filling_since)
 
 
-def _remove_expired(ledger: Ledger, now: float) -> Ledger:
-    """Remove holdings whose lease has expired, and recompute the sums."""
+def _remove_expired(
+    ledger: Ledger, entry: CustomerEntry, now: float, filling_since: float
+) -> Ledger:
+    """Remove holdings whose lease has expired, and recompute the sums.
+
+    The free tokens fill at an expired holding's rate from the end of its lease on, at
+    the earliest from `filling_since`.
+    """
+    gained_tokens = sum(
+        (now - max(holding.expires_at, filling_since)) * holding.rate
+        for holding in ledger.holdings.values()
+        if holding.expires_at <= now
+    )
     valid_holdings = {
         key: holding
         for key, holding in ledger.holdings.items()
@@ -247,17 +265,25 @@
     demands = {
         name: demand for name, demand in ledger.demands.items() if name in daemons
     }
+    held_burst = sum(holding.burst for holding in valid_holdings.values())
+    free_burst = max(entry.burst - held_burst, 0.0)
     return replace(
         ledger,
         holdings=Map(valid_holdings),
         held_rate=sum(holding.rate for holding in valid_holdings.values()),
-        held_burst=sum(holding.burst for holding in valid_holdings.values()),
+        held_burst=held_burst,
+        tokens=min(ledger.tokens + max(gained_tokens, 0.0), free_burst),
         demands=Map(demands),
         total_demand=sum(demands.values()),
         swept_at=now,
     )
 
 
+def next_expiry(ledger: Ledger, now: float) -> float:
+    """Return when the next holding expires; now if there is none."""
+    return min((h.expires_at for h in ledger.holdings.values() if h.burst), default=now)
+
+
 def _free_rate(ledger: Ledger, entry: CustomerEntry) -> float:
     return entry.rate - ledger.held_rate
 
@@ -270,7 +296,8 @@
     state: NodeState, control: ControlState, peer: str, now: float
 ) -> GrantResult:
     """Decide the grants to a daemon that has just reported."""
-    request = control.followers[peer].request
+    follower = control.followers[peer]
+    request = follower.request
     ledgers = control.ledgers
     grants: tuple[ShareGrant, ...] = ()
     for report in request.shares:
@@ -285,20 +312,22 @@
             # The customer was unknown when the report came, or the holding has
             # expired since; the next report records it again.
             continue
-        may_grow = not request.draining and may_grant(state, now)
-        if may_grow and is_on_demand(state, control, entry, now):
-            grant = ShareGrant(report.customer, 0.0, 0.0, 0.0, on_demand=True)
+        is_divided = report.customer in state.catalogue.divided
+        may_hold = (
+            not request.draining
+            and may_grant(state, now)
+            and is_divided
+            and is_recorded_holder(state, peer, request)
+        )
+        if is_on_demand(state, control, entry, now):
+            control = adopt_owner(control, ledger, now)
+            grant = _decide_bucket_grant(control, ledger, entry, peer, report, may_hold)
         else:
-            is_divided = report.customer in state.catalogue.divided
-            may_grow = (
-                may_grow and is_divided and is_recorded_holder(state, peer, request)
-            )
             target = compute_target(ledger, entry, peer)
             # Queued requests take free tokens before a share may grow.
-            grant = _decide_grant(
-                ledger, entry, report, target, may_grow and not ledger.queue
-            )
-        ledger = _record_grant(ledger, holding_key(peer, request), grant)
+            may_grow = may_hold and not ledger.queue
+            grant = _decide_grant(ledger, entry, report, target, may_grow)
+        ledger = _record_grant(ledger, follower, grant)
         ledgers = ledgers.set(report.customer, ledger)
         grants += (grant,)
     return GrantResult(replace(control, ledgers=ledgers), grants)
@@ -366,8 +395,8 @@
 ) -> bool:
     """Whether a customer's burst is too small to be divided between daemons.
 
-    A fraction of a token admits no request. The leader then keeps the whole
-    bucket and grants tokens one by one as daemons request them.
+    A fraction of a token admits no request. The whole bucket is then lent to one
+    daemon, or kept by the leader, which grant tokens one by one on request.
     """
     return entry.burst < count_entry_daemons(state, control, now) * MIN_PART_TOKENS
 
@@ -388,6 +417,30 @@
     return count
 
 
+def _decide_bucket_grant(
+    control: ControlState,
+    ledger: Ledger,
+    entry: CustomerEntry,
+    peer: str,
+    report: ShareReport,
+    may_hold: bool,
+) -> ShareGrant:
+    """Return the grant of an undivided bucket: the whole to its owner, else nothing.
+
+    Until the log records the owner, it goes on reporting the customer. Needs that are
+    queued at the leader are sent on to it.
+    """
+    name = report.customer
+    ownership = control.owners.get(name)
+    if ownership is None or ownership.owner != peer:
+        return ShareGrant(name, 0.0, 0.0, 0.0, on_demand=True)
+    if control.followers[peer].request.draining:
+        return ShareGrant(name, 0.0, 0.0, 0.0, on_demand=True)
+    target = Target(entry.rate, entry.burst)
+    grant = _decide_grant(ledger, entry, report, target, may_hold)
+    return replace(grant, on_demand=may_hold or grant.burst > 0, lease_s=OWNER_LEASE_S)
+
+
 def _decide_grant(
     ledger: Ledger,
     entry: CustomerEntry,
@@ -415,13 +468,19 @@
     return held
 
 
-def _record_grant(ledger: Ledger, key: str, grant: ShareGrant) -> Ledger:
-    """Record a grant as held at once; a reduction counts only once it is reported."""
+def _record_grant(ledger: Ledger, follower: Follower, grant: ShareGrant) -> Ledger:
+    """Record a grant as held at once; a reduction counts only once it is reported.
+
+    Its lease starts before the report arrived.
+    """
+    key = holding_key(follower.name, follower.request)
     holding = ledger.holdings[key]
+    lease_s = (grant.lease_s or LEASE_S) * LEASE_MARGIN
     updated = replace(
         holding,
         rate=max(holding.rate, grant.rate),
         burst=max(holding.burst, grant.burst),
+        expires_at=max(holding.expires_at, follower.seen_at + lease_s),
     )
     ledger = _set_holding(ledger, key, updated)
     return replace(ledger, tokens=ledger.tokens - grant.tokens)
--- a/lovagewalk/control/_messages.py
+++ b/lovagewalk/control/_messages.py
@@ -41,7 +41,11 @@
     tokens : float
         Tokens to add to the level of its bucket.
     on_demand : bool
-        Whether the daemon gets no share and requests each token from the leader.
+        Whether the bucket is not divided: the daemon either owns the whole, or gets
+        no share and requests each token.
+    lease_s : float
+        Length of the lease, counted from when the answered report was sent, in
+        seconds; 0 for that of all other shares.
     """
 
     customer: str
@@ -49,6 +53,7 @@
     burst: float
     tokens: float
     on_demand: bool = False
+    lease_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +87,10 @@
         Whether it watches primaries itself.
     has_log : bool
         Whether it takes the catalogue from its own consensus log.
+    region : str
+        Its region.
+    may_own : bool
+        Whether other daemons can reach it, so that it may own buckets.
     """
 
     boot: str
@@ -93,6 +102,8 @@
     entry: bool = True
     observes: bool = True
     has_log: bool = False
+    region: str = ""
+    may_own: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,83 +173,6 @@
     grant: ShareGrant
 
 
-@dataclass(frozen=True, slots=True)
-class TokenNeed:
-    """A request that waits for a token.
-
-    Attributes
-    ----------
-    req : int
-        Number of the request at its daemon.
-    wait_s : float
-        How long it may wait for the token, in seconds.
-    paid : float
-        Part of the token that its daemon has set aside.
-    priority : int
-        Priority of its route; 0 is served first.
-    """
-
-    req: int
-    customer: str
-    wait_s: float
-    paid: float = 0.0
-    priority: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class TokenAsk:
-    """Requests tokens from the leader, out of those that no daemon holds."""
-
-    needs: tuple[TokenNeed, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class TokenAdmission:
-    """A request that is granted a token.
-
-    Attributes
-    ----------
-    tokens : float
-        Part of the token that the leader granted; its daemon had set aside the rest.
-    """
-
-    req: int
-    customer: str
-    tokens: float = 1.0
-
-
-@dataclass(frozen=True, slots=True)
-class TokenDenial:
-    """A request that will get no token within its waiting time.
-
-    Attributes
-    ----------
-    retry_after_s : float
-        Time until a token will be free, in seconds.
-    """
-
-    req: int
-    retry_after_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class TokenAnswer:
-    """The answer to a `TokenAsk`, or to a part of it.
-
-    Attributes
-    ----------
-    is_leader : bool
-        Whether the sender leads; if not, it has queued nothing.
-    leader : str
-        Control VM to request tokens from instead; empty if unknown.
-    """
-
-    admitted: tuple[TokenAdmission, ...] = ()
-    denied: tuple[TokenDenial, ...] = ()
-    is_leader: bool = True
-    leader: str = ""
-
-
 @dataclass(frozen=True, slots=True)
 class ForwardProposal:
     """Forwards a proposal to the leader on behalf of a daemon."""
--- a/lovagewalk/control/_reducer.py
+++ b/lovagewalk/control/_reducer.py
@@ -18,6 +18,7 @@
     _follow,
     _heartbeats,
     _membership,
+    _owned_buckets,
     _proposals,
     _provider,
     _raft_steps,
@@ -102,6 +103,7 @@
     step = Step(state)
     if state.follow is not None:
         step = _reports.tick(state, event.at)
+        step = step.then(_owned_buckets.tick(step.state, event.at))
         step = step.then(_token_requests.request_tokens(step.state, event.at))
     # A leader that has not caught up could replace a primary that its predecessor has
     # replaced already.
--- a/lovagewalk/control/_reports.py
+++ b/lovagewalk/control/_reports.py
@@ -7,7 +7,13 @@
 from lovagewalk.groups import is_primary_suspect
 from lovagewalk.node import NodeState
 from lovagewalk.records import LeaseGained, LeaseLost
-from lovagewalk.shares import Share, expire, shrink, smooth_demand
+from lovagewalk.shares import (
+    Share,
+    expire,
+    forget_requested,
+    shrink,
+    smooth_demand,
+)
 
 from ._accesses import report_accesses
 from ._catalogue_reads import answer_reads, has_unconfirmed_reads
@@ -61,10 +67,9 @@
         target=raft.leader,
         known_leader=raft.leader,
         answered_seq=follow.seq,
-        last_asked_req=0,
         is_report_urgent=True,
     )
-    return replace(state, follow=follow)
+    return replace(state, follow=follow, shares=forget_requested(state.shares))
 
 
 def _record_lease_change(state: NodeState, now: float) -> Step[NodeState]:
@@ -140,9 +145,12 @@
         entry=state.identity.entry and not leaving,
         observes=state.identity.entry,
         has_log=has_log(state),
+        region=state.identity.region,
+        may_own=state.identity.may_own,
     )
-    shares = state.shares
+    shares = state.shares if target == follow.target else forget_requested(state.shares)
     for share in reported_shares:
+        share = shares[share.customer]
         if share.returned:
             shares = shares.set(share.customer, replace(share, returned=0.0))
     follow = replace(
@@ -150,7 +158,6 @@
         target=target,
         seq=request.seq,
         sent_at=now,
-        last_asked_req=follow.last_asked_req if target == follow.target else 0,
         is_report_urgent=False,
         unanswered=_remove_expired(follow.unanswered, now).set(request.seq, now),
         answer_timeout_s=_answer_timeout_s(follow),
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -5,6 +5,7 @@
 
 from immutables import Map
 
+from lovagewalk.buckets import QueuedNeed
 from lovagewalk.catalogue import Proposal, Voter
 from lovagewalk.groups import InstanceStatus
 
@@ -21,6 +22,9 @@
 FOLLOW_PERIOD_S = 0.5
 # A daemon that has not reported for three periods is not counted any more.
 FOLLOWER_LOST_S = 1.5
+# An owner's lease bounds how long its customers get no tokens after it is lost. It
+# outlasts an election, 0.8 s, and the first report to the new leader.
+OWNER_LEASE_S = 2.0
 # While no VM has named a leader, reports are two round trips between regions apart.
 LEADERLESS_RETRY_S = 0.1
 # An answer is awaited for half a lease at most, so that one more report fits into the
@@ -69,8 +73,6 @@
         Number of the latest report, and of the latest one that any VM answered.
     sent_at : float
         When the latest report was sent, in monotonic seconds.
-    last_asked_req : int
-        Number of the latest request for which a token was requested from the leader.
     next_ask_at : float
         No token is requested before this time, in monotonic seconds.
     answered_at : float
@@ -106,7 +108,6 @@
     seq: int = 0
     answered_seq: int = 0
     sent_at: float = 0.0
-    last_asked_req: int = 0
     next_ask_at: float = 0.0
     answered_at: float = 0.0
     suspects: tuple = ()
@@ -184,24 +185,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class QueuedNeed:
-    """A daemon's request for a token, in the queue of the leader.
+class Ownership:
+    """The daemon that a customer's bucket is lent to, or is to be lent to.
 
     Attributes
     ----------
-    deadline : float
-        Its deadline, in monotonic seconds.
-    missing : float
-        Fraction of a token that it still needs.
-    priority : int
-        Priority of its route; 0 is served first.
+    offered_at : float
+        When the bucket was last offered to it, in monotonic seconds.
     """
 
-    peer: str
-    req: int
-    deadline: float
-    missing: float = 1.0
-    priority: int = 0
+    owner: str
+    offered_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -374,6 +368,8 @@
         Runs that are proposed to the log as holders of shares, by daemon.
     proposed_divided : frozenset of str
         Customers that are proposed to the log as divided among daemons.
+    owners : Map of str to Ownership
+        Owners of undivided buckets, by customer.
     """
 
     led_term: int = 0
@@ -391,3 +387,4 @@
     queued_customers: frozenset[str] = frozenset()
     proposed_holders: Map = field(default_factory=Map)
     proposed_divided: frozenset[str] = frozenset()
+    owners: Map = field(default_factory=Map)
--- a/lovagewalk/control/_token_queue.py
+++ b/lovagewalk/control/_token_queue.py
@@ -8,51 +8,52 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from lovagewalk.catalogue import CustomerEntry
-from lovagewalk.consensus import RaftState, SendToPeer, holds_leader_lease
-from lovagewalk.core import Effect, Step, replace
-from lovagewalk.node import NodeState
-
-from . import _ledger
-from ._messages import (
-    ShareRecall,
+from lovagewalk.buckets import (
+    MAX_RETRY_AFTER_S,
+    BucketOwner,
+    DeniedNeed,
+    QueuedNeed,
     TokenAdmission,
     TokenAnswer,
     TokenAsk,
     TokenDenial,
+    TokenNeed,
+    admit_needs,
+    deny_late_needs,
+    insert_by_priority,
 )
+from lovagewalk.consensus import RaftState, SendToPeer, holds_leader_lease
+from lovagewalk.core import Effect, Step, replace
+from lovagewalk.node import NodeState
+
+from . import _ledger
+from ._bucket_owners import OfferResult, offer_bucket
+from ._messages import ShareRecall
+from ._owned_buckets import owns_bucket, queue_owned_needs
+from ._ownership import adopt_owner, find_owner
 from ._peer_messages import on_message
-from ._state import ControlState, Ledger, QueuedNeed
+from ._state import ControlState, Ledger
 
 # Recalls of a customer's shares are at least a round trip between regions apart.
 RECALL_PERIOD_S = 0.05
-# The retry time that a caller is given is bounded, since at a rate of zero no token is
-# ever free.
-MAX_RETRY_AFTER_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
-class DeniedNeed:
-    """A need that will get no token in time.
+class QueueResult:
+    """Result of serving a customer's queue.
 
     Attributes
     ----------
-    wait_s : float
-        Time until a token would be free, in seconds.
+    sent_on : tuple of QueuedNeed
+        Needs that their daemons have to send to `owner`.
     """
 
-    need: QueuedNeed
-    wait_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class QueueResult:
-    """Result of serving a customer's queue."""
-
     ledger: Ledger
     admitted: tuple[QueuedNeed, ...] = ()
     denied: tuple[DeniedNeed, ...] = ()
     recalls: tuple[_ledger.Recall, ...] = ()
+    sent_on: tuple[QueuedNeed, ...] = ()
+    owner: str = ""
 
 
 @on_message(TokenAsk)
@@ -60,14 +61,38 @@
     state: NodeState, peer: str, message: TokenAsk, now: float
 ) -> Step[NodeState]:
     """Queue a daemon's needs, and grant the tokens that are free."""
+    owned = tuple(n for n in message.needs if owns_bucket(state, n.customer, now))
+    others = tuple(n for n in message.needs if n not in owned)
+    step = Step(state)
+    if owned:
+        step = queue_owned_needs(state, peer, owned, now)
+    if not others:
+        return step
     raft: RaftState = state.consensus
-    if raft is None or not raft.is_leader:
-        leader = raft.leader if raft is not None else ""
-        answer = TokenAnswer(is_leader=False, leader=leader)
-        return Step(state, (SendToPeer(peer, answer),))
+    if raft is not None and raft.is_leader:
+        return step.then(_queue_needs(step.state, peer, others, now))
+    return step.then(Step(step.state, (_refuse_needs(state, peer, others),)))
+
+
+def _refuse_needs(
+    state: NodeState, peer: str, needs: tuple[TokenNeed, ...]
+) -> SendToPeer:
+    """Return an answer to needs that this daemon can neither queue nor grant."""
+    raft: RaftState = state.consensus
+    if raft is not None:
+        return SendToPeer(peer, TokenAnswer(is_leader=False, leader=raft.leader))
+    customers = dict.fromkeys(need.customer for need in needs)
+    owners = tuple(BucketOwner(customer, "") for customer in customers)
+    return SendToPeer(peer, TokenAnswer(owners=owners))
+
+
+def _queue_needs(
+    state: NodeState, peer: str, needs: tuple[TokenNeed, ...], now: float
+) -> Step[NodeState]:
+    """Queue a daemon's needs at the leader, whose queues then send them to owners."""
     control: ControlState = state.control
     ledgers = control.ledgers
-    for need in message.needs:
+    for need in needs:
         ledger = ledgers.get(need.customer)
         if ledger is None:
             ledger = _ledger.get_ledger(state, control, need.customer, now)
@@ -75,28 +100,15 @@
             peer, need.req, now + need.wait_s, 1.0 - need.paid, need.priority
         )
         ledger = _ledger.add_queued_demand(ledger, peer)
-        ledger = replace(ledger, queue=_insert_by_priority(ledger.queue, queued_need))
+        ledger = replace(ledger, queue=insert_by_priority(ledger.queue, queued_need))
         ledgers = ledgers.set(need.customer, ledger)
-    customers = frozenset(need.customer for need in message.needs)
+    customers = frozenset(need.customer for need in needs)
     control = replace(
         control, ledgers=ledgers, queued_customers=control.queued_customers | customers
     )
     return serve_queues(replace(state, control=control), customers, now)
 
 
-def _insert_by_priority(
-    queue: tuple[QueuedNeed, ...], need: QueuedNeed
-) -> tuple[QueuedNeed, ...]:
-    """Insert a need behind those of the same or a higher priority.
-
-    Needs may wait for different times. In order of arrival, the queue of a customer
-    above its rate would grow to the longest of these times, and every need with a
-    shorter time would be denied.
-    """
-    position = sum(other.priority <= need.priority for other in queue)
-    return queue[:position] + (need,) + queue[position:]
-
-
 def tick(state: NodeState, now: float) -> Step[NodeState]:
     """Serve the queues of all customers."""
     return serve_queues(state, state.control.queued_customers, now)
@@ -124,6 +136,9 @@
             queued_customers=queued,
         )
         _collect_answers(answers, customer, result)
+        offered = _offer_bucket(state, control, customer, now)
+        control = offered.control
+        effects += offered.effects
         effects += tuple(
             SendToPeer(recall.daemon, ShareRecall(recall.grant))
             for recall in result.recalls
@@ -132,67 +147,62 @@
     return Step(replace(state, control=control), effects)
 
 
+def _offer_bucket(
+    state: NodeState, control: ControlState, customer: str, now: float
+) -> OfferResult:
+    """Offer a customer's bucket to a daemon if it is not divided and has no owner."""
+    entry = state.catalogue.customer(customer)
+    if entry is None or not _ledger.is_on_demand(state, control, entry, now):
+        return OfferResult(control)
+    ledger = control.ledgers[customer]
+    control = adopt_owner(control, ledger, now)
+    if find_owner(control, ledger, now):
+        return OfferResult(control)
+    return offer_bucket(state, control, ledger, now)
+
+
 def _serve_customer(
-    state: NodeState,
-    control: ControlState,
-    customer: str,
-    now: float,
+    state: NodeState, control: ControlState, customer: str, now: float
 ) -> QueueResult:
-    """Grant the free tokens in order, then deny late needs and recall shares."""
+    """Grant the free tokens in order, then deny late needs and recall shares.
+
+    Where a daemon owns the bucket, the needs of the others are sent on to it.
+    """
     entry = state.catalogue.customer(customer)
     ledger = control.ledgers[customer]
     if entry is None:
         denied = tuple(DeniedNeed(need, MAX_RETRY_AFTER_S) for need in ledger.queue)
         return QueueResult(replace(ledger, queue=()), denied=denied)
     ledger = _ledger.refresh_ledger(state, control, ledger, entry, now)
-    waiting = list(ledger.queue)
-    admitted: tuple[QueuedNeed, ...] = ()
-    tokens = ledger.tokens
-    while waiting and waiting[0].missing <= tokens + _ledger.EPSILON:
-        tokens = max(tokens - waiting[0].missing, 0.0)
-        admitted += (waiting.pop(0),)
-    ledger = replace(ledger, tokens=tokens, queue=tuple(waiting))
-    if not waiting:
-        return QueueResult(ledger, admitted)
     on_demand = _ledger.is_on_demand(state, control, entry, now)
-    result = QueueResult(ledger)
+    owner = find_owner(control, ledger, now) if on_demand else ""
+    sent_on = ledger.queue if owner else ()
+    if owner:
+        ledger = replace(ledger, queue=())
+    granted = admit_needs(ledger.queue, ledger.tokens)
+    ledger = replace(ledger, tokens=granted.tokens, queue=granted.queue)
+    result = QueueResult(ledger, granted.admitted, sent_on=sent_on, owner=owner)
+    if not ledger.queue:
+        return result
     if _ledger.knows_all_holdings(state, control, customer, now):
         # Before, each report may free tokens at once.
-        result = _deny_late(ledger, entry, on_demand, now)
-    result = replace(result, admitted=admitted)
+        denied = deny_late_needs(
+            ledger.queue,
+            ledger.tokens,
+            entry.rate - ledger.held_rate,
+            now,
+            free_at=_ledger.next_expiry(ledger, now),
+            may_be_returned=not on_demand,
+        )
+        ledger = replace(ledger, queue=denied.queue)
+        result = replace(result, ledger=ledger, denied=denied.denied)
     if on_demand or now - ledger.recalled_at < RECALL_PERIOD_S:
         return result
-    recalls = _ledger.recall_shares(control, ledger, entry, waiting[0].peer)
-    ledger = replace(result.ledger, recalled_at=now)
+    recalls = _ledger.recall_shares(control, ledger, entry, granted.queue[0].peer)
+    ledger = replace(ledger, recalled_at=now)
     return replace(result, ledger=ledger, recalls=recalls)
 
 
-def _deny_late(
-    ledger: Ledger, entry: CustomerEntry, on_demand: bool, now: float
-) -> QueueResult:
-    """Deny needs whose token would come after their deadline.
-
-    Where daemons hold shares, they may return tokens at any moment, so a need is
-    denied only at its deadline.
-    """
-    free_rate = entry.rate - ledger.held_rate
-    remaining: tuple[QueuedNeed, ...] = ()
-    denied: tuple[DeniedNeed, ...] = ()
-    missing = -ledger.tokens
-    for need in ledger.queue:
-        missing += need.missing
-        wait_s = MAX_RETRY_AFTER_S
-        if free_rate > 0:
-            wait_s = min(missing / free_rate, MAX_RETRY_AFTER_S)
-        is_in_time = now + wait_s < need.deadline if on_demand else now < need.deadline
-        if is_in_time:
-            remaining += (need,)
-        else:
-            denied += (DeniedNeed(need, wait_s),)
-            missing -= need.missing
-    return QueueResult(replace(ledger, queue=remaining), denied=denied)
-
-
 def _collect_answers(
     answers: dict[str, TokenAnswer], customer: str, result: QueueResult
 ) -> None:
@@ -206,3 +216,7 @@
         answer = answers.get(peer) or TokenAnswer()
         denial = TokenDenial(denied_need.need.req, denied_need.wait_s)
         answers[peer] = replace(answer, denied=answer.denied + (denial,))
+    for peer in dict.fromkeys(need.peer for need in result.sent_on):
+        answer = answers.get(peer) or TokenAnswer()
+        owner = BucketOwner(customer, result.owner)
+        answers[peer] = replace(answer, owners=answer.owners + (owner,))
--- a/lovagewalk/control/_token_requests.py
+++ b/lovagewalk/control/_token_requests.py
@@ -1,61 +1,118 @@
-"""A daemon's requests to the leader for tokens that its own shares do not hold."""
-
+"""A daemon's requests for tokens that its own shares do not hold."""
+
+from lovagewalk.buckets import (
+    BucketOwner,
+    TokenAdmission,
+    TokenAnswer,
+    TokenAsk,
+    TokenDenial,
+    TokenNeed,
+)
 from lovagewalk.consensus import SendToPeer
 from lovagewalk.core import Refusal, Step, replace
 from lovagewalk.node import NodeState
+from lovagewalk.records import OwnerSilent
 from lovagewalk.routing import Phase, Request, _admit, _callers
 from lovagewalk.routing._answer import answer as answer_caller
-from lovagewalk.shares import level_at, remove_tokens
-
-from ._messages import TokenAdmission, TokenAnswer, TokenAsk, TokenDenial, TokenNeed
+from lovagewalk.shares import (
+    Share,
+    forget_requested,
+    level_at,
+    remove_tokens,
+    return_tokens,
+)
+
+from ._owned_buckets import owns_bucket
 from ._peer_messages import on_message
 from ._state import LEADERLESS_RETRY_S, FollowState
 
+# An owner answers at once. This is many times the round trip between regions.
+OWNER_TIMEOUT_S = 0.3
+
 
 def request_tokens(state: NodeState, now: float) -> Step[NodeState]:
-    """Request tokens for the waiting requests that the leader has not been sent yet."""
-    follow: FollowState = state.follow
-    waiting = _find_unsent_requests(state, follow.last_asked_req)
-    if not waiting or now < follow.next_ask_at:
-        return Step(state)
-    follow = replace(follow, last_asked_req=waiting[-1].req)
-    state = replace(state, follow=follow)
-    needs: tuple[TokenNeed, ...] = ()
-    for request in waiting:
-        remaining_s = _admit.token_deadline(request) - now
-        if remaining_s <= 0:
+    """Request tokens for the waiting requests that no owner or leader has been sent."""
+    step = _leave_silent_owners(state, now)
+    state = step.state
+    needs_by_target: dict[str, tuple[TokenNeed, ...]] = {}
+    for customer in tuple(name for name, s in state.shares.items() if s.waiting):
+        share = state.shares[customer]
+        target = _find_source(state, share, now)
+        waiting = _find_unsent_requests(state, share)
+        if not waiting or (target is None and now < state.follow.next_ask_at):
             continue
-        remaining_s = min(remaining_s, _admit.max_token_wait_s(request))
-        state = _reserve_partial_token(state, request, now)
-        reserved_fraction = state.requests[request.req].reserved_fraction
-        needs += (
-            TokenNeed(
-                request.req,
-                request.customer,
-                remaining_s,
-                reserved_fraction,
-                request.priority,
-            ),
-        )
-    if not needs:
-        return Step(state)
-    return Step(state, (SendToPeer(follow.target, TokenAsk(needs)),))
+        share = replace(share, last_asked_req=waiting[-1].req)
+        if target == share.owner and not share.asked_at:
+            share = replace(share, asked_at=now)
+        state = replace(state, shares=state.shares.set(customer, share))
+        for request in waiting:
+            state, need = _build_need(state, request, now)
+            if need is not None:
+                name = target or state.follow.target
+                needs_by_target[name] = needs_by_target.get(name, ()) + (need,)
+    effects = tuple(
+        SendToPeer(name, TokenAsk(needs)) for name, needs in needs_by_target.items()
+    )
+    return Step(state, step.effects + effects)
 
 
-def _find_unsent_requests(state: NodeState, last_sent_req: int) -> list[Request]:
-    """Return the waiting requests numbered above `last_sent_req`, oldest first."""
+def _leave_silent_owners(state: NodeState, now: float) -> Step[NodeState]:
+    """Ask the control leader instead of owners that have not answered in time."""
+    shares = state.shares
+    records: tuple[OwnerSilent, ...] = ()
+    for customer, share in state.shares.items():
+        if not share.asked_at or now - share.asked_at < OWNER_TIMEOUT_S:
+            continue
+        records += (OwnerSilent(customer, share.owner, len(share.waiting)),)
+        share = replace(share, owner="", last_asked_req=0, asked_at=0.0)
+        shares = shares.set(customer, share)
+    return Step(replace(state, shares=shares), records)
+
+
+def _find_source(state: NodeState, share: Share, now: float) -> str | None:
+    """Return the daemon to request tokens from; None for the control leader."""
+    if owns_bucket(state, share.customer, now):
+        return state.identity.name
+    return share.owner or None
+
+
+def _find_unsent_requests(state: NodeState, share: Share) -> list[Request]:
+    """Return a customer's waiting requests that were not sent yet, oldest first."""
     requests = [
         state.requests[req]
-        for share in state.shares.values()
         for req in share.waiting
-        if req > last_sent_req and req in state.requests
+        if req > share.last_asked_req and req in state.requests
     ]
     return sorted(requests, key=lambda request: request.req)
 
 
+def _build_need(
+    state: NodeState, request: Request, now: float
+) -> tuple[NodeState, TokenNeed | None]:
+    """Set aside what the share holds for a request, and return what it needs.
+
+    None if it may not wait any longer.
+    """
+    remaining_s = _admit.token_deadline(request) - now
+    if remaining_s <= 0:
+        return state, None
+    remaining_s = min(remaining_s, _admit.max_token_wait_s(request))
+    state = _reserve_partial_token(state, request, now)
+    need = TokenNeed(
+        request.req,
+        request.customer,
+        remaining_s,
+        state.requests[request.req].reserved_fraction,
+        request.priority,
+    )
+    return state, need
+
+
 def _reserve_partial_token(state: NodeState, request: Request, now: float) -> NodeState:
     """Set aside what a share holds, if less than a token, for a request."""
     share = state.shares[request.customer]
+    if share.is_whole_bucket:
+        return state
     level = level_at(share, now) if now < share.lease_until else 0.0
     if request.reserved_fraction or not 0 < level < 1:
         return state
@@ -71,32 +128,64 @@
 def on_token_answer(
     state: NodeState, peer: str, message: TokenAnswer, now: float
 ) -> Step[NodeState]:
-    """Admit or refuse requests as the leader has decided."""
+    """Admit or refuse requests as the leader or the owner has decided."""
     if not message.is_leader:
         return Step(_schedule_retry(state, peer, message.leader, now))
+    state = _record_answer(state, peer)
+    for bucket_owner in message.owners:
+        state = _set_owner(state, peer, bucket_owner, now)
     step = Step(state)
     for admission in message.admitted:
         step = step.then(_admit_request(step.state, admission, now))
     for denial in message.denied:
         step = step.then(_refuse_request(step.state, denial))
+    if message.owners:
+        step = step.then(request_tokens(step.state, now))
     return step
 
 
+def _record_answer(state: NodeState, peer: str) -> NodeState:
+    """Record that an owner has answered."""
+    shares = state.shares
+    for customer, share in shares.items():
+        if share.asked_at and share.owner == peer:
+            shares = shares.set(customer, replace(share, asked_at=0.0))
+    return replace(state, shares=shares)
+
+
+def _set_owner(
+    state: NodeState, peer: str, bucket_owner: BucketOwner, now: float
+) -> NodeState:
+    """Request a customer's tokens from the named owner from now on.
+
+    A daemon that does not own the bucket any more names none; only the one that is
+    asked at present is believed. Where the leader names this daemon, whose lease has
+    ended, it goes on asking the leader.
+    """
+    share = state.shares.get(bucket_owner.customer)
+    if share is None or owns_bucket(state, share.customer, now):
+        return state
+    if not bucket_owner.owner and share.owner not in ("", peer):
+        return state
+    owner = bucket_owner.owner
+    if owner == state.identity.name:
+        owner = ""
+    share = replace(share, owner=owner, last_asked_req=0, asked_at=0.0)
+    return replace(state, shares=state.shares.set(share.customer, share))
+
+
 def _schedule_retry(state: NodeState, peer: str, leader: str, now: float) -> NodeState:
     """Request again from the named leader, or else after `LEADERLESS_RETRY_S`."""
     follow: FollowState = state.follow
+    state = replace(state, shares=forget_requested(state.shares))
     if follow.target != peer:
-        return replace(state, follow=replace(follow, last_asked_req=0))
+        return state
     if leader and leader != peer:
         follow = replace(
-            follow,
-            target=leader,
-            known_leader=leader,
-            last_asked_req=0,
-            is_report_urgent=True,
+            follow, target=leader, known_leader=leader, is_report_urgent=True
         )
     else:
-        follow = replace(follow, last_asked_req=0, next_ask_at=now + LEADERLESS_RETRY_S)
+        follow = replace(follow, next_ask_at=now + LEADERLESS_RETRY_S)
     return replace(state, follow=follow)
 
 
@@ -105,18 +194,26 @@
 ) -> Step[NodeState]:
     """Admit a request; if it has ended, return its token."""
     request = _find_waiting(state, admission.req)
-    if request is None:
-        share = state.shares.get(admission.customer)
-        if share is None:
-            return Step(state)
-        share = replace(share, returned=share.returned + admission.tokens)
-        return Step(replace(state, shares=state.shares.set(share.customer, share)))
+    if request is None or request.customer != admission.customer:
+        return Step(_return_token(state, admission, now))
     admitted = replace(request, reserved_fraction=0.0)
     return _admit.run_admitted(
         _callers.remove_from_queue(state, admitted), admitted, now
     )
 
 
+def _return_token(state: NodeState, admission: TokenAdmission, now: float) -> NodeState:
+    """Put a token back that admits no request, or report it as returned."""
+    share = state.shares.get(admission.customer)
+    if share is None:
+        return state
+    if owns_bucket(state, share.customer, now):
+        share = return_tokens(share, admission.tokens, now)
+    else:
+        share = replace(share, returned=share.returned + admission.tokens)
+    return replace(state, shares=state.shares.set(share.customer, share))
+
+
 def _refuse_request(state: NodeState, denial: TokenDenial) -> Step[NodeState]:
     request = _find_waiting(state, denial.req)
     if request is None:
--- a/lovagewalk/control/tests/test_fleet_machine.py
+++ b/lovagewalk/control/tests/test_fleet_machine.py
@@ -46,9 +46,18 @@
 
 
 class Daemons:
-    """Three daemons, and the messages between them."""
+    """Three daemons, and the messages between them.
+
+    Parameters
+    ----------
+    burst : float
+        Burst of the customer; the limits of three daemons can be divided from 6 on.
+    may_own : bool
+        Whether the daemons may own undivided buckets.
+    """
 
-    def __init__(self):
+    def __init__(self, burst=BURST, may_own=False):
+        self.may_own = may_own
         self.now = 1.0
         self.wire = []
         self.isolated = set()
@@ -62,7 +71,7 @@
         self.states = {name: self._new_state(name) for name in NAMES}
         self.run(2.0)
         for command in (
-            cat.PutCustomer(cat.CustomerEntry(CUSTOMER, "o", RATE, BURST), 0),
+            cat.PutCustomer(cat.CustomerEntry(CUSTOMER, "o", RATE, burst), 0),
             cat.IssueKey("k", CUSTOMER, ""),
             cat.PutRoute(cat.RouteEntry("r", "o", "g"), 0),
         ):
@@ -78,7 +87,7 @@
             name, f"disk-{name}", peers, seed=self.boots, bootstrap_members=NAMES
         )
         return NodeState(
-            Identity(name, "z", "r", b"secret", control=True),
+            Identity(name, "z", "r", b"secret", control=True, may_own=self.may_own),
             consensus=raft,
             control=ControlState(),
             follow=FollowState(NAMES, name, str(self.boots)),
@@ -157,9 +166,12 @@
 
 
 class FleetMachine(RuleBasedStateMachine):
+    burst = BURST
+    may_own = False
+
     def __init__(self):
         super().__init__()
-        self.fleet = Daemons()
+        self.fleet = Daemons(self.burst, self.may_own)
 
     @rule(name=st.sampled_from(NAMES), elapsed_s=st.sampled_from((0.01, 0.05, 0.6)))
     def tick(self, name, elapsed_s):
@@ -205,12 +217,12 @@
     @invariant()
     def shares_stay_within_the_limits(self):
         assert self.fleet.sum_shares("rate") <= RATE + EPSILON
-        assert self.fleet.sum_shares("burst") <= BURST + EPSILON
+        assert self.fleet.sum_shares("burst") <= self.burst + EPSILON
 
     @invariant()
     def admissions_stay_within_rate_and_burst(self):
         elapsed = self.fleet.now - self.fleet.limited_since
-        assert len(self.fleet.admitted) <= RATE * elapsed + BURST + EPSILON
+        assert len(self.fleet.admitted) <= RATE * elapsed + self.burst + EPSILON
 
     @invariant()
     def one_leader_per_term(self):
--- a/lovagewalk/control/tests/test_token_queue.py
+++ b/lovagewalk/control/tests/test_token_queue.py
@@ -3,10 +3,10 @@
 import pytest
 
 from lovagewalk import catalogue as cat
+from lovagewalk.buckets import TokenAnswer, TokenAsk, TokenNeed
 from lovagewalk.consensus import RaftRole, SendToPeer
 from lovagewalk.control import ControlState, DrainRequested, PeerMessage
 from lovagewalk.control._ledger import may_grant
-from lovagewalk.control._messages import TokenAnswer, TokenAsk, TokenNeed
 from lovagewalk.core import reduce, replace
 
 from .test_fleet_machine import CUSTOMER, NAMES, Daemons
--- a/lovagewalk/edge/_daemon.py
+++ b/lovagewalk/edge/_daemon.py
@@ -116,6 +116,8 @@
             fleet_secret=self.cfg.secrets.fleet.encode(),
             fleet_size=daemon.fleet_size,
             control="control" in daemon.roles,
+            # All daemons have the addresses of the control VMs alone.
+            may_own="control" in daemon.roles,
         )
         control_names = tuple(self.cfg.control)
         target = daemon.name if identity.control else control_names[0]
--- a/lovagewalk/explain/_causes.py
+++ b/lovagewalk/explain/_causes.py
@@ -5,6 +5,7 @@
 
 from lovagewalk.core import Code, Handlers
 from lovagewalk.records import (
+    BucketOffered,
     ConfigurationInstalled,
     EndpointRecovered,
     EndpointRefused,
@@ -14,6 +15,7 @@
     LeadershipLost,
     LeaseGained,
     LeaseLost,
+    OwnerSilent,
     PrimaryInstalled,
     PromotionOrdered,
     PromotionStarted,
@@ -40,6 +42,8 @@
             EndpointRefused,
             EndpointSaturated,
             EndpointRecovered,
+            BucketOffered,
+            OwnerSilent,
         ),
     )
 ) | {"daemon started", "daemon drains"}
--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -25,6 +25,8 @@
         Whether it is a control VM.
     entry : bool
         Whether it serves callers.
+    may_own : bool
+        Whether other daemons can open links to it, so that it may own buckets.
     drain_s : float
         How long callers may continue while it drains, in seconds; 0 to refuse
         them at once.
@@ -38,6 +40,7 @@
     control: bool = False
     entry: bool = True
     drain_s: float = 0.0
+    may_own: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -48,7 +48,7 @@
     def __init__(self, cfg: PlatformSettings, timer: TimerService) -> None:
         self.cfg = cfg
         self.is_control = cfg.operators is not None
-        name = f"{cfg.host}:{cfg.peers_port}" if self.is_control else cfg.name
+        name = f"{cfg.host}:{cfg.peers_port}"
         drain_timeout_s = max(cfg.grace_s - STOP_MARGIN_S, 0.0)
         super().__init__(Ports(timer), name, drain_timeout_s)
         self.ports.endpoints = EndpointClient(self.ports)
@@ -89,6 +89,7 @@
             control=self.is_control,
             entry=cfg.callers is not None,
             drain_s=OUT_OF_ROTATION_S,
+            may_own=True,
         )
         seeds = cfg.control_names
         target = self.name if self.is_control else seeds[0]
--- a/lovagewalk/records/__init__.py
+++ b/lovagewalk/records/__init__.py
@@ -1,6 +1,7 @@
 """Typed log records of the decisions of daemons and of changes of their state."""
 
 from ._records import (
+    BucketOffered,
     CallerClosed,
     CatalogueRead,
     ConfigurationInstalled,
@@ -17,6 +18,7 @@
     LeadershipLost,
     LeaseGained,
     LeaseLost,
+    OwnerSilent,
     PrimaryInstalled,
     PromotionOrdered,
     PromotionStarted,
@@ -35,6 +37,8 @@
 )
 
 __all__ = [
+    "BucketOffered",
+    "OwnerSilent",
     "CallerClosed",
     "CatalogueRead",
     "ConfigurationInstalled",
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -342,3 +342,38 @@
     target: str
     answered_ms_ago: int
     revision: int
+
+
+@logged_as("control", "bucket offered")
+@dataclass(frozen=True, slots=True)
+class BucketOffered(LogRecord):
+    """The whole bucket of a customer is to be lent to one daemon.
+
+    Attributes
+    ----------
+    before : str
+        The daemon that it was lent or offered to before; empty for none.
+    candidates : int
+        Daemons that the owner was chosen from.
+    """
+
+    customer: str
+    owner: str
+    before: str
+    candidates: int
+
+
+@logged_as("follow", "bucket owner is silent")
+@dataclass(frozen=True, slots=True)
+class OwnerSilent(LogRecord):
+    """An owner has not answered in time; the control leader is asked instead.
+
+    Attributes
+    ----------
+    waiting : int
+        Requests of the customer that wait here.
+    """
+
+    customer: str
+    owner: str
+    waiting: int
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -172,7 +172,7 @@
     if not request.customer or not _counts_against_rate(state, request):
         return run_admitted(state, request, now)
     share = state.shares.get(request.customer) or Share(request.customer)
-    if share.waiting:
+    if share.waiting or share.queue:
         share = replace(share, arrivals=share.arrivals + 1)
         return _wait_for_tokens(state, share, request)
     taken = take_token(share, now, arrivals=1)
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -108,8 +108,14 @@
 
 
 def admit_waiting(state: NodeState, customer: str, now: float) -> Step[NodeState]:
-    """Admit as many of a customer's waiting requests as it has tokens for."""
+    """Admit as many of a customer's waiting requests as it has tokens for.
+
+    Where this daemon owns the customer's bucket, the requests stand in the bucket's
+    queue together with those of other daemons, and are admitted in its order.
+    """
     step = Step(state)
+    if state.shares[customer].is_whole_bucket:
+        return step
     while True:
         share = step.state.shares[customer]
         if not share.waiting:
--- a/lovagewalk/shares/_bucket.py
+++ b/lovagewalk/shares/_bucket.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass
 
+from immutables import Map
+
 from lovagewalk.core import replace
 
 from ._state import Share
@@ -109,3 +111,23 @@
     latest = share.arrivals / elapsed_s
     demand = share.demand + DEMAND_SMOOTHING * (latest - share.demand)
     return replace(share, demand=demand, arrivals=0)
+
+
+def forget_requested(shares: Map) -> Map:
+    """Return the shares so that tokens are requested anew from the control leader.
+
+    Requests at owners stay as they are.
+    """
+    for customer, share in shares.items():
+        if share.last_asked_req and not share.owner:
+            shares = shares.set(customer, replace(share, last_asked_req=0))
+    return shares
+
+
+def leave_owner(shares: Map, owner: str) -> Map:
+    """Return the shares so that the control leader is asked instead of an owner."""
+    for customer, share in shares.items():
+        if share.owner and share.owner == owner:
+            share = replace(share, owner="", last_asked_req=0, asked_at=0.0)
+            shares = shares.set(customer, share)
+    return shares
--- a/lovagewalk/shares/_state.py
+++ b/lovagewalk/shares/_state.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from lovagewalk.buckets import QueuedNeed
+
 
 @dataclass(frozen=True, slots=True)
 class Share:
@@ -28,7 +30,17 @@
     reported_at : float
         When `demand` was last updated, in monotonic seconds.
     on_demand : bool
-        Whether the control leader keeps the customer's whole bucket.
+        Whether the customer's bucket is not divided. The share is then the whole
+        bucket or nothing.
+    owner : str
+        The daemon to request tokens from; empty for the control leader.
+    last_asked_req : int
+        Number of the latest request for which a token was requested there.
+    asked_at : float
+        When the owner was last asked without an answer yet, in monotonic seconds; 0
+        if it has answered.
+    queue : tuple of QueuedNeed
+        Needs of all daemons that wait for a token of the bucket owned here.
     """
 
     customer: str
@@ -43,3 +55,12 @@
     returned: float = 0.0
     reported_at: float = 0.0
     on_demand: bool = False
+    owner: str = ""
+    last_asked_req: int = 0
+    asked_at: float = 0.0
+    queue: tuple[QueuedNeed, ...] = ()
+
+    @property
+    def is_whole_bucket(self) -> bool:
+        """Whether this daemon owns the customer's bucket."""
+        return self.on_demand and self.burst > 0
