Ask the leader again only at the next tick after an owner refuses

An owner whose lease has ended refuses needs while the leader still counts it as the owner, for a fifth of a second. Its question to the leader now waits for its next tick. Found by reading; the test fails on the code before.

--- a/lovagewalk/control/_token_requests.py
+++ b/lovagewalk/control/_token_requests.py
@@ -139,7 +139,7 @@
         step = step.then(_admit_request(step.state, admission, now))
     for denial in message.denied:
         step = step.then(_refuse_request(step.state, denial))
-    if message.owners:
+    if any(bucket_owner.owner for bucket_owner in message.owners):
         step = step.then(request_tokens(step.state, now))
     return step
 
--- a/lovagewalk/control/tests/test_bucket_owners.py
+++ b/lovagewalk/control/tests/test_bucket_owners.py
@@ -5,7 +5,8 @@
 from hypothesis.stateful import rule
 
 from lovagewalk import catalogue as cat
-from lovagewalk.control import DrainRequested, PeerLost
+from lovagewalk.buckets import BucketOwner, TokenAnswer, TokenAsk
+from lovagewalk.control import DrainRequested, PeerLost, PeerMessage
 from lovagewalk.control._token_requests import OWNER_TIMEOUT_S
 
 from .test_fleet_machine import CUSTOMER, EPSILON, NAMES, RATE, Daemons, FleetMachine
@@ -201,3 +202,18 @@
     fleet.send_request(old)
     fleet.run(0.1)
     assert len(fleet.admitted) == before
+
+
+def test_a_daemon_that_is_sent_back_and_forth_waits_for_its_next_tick():
+    """The owner's lease has ended, and the leader still counts it for a moment."""
+    fleet = _fleet_with_owner_apart_from_leader()
+    owner, leader = _owner(fleet), _leader(fleet)
+    asker = next(name for name in NAMES if name not in (owner, leader))
+    fleet.send_request(asker)
+    fleet.tick(asker)
+    fleet.wire.clear()
+    for name in ("", owner):
+        answer = TokenAnswer(owners=(BucketOwner(CUSTOMER, name),))
+        fleet.feed(asker, PeerMessage(fleet.now, owner, answer))
+        is_asked = any(isinstance(message, TokenAsk) for _, _, message in fleet.wire)
+        assert is_asked is bool(name)
