Keep no idle connection where an endpoint has fewer than there are daemons

Cause: each daemon held one connection to an endpoint for good, as its equal part. The first 34 daemons did, for one customer each, and the other 29 got TOOMANY. A pool was also limited to one connection, which a transaction pins while its caller thinks.

Change: the equal part is rounded down, to none where there are fewer connections than daemons; idle connections are then closed after 0.1 s, and at once after TOOMANY. A pool may hold three, as far as the endpoint accepts them.

--- a/lovagewalk/pools/_policy.py
+++ b/lovagewalk/pools/_policy.py
@@ -46,6 +46,9 @@
 # Idle time after which a connection beyond the fair limit is closed. The next statement
 # of an active session usually arrives within it.
 SURPLUS_IDLE_S = 0.5
+# The same where an endpoint has fewer connections than there are daemons: a few round
+# trips, within which the next statement of an operation arrives.
+SCARCE_IDLE_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -304,13 +307,15 @@
 def find_surplus(pool: Pool, now: float) -> tuple[int, ...]:
     """Return idle connections beyond the fair limit that were not used recently.
 
-    If the endpoint refused statements recently, those used recently are returned too,
-    since a saturated endpoint needs the room at once.
+    If the endpoint recently refused statements or connections, those used recently are
+    returned too, since a saturated endpoint needs the room at once.
     """
     count = len(pool.connections) - pool.fair_limit
     if not pool.dedicated or count <= 0:
         return ()
-    idle_s = 0.0 if has_recent_refusal(pool, now) else SURPLUS_IDLE_S
+    idle_s = SURPLUS_IDLE_S if pool.fair_limit else SCARCE_IDLE_S
+    if has_recent_refusal(pool, now) or now < pool.limit_lowered_until:
+        idle_s = 0.0
     unused = [
         conn for conn in pool.idle if now - pool.connections[conn].assigned_at >= idle_s
     ]
@@ -343,7 +348,7 @@
     customers = _wanted_customers(pool)
     limit = pool.limit
     if has_recent_refusal(pool, now):
-        limit = min(limit, pool.fair_limit)
+        limit = min(limit, max(pool.fair_limit, 1))
         customers = customers[:1]
     room = max(limit - pool.size, 0)
     idle = [
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -44,6 +44,9 @@
 PROBE_CONNECTIONS = 1
 # Load of the busiest daemon behind the users' balancers, relative to the mean.
 PEAK_TO_MEAN_LOAD = 1.6
+# A transaction pins a connection while its caller thinks; the daemon's other callers
+# need further ones.
+MIN_POOL_LIMIT = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,12 +179,14 @@
 def _dedicated_pool(state: NodeState, endpoint: str, group: GroupConfig) -> Pool:
     """Return an empty pool whose connections are opened for one customer each.
 
-    Callers are spread unevenly over daemons, so the limit exceeds an equal part.
+    Callers are spread unevenly over daemons, so the limit exceeds an equal part. Where
+    there are fewer connections than daemons, none is this daemon's to keep.
     """
     daemons = max(state.entry_daemons, 1)
     connections = max(group.connections - PROBE_CONNECTIONS, 1)
-    fair_limit = max(1, connections // daemons)
-    limit = max(1, int(connections * PEAK_TO_MEAN_LOAD / daemons))
+    fair_limit = connections // daemons
+    limit = max(MIN_POOL_LIMIT, int(connections * PEAK_TO_MEAN_LOAD / daemons))
+    limit = min(limit, connections)
     return Pool(endpoint, limit=limit, fair_limit=fair_limit, dedicated=True)
 
 
--- a/lovagewalk/routing/tests/test_saturated_primary.py
+++ b/lovagewalk/routing/tests/test_saturated_primary.py
@@ -79,11 +79,13 @@
                 ROUTES,
                 tuple(cat.CustomerEntry(name, "op", 1e6, 1e6) for name in CUSTOMERS),
                 tuple(cat.KeyEntry(f"key-{name}", name, "") for name in CUSTOMERS),
-                (cat.GroupLimits(GROUP, MAX_CONNECTIONS),),
+                (cat.GroupLimits(GROUP, fleet.max_connections),),
             )
         )
         shares = {name: Share(name, 1e6, 1e6, 1e6, 0.0, 1e9) for name in CUSTOMERS}
-        self.state = replace(self.state, shares=Map(shares), entry_daemons=DAEMONS)
+        self.state = replace(
+            self.state, shares=Map(shares), entry_daemons=fleet.daemon_count
+        )
         self.state = resize_pools(self.state)
         self.fleet = fleet
         self.now += STALENESS_S + 0.1
@@ -95,7 +97,7 @@
         self.opened.append(effect)
         name, conn = effect.endpoint, effect.conn
         endpoint = self.fleet.endpoints[name]
-        if len(endpoint.connections) >= MAX_CONNECTIONS:
+        if len(endpoint.connections) >= self.fleet.max_connections:
             reason = OpenFailure.TOO_MANY
             self.fleet.schedule(
                 self.fleet.now + 2 * ONE_WAY_DELAY_S,
@@ -130,13 +132,29 @@
 
 
 class Fleet:
-    """The daemons and the endpoints that they share."""
-
-    def __init__(self):
+    """The daemons and the endpoints that they share.
+
+    Parameters
+    ----------
+    route : str
+        The route of all reads.
+    """
+
+    def __init__(
+        self,
+        daemon_count=DAEMONS,
+        max_connections=MAX_CONNECTIONS,
+        reads_per_s=READS_PER_S,
+        route="board",
+    ):
+        self.daemon_count = daemon_count
+        self.max_connections = max_connections
+        self.reads_per_s = reads_per_s
+        self.route = route
         self.now = 0.0
         self.due = []
         self.endpoints = {name: Endpoint() for name in (PRIMARY, NEAR, FAR)}
-        self.daemons = [Daemon(self) for _ in range(DAEMONS)]
+        self.daemons = [Daemon(self) for _ in range(daemon_count)]
         self.steps = self.reads_sent = 0
         self.reads_due = 0.0
 
@@ -173,13 +191,13 @@
             call()
         for endpoint in self.endpoints.values():
             endpoint.step(self.now)
-        self.reads_due += READS_PER_S * STEP_S
+        self.reads_due += self.reads_per_s * STEP_S
         while self.reads_due >= 1:
             self.reads_due -= 1
-            daemon = self.daemons[self.reads_sent * 11 % DAEMONS]
+            daemon = self.daemons[self.reads_sent * 11 % self.daemon_count]
             self.reads_sent += 1
             customer = CUSTOMERS[self.reads_sent * 7 % len(CUSTOMERS)]
-            daemon.read(daemon.connect("board", f"key-{customer}"))
+            daemon.read(daemon.connect(self.route, f"key-{customer}"))
         for number, daemon in enumerate(self.daemons):
             if (self.steps + number) % SWEEP_STEPS == 0:
                 daemon.sweep(0.0)
