--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -104,13 +104,14 @@
     """Record in the log the customers whose limits are about to be divided or lent."""
     control: ControlState = state.control
     divided = state.catalogue.divided | control.proposed_divided
+    entry_daemons = _ledger.count_entry_daemons(state, control, now)
     entries = (state.catalogue.customer(report.customer) for report in request.shares)
     new_customers = frozenset(
         entry.name
         for entry in entries
         if entry and entry.name not in divided
         if _is_lent_to(control, entry.name, peer)
-        or not _ledger.is_on_demand(state, control, entry, now)
+        or not _ledger.is_on_demand(entry, entry_daemons)
     )
     if not new_customers:
         return Step(state)
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -298,6 +298,7 @@
     """Decide the grants to a daemon that has just reported."""
     follower = control.followers[peer]
     request = follower.request
+    entry_daemons = count_entry_daemons(state, control, now)
     ledgers = control.ledgers
     grants: tuple[ShareGrant, ...] = ()
     for report in request.shares:
@@ -319,7 +320,7 @@
             and is_divided
             and is_recorded_holder(state, peer, request)
         )
-        if is_on_demand(state, control, entry, now):
+        if is_on_demand(entry, entry_daemons):
             control = adopt_owner(control, ledger, now)
             grant = _decide_bucket_grant(control, ledger, entry, peer, report, may_hold)
         else:
@@ -390,15 +391,13 @@
     return Target(entry.rate * fraction, max(entry.burst * fraction, min_burst))
 
 
-def is_on_demand(
-    state: NodeState, control: ControlState, entry: CustomerEntry, now: float
-) -> bool:
+def is_on_demand(entry: CustomerEntry, entry_daemons: int) -> bool:
     """Whether a customer's burst is too small to be divided between daemons.
 
     A fraction of a token admits no request. The whole bucket is then lent to one
     daemon, or kept by the leader, which grant tokens one by one on request.
     """
-    return entry.burst < count_entry_daemons(state, control, now) * MIN_PART_TOKENS
+    return entry.burst < entry_daemons * MIN_PART_TOKENS
 
 
 def count_entry_daemons(state: NodeState, control: ControlState, now: float) -> int:
--- a/lovagewalk/control/_token_queue.py
+++ b/lovagewalk/control/_token_queue.py
@@ -123,10 +123,11 @@
         return Step(state)
     if not _ledger.may_grant(state, now):
         return Step(state)
+    entry_daemons = _ledger.count_entry_daemons(state, control, now)
     answers: dict[str, TokenAnswer] = {}
     effects: tuple[Effect, ...] = ()
     for customer in customers:
-        result = _serve_customer(state, control, customer, now)
+        result = _serve_customer(state, control, customer, entry_daemons, now)
         queued = control.queued_customers
         if not result.ledger.queue:
             queued = queued - {customer}
@@ -136,7 +137,7 @@
             queued_customers=queued,
         )
         _collect_answers(answers, customer, result)
-        offered = _offer_bucket(state, control, customer, now)
+        offered = _offer_bucket(state, control, customer, entry_daemons, now)
         control = offered.control
         effects += offered.effects
         effects += tuple(
@@ -148,11 +149,15 @@
 
 
 def _offer_bucket(
-    state: NodeState, control: ControlState, customer: str, now: float
+    state: NodeState,
+    control: ControlState,
+    customer: str,
+    entry_daemons: int,
+    now: float,
 ) -> OfferResult:
     """Offer a customer's bucket to a daemon if it is not divided and has no owner."""
     entry = state.catalogue.customer(customer)
-    if entry is None or not _ledger.is_on_demand(state, control, entry, now):
+    if entry is None or not _ledger.is_on_demand(entry, entry_daemons):
         return OfferResult(control)
     ledger = control.ledgers[customer]
     control = adopt_owner(control, ledger, now)
@@ -162,7 +167,11 @@
 
 
 def _serve_customer(
-    state: NodeState, control: ControlState, customer: str, now: float
+    state: NodeState,
+    control: ControlState,
+    customer: str,
+    entry_daemons: int,
+    now: float,
 ) -> QueueResult:
     """Grant the free tokens in order, then deny late needs and recall shares.
 
@@ -174,7 +183,7 @@
         denied = tuple(DeniedNeed(need, MAX_RETRY_AFTER_S) for need in ledger.queue)
         return QueueResult(replace(ledger, queue=()), denied=denied)
     ledger = _ledger.refresh_ledger(state, control, ledger, entry, now)
-    on_demand = _ledger.is_on_demand(state, control, entry, now)
+    on_demand = _ledger.is_on_demand(entry, entry_daemons)
     owner = find_owner(control, ledger, now) if on_demand else ""
     sent_on = ledger.queue if owner else ()
     if owner:
--- a/lovagewalk/control/tests/test_entry_daemons.py
+++ b/lovagewalk/control/tests/test_entry_daemons.py
@@ -43,7 +43,8 @@
     """The burst had to be collected again from them once the others had reported."""
     state = _leader(reported=2)
     entry = cat.CustomerEntry("kiosk", "op", 10.0, 10.0)
-    assert is_on_demand(state, state.control, entry, ELECTED_AT + 0.1)
+    count = count_entry_daemons(state, state.control, ELECTED_AT + 0.1)
+    assert is_on_demand(entry, count)
 
 
 def test_a_leader_counts_those_that_report_once_all_had_the_time_to():
--- a/lovagewalk/records/__init__.py
+++ b/lovagewalk/records/__init__.py
@@ -38,7 +38,6 @@
 
 __all__ = [
     "BucketOffered",
-    "OwnerSilent",
     "CallerClosed",
     "CatalogueRead",
     "ConfigurationInstalled",
@@ -56,6 +55,7 @@
     "LeaseGained",
     "LeaseLost",
     "LogRecord",
+    "OwnerSilent",
     "PrimaryInstalled",
     "PromotionOrdered",
     "PromotionStarted",
