--- a/lovagewalk/control/_bucket_owners.py
+++ b/lovagewalk/control/_bucket_owners.py
@@ -48,7 +48,7 @@
     owners = control.owners.set(ledger.customer, Ownership(owner, now))
     record = BucketOffered(
         customer=ledger.customer,
-        owner=owner,
+        target=owner,
         before=ownership.owner if ownership else "",
         candidates=len(candidates),
     )
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -351,6 +351,8 @@
 
     Attributes
     ----------
+    target : str
+        The daemon that is to own it.
     before : str
         The daemon that it was lent or offered to before; empty for none.
     candidates : int
@@ -358,7 +360,7 @@
     """
 
     customer: str
-    owner: str
+    target: str
     before: str
     candidates: int
 
@@ -370,10 +372,12 @@
 
     Attributes
     ----------
+    target : str
+        The owner.
     waiting : int
         Requests of the customer that wait here.
     """
 
     customer: str
-    owner: str
+    target: str
     waiting: int
