Review: requests run for the tenant that has lost the key (case 3)

Cause: a session keeps the tenant that its key had when it connected. A version that moves the key to another tenant leaves the session open, since the key still exists.

The case moves one key from a tenant to another and sends writes on the sessions that show it, 7 s after the acknowledgement.

--- a/review/common/servers.py
+++ b/review/common/servers.py
@@ -167,6 +167,7 @@
 
     async def query(self, request, text):
         instance, group = self.instance, self.group
+        group.arrived.add(request)
         wait = None
         if text.startswith("WAITLSN "):
             _, position, text = text.split(" ", 2)
@@ -256,6 +257,7 @@
         self.service = service
         self.max_conns = max_conns
         self.log = []
+        self.arrived = set()
         self.term = 1
         self.term_starts = [(0, 1)]
         self.instances = [Instance(self, h, z) for h, z in zip(hosts, zones)]
