--- a/review/servers.py
+++ b/review/servers.py
@@ -45,6 +45,7 @@
         self.down = False
         self.slots = asyncio.Semaphore(SLOTS)
         self.queued = 0
+        self.starts = 0
 
     @property
     def is_primary(self):
@@ -90,6 +91,7 @@
     async def crash(self, for_s):
         """Crash, and start again with the log under the same id."""
         self.down = True
+        self.starts += 1
         self.server.close()
         for writer in list(self.connections):
             writer.transport.abort()
@@ -127,6 +129,7 @@
         self.writes = {}
         self.variables = {}
         self.prepared = {}
+        self.starts = instance.starts
 
     def send(self, *lines):
         self.writer.write("".join(line + "\r\n" for line in lines).encode())
@@ -222,6 +225,8 @@
             instance.queued -= 1
         try:
             await asyncio.sleep(WORK_S)
+            if self.starts != instance.starts:
+                raise ConnectionResetError("the instance has crashed meanwhile")
             self.run(request, text, word, rest)
         finally:
             instance.slots.release()
