Log the positions that a read required and that its session had

Cause of the change: a read that misses the session's own write could come from a position that the session lost, from one that the plan left out, or from an endpoint that ignored it. The record of an answered request told none of them apart.

Change: the records of answered requests have min_position and session_position.

--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -14,6 +14,11 @@
     ----------
     phase : str
         What the request last waited for.
+    min_position : str
+        Position that the read log had to hold, as ``TERM.INDEX``; empty for none.
+    session_position : str
+        Position of the session in the request's group before the answer; empty for
+        none.
     term, revision, version : int
         Group term, catalogue revision and configuration version in force.
     fresh_ms : int
@@ -31,6 +36,8 @@
     endpoint: str
     attempts: int
     elapsed_ms: float
+    min_position: str
+    session_position: str
     term: int
     revision: int
     version: int
--- a/lovagewalk/routing/_answer.py
+++ b/lovagewalk/routing/_answer.py
@@ -36,6 +36,7 @@
         state = replace(state, requests=requests)
         state = count_access(state, request.customer, refusal)
         return Step(state, (DiscardResult(request.req),))
+    session_position = session.position
     session = _update_session(session, request, refusal)
     trace = RequestTrace(
         request.marks.request_id,
@@ -47,6 +48,8 @@
         request.arrived_at,
         request.sent_term,
         state.catalogue.revision,
+        request.min_position,
+        session_position,
     )
     state = replace(
         state,
--- a/lovagewalk/routing/_effects.py
+++ b/lovagewalk/routing/_effects.py
@@ -98,6 +98,10 @@
         Term of the group when the request was last sent.
     revision : int
         Catalogue revision in force.
+    min_position : Position or None
+        Position that the log had to hold.
+    session_position : Position or None
+        Position of the session in the request's group before the answer.
     """
 
     request_id: str
@@ -109,6 +113,8 @@
     arrived_at: float
     term: int
     revision: int
+    min_position: Position | None = None
+    session_position: Position | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/runtime/_decision_log.py
+++ b/lovagewalk/runtime/_decision_log.py
@@ -5,6 +5,7 @@
 from zlib import crc32
 
 from lovagewalk.core import LovageError, performs
+from lovagewalk.groups import Position
 from lovagewalk.node import NodeState
 from lovagewalk.pools import OpenConnection, OpenFailure
 from lovagewalk.records import (
@@ -63,6 +64,8 @@
             endpoint=trace.endpoint,
             attempts=trace.attempts,
             elapsed_ms=round(elapsed_s * 1000, 1),
+            min_position=_format_position(trace.min_position),
+            session_position=_format_position(trace.session_position),
             term=trace.term,
             revision=trace.revision,
             version=self._state.catalogue.version,
@@ -93,6 +96,10 @@
         _perform_record(self._ports, record)
 
 
+def _format_position(position: Position | None) -> str:
+    return f"{position.term}.{position.index}" if position is not None else ""
+
+
 def write_record(record: LogRecord) -> None:
     """Write a record to the log of its part."""
     record_format = get_record_format(record)
