Keep a session's position for each group that its route has led to

Cause: a session kept one position. The start of an operation dropped it when the route led to another group, so that after the way back nothing but the staleness bound chose the position that a replica had to hold.

Evidence: with the positions in the log of answers, the stale reads have an empty session_position and a min_position below the write's, and the session's earlier read at the same group had its position. Ruled out: a replica that ignores the position (it answered at the one that was asked for), and a change of term (term 1 throughout).

Change: a session holds an observed position for each group. On the same path, the position of an own write was also lost where a replica's older position replaced it after a transaction that wrote, and where the endpoint stated none; the read now goes to the primary in that case.

Why it works: no event drops a position any more; a position of another term counts as rolled back, as before, and only a proof of the primary replaces it.

--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -15,7 +15,7 @@
 from lovagewalk.shares import Share, take_token
 
 from . import _dispatch, _place
-from ._answer import answer, later_position
+from ._answer import answer, later_position, store_position
 from ._draining import refuses_operations
 from ._effects import CheckReportDue
 from ._recovery import abort_and_answer
@@ -163,7 +163,10 @@
     if not request.marks.token:
         return state
     position = _read_session_token(state, session, request)
-    session = replace(session, position=later_position(session.position, position))
+    observed = session.positions.get(session.group)
+    if observed is not None and later_position(observed.position, position) != position:
+        return state
+    session = store_position(session, session.group, position, position.term)
     return replace(state, sessions=state.sessions.set(session.caller, session))
 
 
--- a/lovagewalk/routing/_answer.py
+++ b/lovagewalk/routing/_answer.py
@@ -5,7 +5,7 @@
 from lovagewalk.core import Code, Effect, Refusal, Step, replace
 from lovagewalk.groups import Position
 from lovagewalk.node import AccessKey, NodeState
-from lovagewalk.sessions import Session, TransactionState
+from lovagewalk.sessions import ObservedPosition, Session, TransactionState
 
 from ._effects import AnswerCaller, CloseCaller, DiscardResult, RequestTrace
 from ._state import Phase, Request
@@ -81,37 +81,48 @@
     session: Session, request: Request, refusal: Refusal | None
 ) -> Session:
     """Return the session after an answer: idle, with the position it has observed."""
+    idle = replace(session, req=0, idle_since=request.arrived_at)
+    if request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+        idle = replace(idle, has_written=False)
     if refusal is not None:
-        return replace(session, req=0, idle_since=request.arrived_at)
-    session = replace(session, idle_since=request.arrived_at)
+        return idle
     if request.has_explicit_consistency:
-        return _update_explicit_session(session, request)
-    return replace(
-        session,
-        req=0,
-        position=later_position(session.position, request.position),
-        last_insert_id=request.insert_id or session.last_insert_id,
-    )
+        return _observe_explicit(idle, session, request)
+    idle = replace(idle, last_insert_id=request.insert_id or session.last_insert_id)
+    position = later_position(idle.position_in(request.group), request.position)
+    return store_position(idle, request.group, position, request.sent_term)
 
 
-def _update_explicit_session(session: Session, request: Request) -> Session:
+def _observe_explicit(idle: Session, session: Session, request: Request) -> Session:
     """Record the log position of a session's own write.
 
-    A read at the primary replaces the position too, since a position of an older
-    term may have been rolled back.
+    A read that proved the primary replaces a position of another term, which may have
+    been rolled back, or a position that is not known.
     """
-    replaces_position = request.at_primary and session.position is not None
-    wrote = request.kind is StatementKind.WRITE or session.has_written
-    if request.position is None or not (replaces_position or wrote):
-        return replace(session, req=0)
     if session.transaction is TransactionState.PINNED:
-        return replace(session, req=0)
-    return replace(
-        session,
-        req=0,
-        position=request.position,
-        position_term=request.sent_term,
-    )
+        return idle
+    is_commit = request.kind is StatementKind.COMMIT
+    wrote = request.kind is StatementKind.WRITE or (is_commit and session.has_written)
+    observed = session.positions.get(request.group)
+    if wrote and request.position is None:
+        unknown = ObservedPosition(None, request.sent_term)
+        return replace(idle, positions=idle.positions.set(request.group, unknown))
+    if not wrote and (observed is None or not request.require_proof):
+        return idle
+    position = request.position
+    if observed is not None and observed.term == request.sent_term:
+        position = later_position(observed.position, position)
+    return store_position(idle, request.group, position, request.sent_term)
+
+
+def store_position(
+    session: Session, group: str, position: Position | None, term: int
+) -> Session:
+    """Return a session with a position that it has observed under an installed term."""
+    if position is None:
+        return session
+    positions = session.positions.set(group, ObservedPosition(position, term))
+    return replace(session, positions=positions)
 
 
 def later_position(first: Position | None, second: Position | None) -> Position | None:
--- a/lovagewalk/routing/_arrival.py
+++ b/lovagewalk/routing/_arrival.py
@@ -31,13 +31,10 @@
 
 
 def _begin_operation(state: NodeState, session: Session, now: float) -> Session:
-    """Return the session at the start of an operation, with its route's group.
-
-    If the route has moved to another group, the session's position is dropped.
-    """
+    """Return the session at the start of an operation, with its route's group."""
     route = state.catalogue.route(session.route)
-    if route is not None and route.group != session.group:
-        session = replace(session, group=route.group, position=None)
+    if route is not None:
+        session = replace(session, group=route.group)
     return replace(session, operation_started_at=now)
 
 
--- a/lovagewalk/routing/_consistency.py
+++ b/lovagewalk/routing/_consistency.py
@@ -72,14 +72,17 @@
     """Require bounded staleness and the session's own writes.
 
     A position of an older term may have been rolled back, so that no log ever
-    holds it. The read then goes to the primary, which has all surviving writes.
+    holds it. The read then goes to the primary, which has all surviving writes, and
+    so it does where the position of a write is not known.
     """
     plan = _plan_bounded(state, request, session)
-    if plan.at_primary or session.position is None:
+    observed = session.positions.get(request.group)
+    if plan.at_primary or observed is None:
         return plan
-    if session.position_term != state.catalogue.group(request.group).term:
+    is_current = observed.term == state.catalogue.group(request.group).term
+    if not is_current or observed.position is None:
         return PRIMARY
-    return Plan(False, max(plan.min_position, session.position))
+    return Plan(False, max(plan.min_position, observed.position))
 
 
 def plan_read(state: NodeState, request: Request, session: Session) -> Plan:
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -253,9 +253,8 @@
 
 def min_read_position(config: GroupConfig, session: Session) -> Position | None:
     """Return the position that a session's reads must include, in the current term."""
-    if session.position is None:
-        return None
-    return translate_position(config, session.position)
+    position = session.position_in(config.name)
+    return None if position is None else translate_position(config, position)
 
 
 def live_replicas(
--- a/lovagewalk/sessions/_state.py
+++ b/lovagewalk/sessions/_state.py
@@ -44,6 +44,23 @@
         return f"s{sha256(source.encode()).hexdigest()[:16]}"
 
 
+@dataclass(frozen=True, slots=True)
+class ObservedPosition:
+    """What a session has seen of the log of one group, which its reads must include.
+
+    Attributes
+    ----------
+    position : Position or None
+        None if the endpoint stated no position with a write of the session.
+    term : int
+        Installed term of the group when the session observed it. A later change of
+        primary may have rolled the position back.
+    """
+
+    position: Position | None
+    term: int
+
+
 @dataclass(frozen=True, slots=True)
 class Session:
     """The session of one caller's connection.
@@ -54,9 +71,11 @@
         Number of the connection on this daemon.
     key_id : str
         The key it was opened with; empty on a route open to all.
-    position : Position or None
-        Position that its reads must include; None before it is known, and reads
-        must then include all writes.
+    group : str
+        Group of its route when the operation in progress began.
+    positions : Map of str to ObservedPosition
+        What its reads must include, by group. A group stays after the session's route
+        has moved to another one, since the route may move back.
     transaction : TransactionState
     conn : int
         The pinned pool connection; 0 for none.
@@ -68,8 +87,6 @@
         Session variables that the caller has set.
     prepared : Map of str to PreparedShape
         Statements that the caller has prepared, by the caller's names.
-    position_term : int
-        Installed term at the time when `position` was stored.
     read_only : bool
         Whether the transaction is read-only.
     has_written : bool
@@ -85,7 +102,7 @@
     key_id: str
     route: str
     group: str
-    position: Position | None = None
+    positions: Map = field(default_factory=Map)
     transaction: TransactionState = TransactionState.NONE
     autocommit: bool = True
     conn: int = 0
@@ -94,7 +111,6 @@
     closing: bool = False
     variables: Map = field(default_factory=Map)
     prepared: Map = field(default_factory=Map)
-    position_term: int = 0
     read_only: bool = False
     has_written: bool = False
     operation_started_at: float = 0.0
@@ -104,3 +120,17 @@
     def in_transaction(self) -> bool:
         """Whether a transaction is open."""
         return self.transaction in (TransactionState.BEGUN, TransactionState.PINNED)
+
+    @property
+    def position(self) -> Position | None:
+        """The position observed in the session's group; None if none is known."""
+        return self.position_in(self.group)
+
+    def position_in(self, group: str) -> Position | None:
+        """Return the position observed in a group; None if none is known.
+
+        A session that knows no position has to include all writes in its reads, where
+        its route states no consistency.
+        """
+        observed = self.positions.get(group)
+        return observed.position if observed is not None else None
