Log what a stopping daemon leaves unfinished

Cause of the change: the log of a planned stop told neither whether the daemon had drained or its limit was over, nor whether requests were in progress then.

Change: the line "daemon stopped" has the requests and sessions that are left and the time since the stop began.

--- a/lovagewalk/runtime/_process.py
+++ b/lovagewalk/runtime/_process.py
@@ -135,8 +135,17 @@
             The fault that stopped it.
         """
         await self.ports.stopped.wait()
+        state = self.ports.state
+        fields = {
+            "daemon": self.name,
+            "requests": len(state.requests),
+            "sessions": len(state.sessions),
+        }
+        if state.draining:
+            drained_s = self.ports.now() - state.draining_since
+            fields["drained_ms"] = round(drained_s * 1000)
         await self.close()
-        log.info("daemon stopped", extra={"daemon": self.name})
+        log.info("daemon stopped", extra=fields)
         if self.fault is not None:
             raise self.fault
 
