Answer every statement before a planned stop ends the process

Cause: the drain limited operations only. The process ended at a limit that no reducer knew, whatever was in progress.

Ruled out: answers that were ready and not sent (the endpoint was still at work for each of them).

Change: DrainLimits are part of the identity, so that the reducers know the stop: until when operations begin, until when open transactions continue, and by when each request is answered.

Why it works: the process ends after the limit of answers, and no request has a deadline behind it.

--- a/lovagewalk/control/_reducer.py
+++ b/lovagewalk/control/_reducer.py
@@ -11,6 +11,7 @@
 from lovagewalk.core import Step, reduces, replace
 from lovagewalk.node import NodeState
 from lovagewalk.records import JournalLost, JournalRegained
+from lovagewalk.routing import begin_drain
 
 from . import (
     _catalogue_reads,
@@ -130,7 +131,7 @@
         return True
     if state.follow is not None and state.follow.access_batch is not None:
         return True
-    if state.identity.drain_s and state.sessions:
+    if state.identity.drain_limits.operations_s and state.sessions:
         return True
     return any(session.conn for session in state.sessions.values())
 
@@ -184,7 +185,7 @@
     follow = state.follow
     if follow is not None:
         follow = replace(follow, is_report_urgent=True)
-    return replace(state, draining=True, draining_since=now, follow=follow)
+    return begin_drain(replace(state, follow=follow), now)
 
 
 @reduces(JournalUnavailable)
--- a/lovagewalk/control/tests/test_fleet_machine.py
+++ b/lovagewalk/control/tests/test_fleet_machine.py
@@ -30,7 +30,7 @@
 from lovagewalk.control._state import FOLLOW_PERIOD_S
 from lovagewalk.core import reduce, replace
 from lovagewalk.daemon import SweepTick
-from lovagewalk.node import Identity, NodeState
+from lovagewalk.node import DrainLimits, Identity, NodeState
 from lovagewalk.routing import (
     NO_MARKS,
     CallerConnected,
@@ -494,7 +494,8 @@
     leaving = _follower(fleet)
     state = fleet.states[leaving]
     fleet.states[leaving] = replace(
-        state, identity=replace(state.identity, drain_s=2.0)
+        state,
+        identity=replace(state.identity, drain_limits=DrainLimits(operations_s=2.0)),
     )
     fleet.feed(leaving, DrainRequested(fleet.now))
     fleet.run(1.0)
--- a/lovagewalk/edge/_daemon.py
+++ b/lovagewalk/edge/_daemon.py
@@ -9,7 +9,7 @@
 from lovagewalk.core import Shell, TimerService
 from lovagewalk.daemon import SweepTick
 from lovagewalk.groups import PollTick
-from lovagewalk.node import Identity, NodeState
+from lovagewalk.node import DrainLimits, Identity, NodeState
 from lovagewalk.runtime import DaemonProcess, Network, Peers, Ports
 from lovagewalk.settings import Address, DaemonSettings, parse_address
 
@@ -21,6 +21,11 @@
 
 # Twice the default time limit of a request.
 DRAIN_TIMEOUT_S = 10.0
+# Open transactions may continue until 2 s before the end, and the last answers have
+# half a second to be sent.
+DRAIN_LIMITS = DrainLimits(
+    transactions_s=DRAIN_TIMEOUT_S - 2.0, answers_s=DRAIN_TIMEOUT_S - 0.5
+)
 TICKS = (PollTick, SweepTick, ConsensusTick, ControlTick, RepairTick)
 
 log = logging.getLogger("lovagewalk.daemon")
@@ -116,6 +121,7 @@
             fleet_secret=self.cfg.secrets.fleet.encode(),
             fleet_size=daemon.fleet_size,
             control="control" in daemon.roles,
+            drain_limits=DRAIN_LIMITS,
             # All daemons have the addresses of the control VMs alone.
             may_own="control" in daemon.roles,
         )
--- a/lovagewalk/node/__init__.py
+++ b/lovagewalk/node/__init__.py
@@ -1,5 +1,5 @@
 """The state of one daemon, shared by all packages."""
 
-from ._state import AccessKey, Identity, NodeState
+from ._state import AccessKey, DrainLimits, Identity, NodeState
 
-__all__ = ["AccessKey", "Identity", "NodeState"]
+__all__ = ["AccessKey", "DrainLimits", "Identity", "NodeState"]
--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -4,6 +4,7 @@
 needs no messages to it.
 """
 
+import math
 from dataclasses import dataclass, field
 
 from immutables import Map
@@ -11,6 +12,26 @@
 from lovagewalk.catalogue import Catalogue
 
 
+@dataclass(frozen=True, slots=True)
+class DrainLimits:
+    """Limits of a graceful stop, in seconds since it began.
+
+    Attributes
+    ----------
+    operations_s : float
+        Until then, callers may begin operations; 0 to refuse them at once.
+    transactions_s : float
+        Until then, callers may continue open transactions, which are rolled back
+        afterwards.
+    answers_s : float
+        By then, every request has been answered.
+    """
+
+    operations_s: float = 0.0
+    transactions_s: float = math.inf
+    answers_s: float = math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class Identity:
     """Identity of a daemon and other values from its settings.
@@ -27,9 +48,8 @@
         Whether it serves callers.
     may_own : bool
         Whether other daemons can open links to it, so that it may own buckets.
-    drain_s : float
-        How long callers may continue while it drains, in seconds; 0 to refuse
-        them at once.
+    drain_limits : DrainLimits
+        How long callers may continue while it drains.
     """
 
     name: str
@@ -39,7 +59,7 @@
     fleet_size: int = 1
     control: bool = False
     entry: bool = True
-    drain_s: float = 0.0
+    drain_limits: DrainLimits = DrainLimits()
     may_own: bool = False
 
 
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -8,6 +8,7 @@
 from lovagewalk.core import Event, Shell, TimerService
 from lovagewalk.daemon import SweepTick
 from lovagewalk.node import Identity, NodeState
+from lovagewalk.routing import plan_drain
 from lovagewalk.runtime import (
     CallerServer,
     DaemonProcess,
@@ -34,8 +35,8 @@
 
 # The load balancer removes a daemon after two failed checks, a second apart.
 OUT_OF_ROTATION_S = 2.2
-# Reserved for the last answers and for the exit of the process on a busy VM.
-STOP_MARGIN_S = 1.2
+# Reserved for the exit of the process on a busy VM.
+STOP_MARGIN_S = 0.8
 ENTRY_TICKS: tuple[type[Event], ...] = (SweepTick, ControlTick)
 CONTROL_TICKS: tuple[type[Event], ...] = (ConsensusTick, RepairTick, ControlTick)
 
@@ -88,7 +89,7 @@
             fleet_secret=cfg.secret.encode(),
             control=self.is_control,
             entry=cfg.callers is not None,
-            drain_s=OUT_OF_ROTATION_S,
+            drain_limits=plan_drain(cfg.grace_s, OUT_OF_ROTATION_S),
             may_own=True,
         )
         seeds = cfg.control_names
--- a/lovagewalk/routing/__init__.py
+++ b/lovagewalk/routing/__init__.py
@@ -1,6 +1,6 @@
 """Routing of statements: where a request runs and how its caller is answered."""
 
-from ._draining import refuses_operations
+from ._draining import begin_drain, plan_drain, refuses_operations
 from ._effects import (
     AcceptCaller,
     AnswerCaller,
@@ -64,5 +64,7 @@
     "StatementKind",
     "StatementRejected",
     "StreamEnded",
+    "begin_drain",
+    "plan_drain",
     "refuses_operations",
 ]
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -16,7 +16,7 @@
 
 from . import _dispatch, _place
 from ._answer import answer, later_position, store_position
-from ._draining import refuses_operations
+from ._draining import refuses_statements
 from ._effects import CheckReportDue
 from ._recovery import abort_and_answer
 from ._state import Phase, Request
@@ -69,7 +69,7 @@
     refusal = authorise(state, session, now)
     if refusal is not None:
         return refusal
-    if session.transaction is TransactionState.NONE and refuses_operations(state, now):
+    if refuses_statements(state, session, now):
         return Refusal(Code.DRAINING)
     refusal = _transaction_refusal(session, request)
     if refusal is not None:
--- a/lovagewalk/routing/_arrival.py
+++ b/lovagewalk/routing/_arrival.py
@@ -6,6 +6,7 @@
 
 from . import _admit
 from ._answer import count_access
+from ._draining import answer_deadline
 from ._events import StatementArrived, StatementRejected
 from ._session_statements import is_session_statement, run_session_statement
 from ._state import Request
@@ -54,7 +55,7 @@
         text=event.text,
         marks=event.marks,
         arrived_at=event.at,
-        deadline=event.at + limit_s,
+        deadline=min(event.at + limit_s, answer_deadline(state)),
         route=route,
     )
 
--- a/lovagewalk/routing/_callers.py
+++ b/lovagewalk/routing/_callers.py
@@ -12,7 +12,7 @@
 from . import _dispatch, _place
 from ._admit import access_refusal, authorise, stale_refusal
 from ._answer import answer
-from ._draining import refuses_operations
+from ._draining import refuses_operations, refuses_statements
 from ._effects import AcceptCaller, CloseCaller, DiscardResult
 from ._events import CallerConnected, CallerDisconnected, CallerReset
 from ._state import Phase, Request
@@ -24,9 +24,6 @@
 FIRST_LEASE_WAIT_S = 1.2
 # Each caller that waits takes a connection, of which a small VM holds a few thousand.
 MAX_EARLY_CALLERS = 1000
-# Half of the shortest time that a platform gives a process to stop; the rest is left
-# for the statement in progress.
-TRANSACTION_DRAIN_S = 3.5
 
 
 @reduces(CallerConnected)
@@ -176,14 +173,13 @@
 def close_idle_sessions(state: NodeState, now: float) -> Step[NodeState]:
     """Close the sessions that have no request while this daemon drains.
 
-    An open transaction is rolled back `TRANSACTION_DRAIN_S` after the drain began.
+    A session in a transaction is closed once the drain refuses its statements.
     """
     step = Step(state)
     for session in state.sessions.values():
         if session.req or session.closing:
             continue
-        overdue = now - state.draining_since >= TRANSACTION_DRAIN_S
-        if session.in_transaction and not overdue:
+        if not refuses_statements(state, session, now) and session.in_transaction:
             continue
         reason = Refusal(Code.DRAINING)
         step = step.then(_close_session(step.state, session, reason, now))
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -11,7 +11,7 @@
 
 from . import _admit, _callers, _dispatch, _outcome, _place, _recovery
 from ._answer import answer
-from ._draining import refuses_operations
+from ._draining import answer_deadline, refuses_operations
 from ._state import Phase, Request
 from ._transactions import abort_transaction, end_transaction
 from ._types import StatementKind
@@ -59,7 +59,8 @@
         step = step.then(_trim_pool(step.state, endpoint, pool, event.at))
         if pool.waiting:
             step = step.then(_dispatch.dispatch(step.state, endpoint, event.at))
-    if refuses_operations(step.state, event.at) and step.state.identity.drain_s:
+    closes_idle = step.state.identity.drain_limits.operations_s > 0
+    if closes_idle and refuses_operations(step.state, event.at):
         step = step.then(_callers.close_idle_sessions(step.state, event.at))
     return step.then(_end_idle_transactions(step.state, event.at))
 
@@ -152,7 +153,8 @@
         return answer(_callers.remove_from_queue(state, request), request, refusal)
     if request.has_explicit_consistency:
         return _sweep_explicit(state, request, now)
-    if request.phase is Phase.RUNNING and waited >= RUNNING_LIMIT_S:
+    is_overdue = waited >= RUNNING_LIMIT_S or now >= answer_deadline(state)
+    if request.phase is Phase.RUNNING and is_overdue:
         return _time_out_running(state, request, now)
     if now < request.deadline:
         return Step(state)
--- a/lovagewalk/routing/tests/provider_site.py
+++ b/lovagewalk/routing/tests/provider_site.py
@@ -9,7 +9,7 @@
 from lovagewalk.core import reduce
 from lovagewalk.daemon import SweepTick, install_catalogue
 from lovagewalk.groups import Position, record_primary_proof
-from lovagewalk.node import Identity, NodeState
+from lovagewalk.node import DrainLimits, Identity, NodeState
 from lovagewalk.pools import ConnectionOpened, ConnectionRefused, OpenConnection
 from lovagewalk.routing import (
     AnswerCaller,
@@ -33,6 +33,7 @@
 PRIMARY, NEAR, FAR = "i-primary", "i-near", "i-far"
 REGION, OTHER_REGION = "west", "east"
 TIMEOUT_S = 1.0
+DRAIN_LIMITS = DrainLimits(operations_s=2.0, transactions_s=3.5, answers_s=5.0)
 STALENESS_S = 1.5
 
 
@@ -70,7 +71,7 @@
         self.refusal_reasons = {}
         self.unresponsive = set()
         self.state = NodeState(
-            Identity("edge", "zone-a", REGION, b"secret", drain_s=2.0),
+            Identity("edge", "zone-a", REGION, b"secret", drain_limits=DRAIN_LIMITS),
             fresh_until=1e9,
             entry_daemons=1,
         )
