Send ready answers and finish requests in progress before a stop

What callers could see: a planned stop aborted every connection, with the answers that were still in its buffer; statements that a caller had sent ahead, which the daemon had read, got no answer when their session was closed; an operator's order in progress at a control VM was cut off.

Change: at the end of a drain connections are closed once their answers are sent, and HTTP requests in progress have 0.3 s; statements that were read ahead are refused with the reason of the close. hash_key moves to the catalogue, as the identifier of a key is the product's own.

--- a/lovagewalk/catalogue/__init__.py
+++ b/lovagewalk/catalogue/__init__.py
@@ -30,6 +30,7 @@
     diff_catalogues,
     is_equal_for_followers,
 )
+from ._keys import hash_key
 from ._state import (
     Catalogue,
     ChangeResult,
@@ -98,5 +99,6 @@
     "diff_catalogues",
     "estimate_size",
     "find_problems",
+    "hash_key",
     "is_equal_for_followers",
 ]
--- a/lovagewalk/edge/_callers.py
+++ b/lovagewalk/edge/_callers.py
@@ -225,6 +225,10 @@
         ):
             session.answer_future.set_result(effect)
 
+    async def finish(self, limit_s: float) -> None:
+        """Close every connection once its answers are sent, within a time limit."""
+        await self.listener.finish(limit_s)
+
     def close(self, effect: CloseCaller) -> None:
         """Refuse a caller that waits for admission, or close its connection."""
         session = self.sessions.get(effect.caller)
--- a/lovagewalk/edge/_mysql_server.py
+++ b/lovagewalk/edge/_mysql_server.py
@@ -349,6 +349,21 @@
         if self._server is not None:
             self._server.close()
 
+    async def finish(self, limit_s: float) -> None:
+        """Stop listening, and close every connection once its answers are sent."""
+        self.stop_accepting()
+        writers = list(self._writers)
+        for writer in writers:
+            writer.close()
+        try:
+            async with asyncio.timeout(limit_s):
+                await asyncio.gather(
+                    *(writer.wait_closed() for writer in writers),
+                    return_exceptions=True,
+                )
+        except TimeoutError:
+            log.warning("mysql: %d connections were cut by a stop", len(self._writers))
+
     def close(self) -> None:
         """Stop listening and abort all connections."""
         self.stop_accepting()
--- a/lovagewalk/platform/_callers.py
+++ b/lovagewalk/platform/_callers.py
@@ -3,8 +3,8 @@
 import asyncio
 import logging
 from collections import deque
-from hashlib import sha256
 
+from lovagewalk.catalogue import hash_key
 from lovagewalk.core import Code, LovageError, Refusal
 from lovagewalk.routing import (
     AnswerCaller,
@@ -41,11 +41,6 @@
 log = logging.getLogger("lovagewalk.callers")
 
 
-def hash_key(key: str) -> str:
-    """Return the identifier of a key in the catalogue; empty for an empty key."""
-    return sha256(key.encode()).hexdigest() if key else ""
-
-
 class CallerSession(asyncio.Protocol):
     """One caller's connection; it processes one message at a time."""
 
@@ -167,9 +162,13 @@
         self._schedule_pending()
 
     def close(self, refusal: Refusal) -> None:
-        """Close the connection; a caller that was not accepted receives the reason."""
+        """Close the connection; a caller that has no answer yet receives the reason."""
         if not self._accepted:
             self._send_error(refusal)
+        while self._accepted and self._pending_lines:
+            if self._pending_lines.popleft().startswith("QUERY "):
+                self._send_error(refusal)
+                self._send_ready(FAILED)
         self._transport.close()
 
     def abort(self) -> None:
--- a/lovagewalk/platform/_configuration.py
+++ b/lovagewalk/platform/_configuration.py
@@ -15,12 +15,11 @@
     RouteClass,
     RouteEntry,
     check_command,
+    hash_key,
 )
 from lovagewalk.core import Code, LovageError
 from lovagewalk.settings import TableReader, parse_address, parse_json
 
-from ._callers import hash_key
-
 OPERATOR = "operator"
 MS_PER_S = 1000.0
 _CONSISTENCIES_BY_KIND = {
--- a/lovagewalk/platform/tests/test_configuration.py
+++ b/lovagewalk/platform/tests/test_configuration.py
@@ -7,11 +7,10 @@
 import pytest
 
 from lovagewalk import catalogue as cat
-from lovagewalk.catalogue import estimate_size
+from lovagewalk.catalogue import estimate_size, hash_key
 from lovagewalk.codec import decode, encode, to_dict
 from lovagewalk.consensus import AppendRequest, LogEntry, RaftLog
 from lovagewalk.core import Code, LovageError
-from lovagewalk.platform._callers import hash_key
 from lovagewalk.platform._configuration import decode_configuration, decode_heartbeat
 
 # The kind of configuration that a site gets when 350 routes are added to its own.
--- a/lovagewalk/runtime/_caller_server.py
+++ b/lovagewalk/runtime/_caller_server.py
@@ -4,12 +4,14 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from lovagewalk.core import Refusal
+from lovagewalk.core import Code, Refusal
 from lovagewalk.routing import AnswerCaller, CloseCaller
 
 from ._metrics import customer_class_label
 from ._ports import Ports
 
+FINISH_CHECK_S = 0.02
+
 
 class CallerConnection(Protocol):
     """The connection of a caller, on which performers act."""
@@ -79,6 +81,17 @@
         if connection is not None:
             connection.close(effect.refusal)
 
+    async def finish(self, limit_s: float) -> None:
+        """Stop listening, and close every connection once its answers are sent."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.open_connections):
+            connection.close(Refusal(Code.DRAINING))
+        timer = self._ports.timer
+        end = timer.now() + limit_s
+        while self.open_connections and timer.now() < end:
+            await timer.sleep(FINISH_CHECK_S)
+
     def stop(self) -> None:
         """Stop listening and abort every connection."""
         if self._server is not None:
--- a/lovagewalk/runtime/_http.py
+++ b/lovagewalk/runtime/_http.py
@@ -80,6 +80,9 @@
         self._log_refusal = log_refusal
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._in_progress = 0
+        self._finished = asyncio.Event()
+        self._finished.set()
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept connections, and return the port."""
@@ -97,9 +100,13 @@
                 request = await _read_request(conn, reader)
                 if request is None:
                     break
-                response = await self._handle(request)
-                _write_response(conn, writer, response)
-                await writer.drain()
+                self._begin_request()
+                try:
+                    response = await self._handle(request)
+                    _write_response(conn, writer, response)
+                    await writer.drain()
+                finally:
+                    self._end_request()
                 if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
                     conn.start_next_cycle()
         except (OSError, TimeoutError, h11.ProtocolError) as exc:
@@ -121,6 +128,25 @@
             log.exception("http: handling %s failed", request.method)
             return json_response(500, {"error": "internal error"})
 
+    def _begin_request(self) -> None:
+        self._in_progress += 1
+        self._finished.clear()
+
+    def _end_request(self) -> None:
+        self._in_progress -= 1
+        if not self._in_progress:
+            self._finished.set()
+
+    async def finish(self, limit_s: float) -> None:
+        """Stop listening, and wait for the responses to requests in progress."""
+        if self._server is not None:
+            self._server.close()
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._finished.wait()
+        except TimeoutError:
+            log.warning("http: %d requests were cut by a stop", self._in_progress)
+
     def close(self) -> None:
         """Stop listening and abort every connection."""
         if self._server is not None:
--- a/lovagewalk/runtime/_process.py
+++ b/lovagewalk/runtime/_process.py
@@ -1,5 +1,6 @@
 """The lifecycle of a daemon process: loading its data folder, draining, and ending."""
 
+import asyncio
 import logging
 import secrets
 from pathlib import Path
@@ -17,6 +18,9 @@
 from ._ports import Ports
 from ._storage import load_storage, return_to_consensus
 
+# Longest time for sending the last answers before every connection is cut.
+FINISH_LIMIT_S = 0.3
+
 log = logging.getLogger("lovagewalk.daemon")
 
 
@@ -144,11 +148,18 @@
         if state.draining:
             drained_s = self.ports.now() - state.draining_since
             fields["drained_ms"] = round(drained_s * 1000)
+        if self.fault is None:
+            await self._finish_answers()
         await self.close()
         log.info("daemon stopped", extra=fields)
         if self.fault is not None:
             raise self.fault
 
+    async def _finish_answers(self) -> None:
+        """Send the answers that are ready, and finish HTTP requests in progress."""
+        servers = (self.ports.callers, *self._http_servers)
+        await asyncio.gather(*(s.finish(FINISH_LIMIT_S) for s in servers))
+
     def drain(self) -> None:
         """Start a graceful stop; `run` returns when it is done or the limit is over."""
         log.info("daemon drains", extra={"daemon": self.name})
