A session belongs to its key as it was shown

Cause: a session kept the customer of its key from the time it connected. After a change of the catalogue it was only asked whether a key of that name still exists.

Evidence: a new connection with the same key runs for the new holder, and the sessions that went on had been told to no one: no "caller closed" line follows the installed configuration. Ruled out: a configuration that is not in force (new connections follow it), and a pool connection that is reused for another customer (pool connections carry their customer, and it was the session's).

Change: a session holds the key's entry as it was shown, and its customer is that of the entry. access_refusal refuses a session whose key is not the same entry any more: moved, withdrawn, or with another secret. This rule is asked at each statement, when a statement leaves a queue, and for all sessions after each change, so a waiting statement is refused as not run and an open transaction is rolled back.

Why it works: nothing that a session copied at its start decides any more; the entry is compared with the catalogue in force.

--- a/lovagewalk/demo/tests/test_faults.py
+++ b/lovagewalk/demo/tests/test_faults.py
@@ -283,7 +283,7 @@
     await fleet.change({"_type": "WithdrawKey", "key_id": key.key_id})
     await fleet.until(
         lambda: all(
-            session.key_id != key.key_id
+            session.key.key_id != key.key_id
             for d in fleet.daemons.values()
             for session in d.state.sessions.values()
         )
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -91,7 +91,7 @@
     contain it.
     """
     refusal = access_refusal(state, session)
-    if refusal is None and not session.key_id:
+    if refusal is None and session.key is None:
         return None
     if now >= state.fresh_until:
         return stale_refusal()
@@ -104,14 +104,19 @@
 
 
 def access_refusal(state: NodeState, session: Session) -> Refusal | None:
-    """Return why the catalogue does not admit a session, or None."""
+    """Return why the catalogue does not admit a session, or None.
+
+    A session belongs to the key as it was shown. If the key has moved to another
+    customer or has another secret since, its caller has to show it again.
+    """
     route = state.catalogue.route(session.route)
     if route is None:
         return Refusal(Code.ROUTE_UNKNOWN)
-    if route.route_class is RouteClass.OPEN and not session.key_id:
-        return None
-    key = state.catalogue.key(session.key_id)
-    if key is None or key.withdrawn:
+    key = session.key
+    if key is None:
+        is_open = route.route_class is RouteClass.OPEN
+        return None if is_open else Refusal(Code.KEY_WITHDRAWN)
+    if key.withdrawn or state.catalogue.key(key.key_id) != key:
         return Refusal(Code.KEY_WITHDRAWN)
     if route.customers and key.customer not in route.customers:
         return Refusal(Code.ROUTE_FORBIDDEN)
--- a/lovagewalk/routing/_callers.py
+++ b/lovagewalk/routing/_callers.py
@@ -79,8 +79,7 @@
         return Step(state, (CloseCaller(event.caller, refusal),))
     session = Session(
         caller=event.caller,
-        customer=key.customer if key else "",
-        key_id=event.key_id if key else "",
+        key=key,
         route=event.route,
         group=route.group,
     )
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -230,7 +230,7 @@
         min_position=None if session.conn else request.min_position,
         require_proof=request.require_proof,
         prepared=request.prepared,
-        valid_until=state.fresh_until if session.key_id else 0.0,
+        valid_until=state.fresh_until if session.key else 0.0,
     )
     return Step(_place.store_request(state, request), (effect,))
 
--- a/lovagewalk/sessions/_state.py
+++ b/lovagewalk/sessions/_state.py
@@ -6,6 +6,7 @@
 
 from immutables import Map
 
+from lovagewalk.catalogue import KeyEntry
 from lovagewalk.groups import Position
 
 
@@ -69,8 +70,8 @@
     ----------
     caller : int
         Number of the connection on this daemon.
-    key_id : str
-        The key it was opened with; empty on a route open to all.
+    key : KeyEntry or None
+        The key as it was when the session was opened; None on a route open to all.
     group : str
         Group of its route when the operation in progress began.
     positions : Map of str to ObservedPosition
@@ -98,8 +99,7 @@
     """
 
     caller: int
-    customer: str
-    key_id: str
+    key: KeyEntry | None
     route: str
     group: str
     positions: Map = field(default_factory=Map)
@@ -116,6 +116,11 @@
     operation_started_at: float = 0.0
     idle_since: float = 0.0
 
+    @property
+    def customer(self) -> str:
+        """The customer that its statements run for; empty without a key."""
+        return self.key.customer if self.key is not None else ""
+
     @property
     def in_transaction(self) -> bool:
         """Whether a transaction is open."""
