Check the lease again when a statement is sent, on every route

What callers could see: on a route without an explicit consistency, a statement that was admitted under a lease and then waited for a connection ran after the lease had expired, when a key may have been withdrawn already.

Cause: the check at the time of sending was made for explicit consistency only.

Measured: the test of test_lease_at_send fails before and passes now.

--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -193,7 +193,7 @@
 
     Both may have expired while the statement waited or this VM was suspended.
     """
-    if not request.has_explicit_consistency or request.kind is StatementKind.ROLLBACK:
+    if request.kind is StatementKind.ROLLBACK:
         return None
     return _admit.authorise(state, session, now)
 
