Walk over requests and sessions as they are when their turn comes

Cause: walks held the records from before the walk. Placing one waiting request hands an idle connection to the head of the queue; the walk then came to that request with its old record, waiting and without a connection, and queued it again.

Change: the module _walks holds the only loops over requests, sessions, pools and shares in routing. They hold names, and read each record when its turn comes.

Why it works: a visit gets the request as earlier visits left it, so one that runs or has been answered is not waiting any more.

--- a/lovagewalk/routing/_callers.py
+++ b/lovagewalk/routing/_callers.py
@@ -17,6 +17,7 @@
 from ._events import CallerConnected, CallerDisconnected, CallerReset
 from ._state import Phase, Request
 from ._transactions import abort_transaction
+from ._walks import walk_sessions
 
 # How long a daemon that has just started lets callers wait for its first lease. The
 # first leader is elected within a second of a loss of power, and callers of the
@@ -174,18 +175,15 @@
 
     A session in a transaction is closed once the drain refuses its statements.
     """
-    step = Step(state)
-    for session in state.sessions.values():
+
+    def visit(state: NodeState, session: Session) -> Step[NodeState]:
         if session.req or session.closing:
-            continue
-        if not refuses_statements(state, session, now) and session.in_transaction:
-            continue
-        reason = Refusal(Code.DRAINING)
-        step = step.then(_close_session(step.state, session, reason, now))
-        current = replace(step.state.sessions[session.caller], closing=True)
-        sessions = step.state.sessions.set(session.caller, current)
-        step = Step(replace(step.state, sessions=sessions), step.effects)
-    return step
+            return Step(state)
+        if session.in_transaction and not refuses_statements(state, session, now):
+            return Step(state)
+        return _close_session(state, session, Refusal(Code.DRAINING), now)
+
+    return walk_sessions(state, visit)
 
 
 def close_unauthorised_sessions(state: NodeState, now: float) -> Step[NodeState]:
@@ -194,27 +192,29 @@
     Called after each catalogue change. A statement that an endpoint is running
     is finished first; an open transaction is rolled back.
     """
-    step = Step(state)
-    for session in state.sessions.values():
+
+    def visit(state: NodeState, session: Session) -> Step[NodeState]:
         refusal = access_refusal(state, session)
-        if refusal is not None:
-            step = step.then(_close_session(step.state, session, refusal, now))
-    return step
+        if refusal is None or session.closing:
+            return Step(state)
+        return _close_session(state, session, refusal, now)
+
+    return walk_sessions(state, visit)
 
 
 def _close_session(
     state: NodeState, session: Session, refusal: Refusal, now: float
 ) -> Step[NodeState]:
     request = state.requests.get(session.req)
+    session = replace(session, closing=True)
+    state = replace(state, sessions=state.sessions.set(session.caller, session))
     step = Step(state)
     if session.conn and (request is None or request.conn != session.conn):
         step = abort_transaction(state, session, TransactionState.LOST, now)
+    request = step.state.requests.get(session.req)
     if request is None:
         effect = CloseCaller(session.caller, refusal)
         return Step(step.state, step.effects + (effect,))
-    current = replace(step.state.sessions[session.caller], closing=True)
-    sessions = step.state.sessions.set(session.caller, current)
-    step = Step(replace(step.state, sessions=sessions), step.effects)
     if request.phase in (Phase.RUNNING, Phase.STREAMING, Phase.CONFIRMING):
         return step
     updated = remove_from_queue(step.state, request)
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -6,7 +6,7 @@
 from lovagewalk.groups import is_isolated_from_primary
 from lovagewalk.node import NodeState
 from lovagewalk.pools import Pool, find_surplus
-from lovagewalk.sessions import TransactionState
+from lovagewalk.sessions import Session, TransactionState
 from lovagewalk.shares import return_tokens, take_token
 
 from . import _admit, _callers, _dispatch, _outcome, _place, _recovery
@@ -15,6 +15,7 @@
 from ._state import Phase, Request
 from ._transactions import abort_transaction, end_transaction
 from ._types import StatementKind
+from ._walks import walk_pools, walk_requests, walk_sessions, walk_shares
 
 # Upper limit of the delay by which a deadline is enforced late.
 SWEEP_PERIOD_S = 0.02
@@ -48,38 +49,41 @@
 
 @reduces(SweepTick)
 def _sweep(state: NodeState, event: SweepTick) -> Step[NodeState]:
-    step = _callers.answer_early_callers(state, event.at)
-    step = step.then(_admit_all_waiting(step.state, event.at))
-    for request in step.state.requests.values():
-        step = step.then(_sweep_request(step.state, request, event.at))
+    now = event.at
+    step = _callers.answer_early_callers(state, now)
+    step = step.then(_admit_all_waiting(step.state, now))
+    step = step.then(
+        walk_requests(step.state, lambda state, req: _sweep_request(state, req, now))
+    )
     for name, view in step.state.groups.items():
         if view.waiters:
-            step = step.then(_place.await_positions(step.state, name, event.at, True))
-    for endpoint, pool in step.state.pools.items():
-        step = step.then(_trim_pool(step.state, endpoint, pool, event.at))
-        if pool.waiting:
-            step = step.then(_dispatch.dispatch(step.state, endpoint, event.at))
+            step = step.then(_place.await_positions(step.state, name, now, True))
+    step = step.then(
+        walk_pools(step.state, lambda state, pool: _sweep_pool(state, pool, now))
+    )
     closes_idle = step.state.identity.drain_limits.operations_s > 0
-    if closes_idle and refuses_operations(step.state, event.at):
-        step = step.then(_callers.close_idle_sessions(step.state, event.at))
-    return step.then(_end_idle_transactions(step.state, event.at))
+    if closes_idle and refuses_operations(step.state, now):
+        step = step.then(_callers.close_idle_sessions(step.state, now))
+    return step.then(_end_idle_transactions(step.state, now))
 
 
-def _trim_pool(
-    state: NodeState, endpoint: str, pool: Pool, now: float
-) -> Step[NodeState]:
-    """Close unused connections beyond the fair limit; restore a lowered limit."""
+def _sweep_pool(state: NodeState, pool: Pool, now: float) -> Step[NodeState]:
+    """Close unused connections beyond the fair limit; send what waits.
+
+    A lowered limit is restored when its time is over.
+    """
     step = Step(state)
+    endpoint = pool.endpoint
     for conn in find_surplus(pool, now):
         step = step.then(_dispatch.close_connection(step.state, conn, now))
-    if not 0 < pool.limit_lowered_until <= now:
-        return step
-    empty = _place.empty_pool(state, endpoint)
-    pool = replace(
-        step.state.pools[endpoint], limit=empty.limit, limit_lowered_until=0.0
-    )
-    state = replace(step.state, pools=step.state.pools.set(endpoint, pool))
-    return Step(state, step.effects)
+    if 0 < pool.limit_lowered_until <= now:
+        limit = _place.empty_pool(state, endpoint).limit
+        pool = replace(step.state.pools[endpoint], limit=limit, limit_lowered_until=0.0)
+        restored = replace(step.state, pools=step.state.pools.set(endpoint, pool))
+        step = Step(restored, step.effects)
+    if pool.waiting:
+        step = step.then(_dispatch.dispatch(step.state, endpoint, now))
+    return step
 
 
 def _end_idle_transactions(state: NodeState, now: float) -> Step[NodeState]:
@@ -89,23 +93,25 @@
     time that a statement may take.
     """
     limit_s = state.catalogue.idle_transaction_s
-    step = Step(state)
     if not limit_s:
-        return step
-    for session in state.sessions.values():
+        return Step(state)
+
+    def visit(state: NodeState, session: Session) -> Step[NodeState]:
         expired = now - session.idle_since >= limit_s + IDLE_MARGIN_S
-        if session.conn and not session.req and expired:
-            lost = TransactionState.LOST
-            step = step.then(abort_transaction(step.state, session, lost, now))
-    return step
+        if not session.conn or session.req or not expired:
+            return Step(state)
+        return abort_transaction(state, session, TransactionState.LOST, now)
+
+    return walk_sessions(state, visit)
 
 
 def _admit_all_waiting(state: NodeState, now: float) -> Step[NodeState]:
-    step = Step(state)
-    for customer, share in state.shares.items():
-        if share.waiting:
-            step = step.then(admit_waiting(step.state, customer, now))
-    return step
+    return walk_shares(
+        state,
+        lambda state, share: (
+            admit_waiting(state, share.customer, now) if share.waiting else Step(state)
+        ),
+    )
 
 
 def admit_waiting(state: NodeState, customer: str, now: float) -> Step[NodeState]:
@@ -141,9 +147,6 @@
 
 
 def _sweep_request(state: NodeState, request: Request, now: float) -> Step[NodeState]:
-    current = state.requests.get(request.req)
-    if current is not request:
-        return Step(state)
     waited = now - request.arrived_at
     if request.phase is Phase.REPLICA and waited >= _place.MAX_REPLICA_WAIT_S:
         moved = replace(request, phase=Phase.CONNECTION)
@@ -256,36 +259,27 @@
 
 def place_waiting_again(state: NodeState, group: str, now: float) -> Step[NodeState]:
     """Place a group's waiting requests again after a change of its configuration."""
-    step = Step(state)
-    for request in state.requests.values():
-        if request.group != group:
-            continue
-        if request.phase not in _MOVABLE_PHASES:
-            continue
-        updated = _callers.remove_from_queue(step.state, request)
+
+    def visit(state: NodeState, request: Request) -> Step[NodeState]:
+        if request.group != group or request.phase not in _MOVABLE_PHASES:
+            return Step(state)
+        dequeued = _callers.remove_from_queue(state, request)
         request = replace(request, phase=Phase.CONNECTION)
-        updated = _place.store_request(updated, request)
-        step = Step(updated, step.effects)
-        step = step.then(_place.place(step.state, request, now))
-    return step
+        return _place.place(_place.store_request(dequeued, request), request, now)
+
+    return walk_requests(state, visit)
 
 
 def move_waiting(state: NodeState, endpoint: str, now: float) -> Step[NodeState]:
     """Move requests from an endpoint's queue to other endpoints, where possible."""
-    step = Step(state)
-    for request in state.requests.values():
-        if request.phase is not Phase.CONNECTION or request.endpoint != endpoint:
-            continue
-        if (
-            not request.has_explicit_consistency
-            or request.req not in step.state.requests
-        ):
-            continue
-        updated = _callers.remove_from_queue(step.state, request)
-        step = Step(updated, step.effects)
+
+    def visit(state: NodeState, request: Request) -> Step[NodeState]:
+        is_queued = request.phase is Phase.CONNECTION and request.endpoint == endpoint
+        if not is_queued or not request.has_explicit_consistency:
+            return Step(state)
+        dequeued = _callers.remove_from_queue(state, request)
         if request.at_primary:
-            step = step.then(_recovery.back_off(step.state, request, now))
-            continue
-        request = _recovery.record_tried(request)
-        step = step.then(_recovery.place_again(step.state, request, now))
-    return step
+            return _recovery.back_off(dequeued, request, now)
+        return _recovery.place_again(dequeued, _recovery.record_tried(request), now)
+
+    return walk_requests(state, visit)
