A statement of a transaction never runs outside of it

Cause: a statement of a transaction waited after BUSY when the connection of its transaction broke. The session's transaction was marked as lost, the statement went on waiting, and its next attempt found no pinned connection, so it was placed as a single one.

Evidence: the tests: the write, the read and the commit run on another connection within a second.

Change: a request knows whether it came in a transaction. Placing and sending, the two functions through which every statement goes, answer it as lost once its session is in none. A broken connection answers the statement that waits in its transaction at once. The same holds for statements that wait for a token of the rate.

Why it works: whether a statement is a single one is no longer derived from what is left of its session.

--- a/lovagewalk/pools/_reducer.py
+++ b/lovagewalk/pools/_reducer.py
@@ -3,7 +3,7 @@
 from lovagewalk.core import Step, reduces, replace
 from lovagewalk.groups import record_primary_failure
 from lovagewalk.node import NodeState
-from lovagewalk.routing import _dispatch, _place, _recovery, _sweep
+from lovagewalk.routing import Phase, _callers, _dispatch, _place, _recovery, _sweep
 from lovagewalk.routing._transactions import end_transaction
 from lovagewalk.sessions import TransactionState
 
@@ -11,6 +11,9 @@
 from ._events import ConnectionBroken, ConnectionOpened, ConnectionRefused, OpenFailure
 from ._policy import add_connection, lower_limit, record_open_failure
 
+# The end of a running statement or of a stream is an event of its own.
+_ANSWERED_ELSEWHERE = frozenset((Phase.RUNNING, Phase.STREAMING, Phase.CONFIRMING))
+
 
 @reduces(ConnectionOpened)
 def _connection_opened(state: NodeState, event: ConnectionOpened) -> Step[NodeState]:
@@ -58,7 +61,15 @@
 
 @reduces(ConnectionBroken)
 def _connection_broken(state: NodeState, event: ConnectionBroken) -> Step[NodeState]:
+    """Close the connection; a statement that waits in its transaction is answered."""
+    step = Step(state)
     pinned = [s for s in state.sessions.values() if s.conn == event.conn]
     for session in pinned:
-        state = end_transaction(state, session, TransactionState.LOST)
-    return _dispatch.close_connection(state, event.conn, event.at)
+        ended = end_transaction(step.state, session, TransactionState.LOST)
+        step = Step(ended, step.effects)
+        request = ended.requests.get(session.req)
+        if request is not None and request.phase not in _ANSWERED_ELSEWHERE:
+            dequeued = _callers.remove_from_queue(ended, request)
+            step = Step(dequeued, step.effects)
+            step = step.then(_recovery.answer_lost_transaction(dequeued, request))
+    return step.then(_dispatch.close_connection(step.state, event.conn, event.at))
--- a/lovagewalk/routing/_arrival.py
+++ b/lovagewalk/routing/_arrival.py
@@ -57,6 +57,7 @@
         arrived_at=event.at,
         deadline=min(event.at + limit_s, answer_deadline(state)),
         route=route,
+        in_transaction=session.in_transaction,
     )
 
 
--- a/lovagewalk/routing/_callers.py
+++ b/lovagewalk/routing/_callers.py
@@ -211,6 +211,7 @@
     step = Step(state)
     if session.conn and (request is None or request.conn != session.conn):
         step = abort_transaction(state, session, TransactionState.LOST, now)
+    # The freed connection may have gone to this session's own waiting statement.
     request = step.state.requests.get(session.req)
     if request is None:
         effect = CloseCaller(session.caller, refusal)
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -22,6 +22,7 @@
 from ._effects import OnceId, RunStatement
 from ._settings import apply_setup, plan_setup
 from ._state import Phase, Request
+from ._transactions import has_lost_transaction
 from ._types import WRITE_KINDS, StatementKind
 
 
@@ -154,6 +155,9 @@
 ) -> Step[NodeState]:
     """Run a request on a connection, opening its transaction if required."""
     session = state.sessions[request.caller]
+    if has_lost_transaction(request, session):
+        step = return_connection(state, conn, now)
+        return step.then(_recovery.answer_lost_transaction(step.state, request))
     refusal = _refusal_at_send(state, session, request, now)
     if refusal is not None:
         return _refuse_at_send(state, request, conn, refusal, now)
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -29,6 +29,7 @@
 from . import _dispatch, _recovery
 from ._consistency import choose_endpoint, plan_request
 from ._state import Phase, Request
+from ._transactions import has_lost_transaction
 from ._types import StatementKind
 
 # Usual lag of a replica. A read that waits longer is served by the primary.
@@ -60,6 +61,8 @@
 def place(state: NodeState, request: Request, now: float) -> Step[NodeState]:
     """Run a request, queue it at an endpoint, or let it wait for a replica."""
     session = state.sessions[request.caller]
+    if has_lost_transaction(request, session):
+        return _recovery.answer_lost_transaction(state, request)
     if session.conn:
         return _dispatch.run_on_connection(state, request, session.conn, now)
     if request.has_explicit_consistency:
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -180,6 +180,17 @@
     return step.then(answer(step.state, request, refusal))
 
 
+def answer_lost_transaction(state: NodeState, request: Request) -> Step[NodeState]:
+    """Answer a statement that waited while its transaction was rolled back."""
+    session = state.sessions[request.caller]
+    if request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+        state = end_transaction(state, session, TransactionState.NONE)
+    if request.kind is StatementKind.ROLLBACK:
+        return answer(state, request)
+    detail = "the connection of the transaction broke"
+    return answer(state, request, Refusal(Code.TRANSACTION_LOST, detail))
+
+
 def _answer_ended_transaction(
     state: NodeState, session: Session, request: Request, event: StatementFailed
 ) -> Step[NodeState]:
--- a/lovagewalk/routing/_state.py
+++ b/lovagewalk/routing/_state.py
@@ -82,6 +82,9 @@
         Whether the primary has to prove its role.
     at_primary : bool
         Whether only the primary can serve it.
+    in_transaction : bool
+        Whether its session was in a transaction when it arrived. It then never runs
+        outside of it.
     opens_transaction : bool
         Whether it opens the session's transaction.
     retry_at : float
@@ -119,6 +122,7 @@
     min_position: Position | None = None
     require_proof: bool = False
     at_primary: bool = False
+    in_transaction: bool = False
     opens_transaction: bool = False
     retry_at: float = 0.0
     sent_at: float = 0.0
--- a/lovagewalk/routing/_transactions.py
+++ b/lovagewalk/routing/_transactions.py
@@ -5,6 +5,12 @@
 from lovagewalk.sessions import Session, TransactionState
 
 from . import _dispatch
+from ._state import Request
+
+
+def has_lost_transaction(request: Request, session: Session) -> bool:
+    """Whether a statement's transaction has ended while the statement waited."""
+    return request.in_transaction and not session.in_transaction
 
 
 def end_transaction(
