A leaving primary gets no new work after its time

Cause: the choice of the primary did not ask whether the endpoint is leaving, and its queue was sent whatever had changed since.

Change: a daemon records since when it knows that an endpoint leaves. Open transactions continue.

--- a/lovagewalk/daemon/_changes.py
+++ b/lovagewalk/daemon/_changes.py
@@ -6,6 +6,7 @@
 from lovagewalk.node import NodeState
 from lovagewalk.records import ConfigurationInstalled, PrimaryInstalled
 from lovagewalk.routing import _callers, _dispatch, _outcome, _place, _sweep
+from lovagewalk.routing._leaving import record_leaving
 
 
 def install_catalogue(
@@ -48,7 +49,8 @@
 
     Waiting requests of groups that a provider manages may use new endpoints at once.
     """
-    step = Step(state)
+    leaving_since = record_leaving(state.leaving_since, state.catalogue.endpoints, now)
+    step = Step(replace(state, leaving_since=leaving_since))
     groups = set()
     for name, old in before.endpoints.items():
         new = state.catalogue.endpoints.get(name)
--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -91,6 +91,8 @@
         When these callers are refused, in monotonic seconds; 0 before the first one.
     conn_endpoints : Map of int to str
         Endpoint of each pool connection, open or opening.
+    leaving_since : Map of str to float
+        Since when this daemon knows that an endpoint leaves, in monotonic seconds.
     access_counts : Map of AccessKey to int
         Statements answered since the last audit report.
     entry_daemons : int
@@ -120,6 +122,7 @@
     early_callers: Map = field(default_factory=Map)
     await_lease_until: float = 0.0
     conn_endpoints: Map = field(default_factory=Map)
+    leaving_since: Map = field(default_factory=Map)
     access_counts: Map = field(default_factory=Map)
     retry_credits: Map = field(default_factory=Map)
     entry_daemons: int = 0
--- a/lovagewalk/routing/_consistency.py
+++ b/lovagewalk/routing/_consistency.py
@@ -14,6 +14,7 @@
 from lovagewalk.pools import estimate_wait, is_slow, may_send
 from lovagewalk.sessions import Session, TransactionState
 
+from ._leaving import has_left
 from ._state import Request
 
 # Number of requests in flight that make one load step in an endpoint's rank; within a
@@ -121,7 +122,7 @@
     """Return the endpoint for a planned request; empty if there is none at present."""
     config = state.catalogue.group(request.group)
     if request.at_primary:
-        return _usable_primary(state, config, request)
+        return _usable_primary(state, config, request, now)
     endpoints = [
         endpoint
         for endpoint in state.catalogue.group_endpoints(request.group)
@@ -155,9 +156,13 @@
     return min((latency_s for latency_s in latencies_s if latency_s), default=0.0)
 
 
-def _usable_primary(state: NodeState, config: GroupConfig, request: Request) -> str:
+def _usable_primary(
+    state: NodeState, config: GroupConfig, request: Request, now: float
+) -> str:
     if not config.primary or config.term == request.refused_term:
         return ""
+    if has_left(state, config.primary, now):
+        return ""
     return config.primary if config.primary in state.catalogue.endpoints else ""
 
 
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -20,6 +20,7 @@
 from . import _admit, _place, _recovery
 from ._answer import answer
 from ._effects import OnceId, RunStatement
+from ._leaving import has_left
 from ._settings import apply_setup, plan_setup
 from ._state import Phase, Request
 from ._transactions import has_lost_transaction
@@ -111,6 +112,9 @@
     if not _is_current_incarnation(state, request, conn):
         step = close_connection(state, conn, now)
         return step.then(_place.place(step.state, request, now))
+    if has_left(state, request.endpoint, now):
+        step = return_connection(state, conn, now)
+        return step.then(_place.place(step.state, request, now))
     if request.has_explicit_consistency or _holds_min_position(state, request):
         return run_on_connection(state, request, conn, now)
     step = return_connection(state, conn, now)
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -28,6 +28,7 @@
 
 from . import _dispatch, _recovery
 from ._consistency import choose_endpoint, plan_request
+from ._leaving import has_left
 from ._state import Phase, Request
 from ._transactions import has_lost_transaction
 from ._types import StatementKind
@@ -209,6 +210,8 @@
         replica = _choose_replica(state, config, request, session, now)
         if replica is not None:
             return replica
+    if has_left(state, config.primary, now):
+        return Target(Phase.PRIMARY)
     return _choose_primary(config, request)
 
 
