Send no statement whose time limit has passed

What callers could see: a write went out in the same step in which it was answered as timed out, and ran though nobody waited for it.

Change: the time limit is checked with key and lease when a statement is sent.

--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -1,7 +1,7 @@
 """Assigns pool connections to waiting requests and runs them."""
 
 from lovagewalk.catalogue import Endpoint, GroupConfig
-from lovagewalk.core import Effect, Refusal, Step, replace
+from lovagewalk.core import Code, Effect, Refusal, Step, replace
 from lovagewalk.groups import replica_has_applied
 from lovagewalk.node import NodeState
 from lovagewalk.pools import (
@@ -197,12 +197,15 @@
 def _refusal_at_send(
     state: NodeState, session: Session, request: Request, now: float
 ) -> Refusal | None:
-    """Check key and lease again immediately before a statement is sent.
+    """Check time limit, key and lease again immediately before a statement is sent.
 
-    Both may have expired while the statement waited or this VM was suspended.
+    All may have expired while the statement waited or this VM was suspended.
     """
     if request.kind is StatementKind.ROLLBACK:
         return None
+    if now >= request.deadline:
+        code = Code.CONNECTION_LOST if request.may_have_run else Code.OVERLOADED
+        return Refusal(code)
     return _admit.authorise(state, session, now)
 
 
