Soak: a reducer that fails is a violation

The output of each process goes to a file in the fleet's folder, and a line that says that reducing an event failed ends the run as broken.

--- a/lovagewalk/cli/tests/process_fleet.py
+++ b/lovagewalk/cli/tests/process_fleet.py
@@ -95,10 +95,12 @@
             f"vm{n}": (free_port(), free_port()) for n in range(1, daemon_count + 1)
         }
 
-    def start_process(self, program, name):
+    def start_process(self, program, name, output=None):
         path = str(self.folder / f"{name}.ini")
         arguments = (sys.executable, "-c", MAIN_SCRIPT, program, "--settings", path)
-        return asyncio.create_subprocess_exec(*arguments, cwd=self.folder)
+        return asyncio.create_subprocess_exec(
+            *arguments, cwd=self.folder, stdout=output, stderr=output
+        )
 
     async def __aenter__(self):
         control_ports = {name: free_port() for name in list(self.ports)[:3]}
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -4,6 +4,7 @@
 import functools
 import logging
 import random
+import re
 import resource
 import shutil
 import signal
@@ -53,6 +54,8 @@
 TORN_RECORD = LOST_RECORD[:60]
 
 
+FAILED_REDUCER = re.compile(r"core: reducing (\w+) failed")
+
 log = logging.getLogger("lovagewalk.soak")
 
 
@@ -160,7 +163,11 @@
     async def launch(self, name):
         """Start the process of a daemon or an instance."""
         program = "daemon" if name in DAEMONS else "standin"
-        self.processes[name] = await self.start_process(program, name)
+        with self._log_path(name).open("ab") as output:
+            self.processes[name] = await self.start_process(program, name, output)
+
+    def _log_path(self, name):
+        return self.folder / f"{name}.log"
 
     async def stop_process(self, name, signal_number):
         """Send a signal and wait for the process to end.
@@ -186,6 +193,15 @@
         task = asyncio.create_task(coro, name=repr(fault))
         self.fault_tasks.add(task)
 
+    def find_failed_reducers(self):
+        """Return the events whose reducers failed, by the process's name."""
+        logs = {name: self._log_path(name).read_text() for name in self.processes}
+        return {
+            name: sorted(set(FAILED_REDUCER.findall(text)))
+            for name, text in logs.items()
+            if FAILED_REDUCER.search(text)
+        }
+
     def find_ended(self):
         """Return the exit status of each process that is not running, by name."""
         return {
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -101,6 +101,20 @@
     status: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReducersFailed(Event):
+    """A process logged that its reducers of some events failed.
+
+    Attributes
+    ----------
+    events : tuple of str
+        Types of the events; the state kept its value from before each of them.
+    """
+
+    name: str
+    events: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class CheckerState:
     """State of the checker.
@@ -245,6 +259,12 @@
     return Step(_add_violation(state, event.at, text))
 
 
+@reduces(ReducersFailed)
+def _reducers_failed(state: CheckerState, event: ReducersFailed) -> Step[CheckerState]:
+    text = f"{event.name}: reducing {', '.join(event.events)} failed"
+    return Step(_add_violation(state, event.at, text))
+
+
 @reduces(ProcessEnded)
 def _process_ended(state: CheckerState, event: ProcessEnded) -> Step[CheckerState]:
     text = f"{event.name} ended by itself with status {event.status}"
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -28,6 +28,7 @@
     CheckerState,
     NotRecovered,
     ProcessEnded,
+    ReducersFailed,
     RowsRead,
     WriteOutcome,
 )
@@ -140,6 +141,8 @@
                 await timer.sleep(READ_BACK_RETRY_S)
     except TimeoutError:
         shell.feed(NotRecovered(timer.now(), RECOVERY_LIMIT_S))
+    for name, events in fleet.find_failed_reducers().items():
+        shell.feed(ReducersFailed(timer.now(), name, tuple(events)))
 
 
 async def _try_read_back(fleet, operator, shell, timer) -> bool:
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -10,6 +10,7 @@
     KeyWithdrawn,
     LimitedServed,
     NotRecovered,
+    ReducersFailed,
     RowsRead,
     WithdrawnServed,
     WriteEnded,
@@ -62,6 +63,7 @@
     ((KeyWithdrawn(1.0), WithdrawnServed(6.3, 6.2)), "withdrawn key served"),
     ((ChangeEnded(1.0, 3, True), ChangeRead(3.0, 2)), "change 2 in force"),
     ((NotRecovered(9.0, 20.0),), "not recovered 20 s"),
+    ((ReducersFailed(9.0, "vm1", ("SweepTick",)),), "vm1: reducing SweepTick failed"),
 ]
 
 
--- a/soak/tests/test_restarts.py
+++ b/soak/tests/test_restarts.py
@@ -38,7 +38,7 @@
         super().__init__(folder)
         self.started = []
 
-    async def start_process(self, program, name):
+    async def start_process(self, program, name, output):
         self.started.append(name)
         return FakeProcess()
 
