Model of endpoints behind the reducers of an entry daemon

Endpoints answer, answer BUSY, break, lose their answers, lead and stop leading, while routes, kinds, keys and instances change. Checked: a write runs at most once, a statement stays in its transaction, a refusal that says "not run" is true, reads see what their route and session require, a request runs for the holder of its key, each is answered once.

Not played: owners of buckets and short rates, prepared names, drains, freezes.

--- /dev/null
+++ b/lovagewalk/routing/tests/endpoint_model.py
@@ -0,0 +1,589 @@
+"""Model: endpoints that answer, refuse, break and change roles behind one daemon.
+
+Effects stay pending until a step delivers them. What runs at an endpoint is checked
+against what the callers were told.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from lovagewalk import catalogue as cat
+from lovagewalk.core import Code, Outcome, reduce, replace
+from lovagewalk.daemon import SweepTick, install_catalogue
+from lovagewalk.groups import Position
+from lovagewalk.node import Identity, NodeState
+from lovagewalk.pools import (
+    CloseConnection,
+    ConnectionBroken,
+    ConnectionOpened,
+    ConnectionRefused,
+    OpenConnection,
+    OpenFailure,
+)
+from lovagewalk.routing import (
+    AnswerCaller,
+    CallerConnected,
+    CallerDisconnected,
+    CloseCaller,
+    Failure,
+    Marks,
+    RunStatement,
+    StatementArrived,
+    StatementDone,
+    StatementFailed,
+    StatementKind,
+)
+from lovagewalk.shares import Share
+
+GROUPS = ("ledger", "stock")
+CUSTOMERS = ("kiosk", "royalties")
+KEYS = ("key-a", "key-b")
+CONSISTENCIES = {
+    "till": cat.Consistency.PRIMARY,
+    "board": cat.Consistency.BOUNDED,
+    "alloc": cat.Consistency.OWN_WRITES,
+}
+STALENESS_S = 1.5
+TIMEOUT_S = 6.0
+CONNECTIONS = 5
+BEGINS = (StatementKind.BEGIN, StatementKind.BEGIN_READ)
+ENDS = (StatementKind.COMMIT, StatementKind.ROLLBACK)
+KINDS = (StatementKind.READ, StatementKind.WRITE, *BEGINS, *ENDS)
+
+
+@dataclass
+class Instance:
+    """One instance, with a log of (term, request)."""
+
+    name: str
+    group: str
+    log: list = field(default_factory=list)
+    is_up: bool = True
+
+    def position(self):
+        term = self.log[-1][0] if self.log else 0
+        return Position(term, len(self.log))
+
+    def holds(self, position):
+        index = position.index
+        if not index:
+            return True
+        return len(self.log) >= index and self.log[index - 1][0] == position.term
+
+    def requests(self):
+        return {req for _, req in self.log}
+
+
+@dataclass
+class Transaction:
+    """An open transaction at an endpoint."""
+
+    caller: int
+    number: int
+    is_read_only: bool
+    writes: list = field(default_factory=list)
+
+
+@dataclass
+class Connection:
+    """An open connection to an instance."""
+
+    instance: Instance
+    customer: str
+    transaction: Transaction | None = None
+
+
+@dataclass
+class Caller:
+    """What a caller knows of its session."""
+
+    key: str
+    route: str
+    in_transaction: bool = False
+    failed: bool = False
+    transaction_number: int = 0
+    writes: list = field(default_factory=list)
+    busy: bool = False
+
+
+@dataclass
+class Sent:
+    """A statement that a caller has sent."""
+
+    caller: int
+    kind: StatementKind
+    sent_at: float
+    transaction_number: int
+    group: str = ""
+
+
+class World:
+    """A daemon, two groups of three instances, callers and an operator."""
+
+    def __init__(self, seed=0):
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.numbers = 0
+        self.revision = self.version = 0
+        self.sequence = 1
+        self.pending = []
+        self.conns = {}
+        self.callers = {}
+        self.sent = {}
+        self.answered = {}
+        self.denied = set()
+        self.acked = {}
+        self.rolled_back = set()
+        self.sessions_writes = {}
+        self.instances = {
+            f"{group}-{n}": Instance(f"{group}-{n}", group)
+            for group in GROUPS
+            for n in range(3)
+        }
+        self.leaders = {group: f"{group}-0" for group in GROUPS}
+        self.terms = dict.fromkeys(GROUPS, 1)
+        self.route_groups = dict.fromkeys(CONSISTENCIES, GROUPS[0])
+        self.consistencies = dict(CONSISTENCIES)
+        self.holders = dict(zip(KEYS, CUSTOMERS, strict=True))
+        self.state = NodeState(
+            Identity("edge", "zone-a", "west", b"secret"),
+            fresh_until=1e9,
+            entry_daemons=1,
+        )
+        for customer in CUSTOMERS:
+            share = Share(customer, 1e6, 1e6, 1e6, 0.0, 1e9)
+            shares = self.state.shares.set(customer, share)
+            self.state = replace(self.state, shares=shares)
+        self.configure()
+        for name in self.instances:
+            self.announce(name)
+        for group in GROUPS:
+            self.install(group)
+
+    # The operator, control and the platform.
+
+    def change(self, command):
+        self.revision += 1
+        proposal = cat.Proposal("", "test", 0.0, command)
+        applied = cat.apply_proposal(self.state.catalogue, self.revision, proposal)
+        assert applied.result.refusal is None, applied.result
+        self.apply(install_catalogue(self.state, applied.catalogue, self.now))
+
+    def configure(self):
+        self.version += 1
+        routes = tuple(
+            cat.RouteEntry(
+                name,
+                "op",
+                self.route_groups[name],
+                consistency=self.consistencies[name],
+                max_staleness_s=STALENESS_S,
+                statement_timeout_s=TIMEOUT_S,
+                objective_s=2 * TIMEOUT_S,
+                priority=index,
+            )
+            for index, name in enumerate(CONSISTENCIES)
+        )
+        self.change(
+            cat.ReplaceConfiguration(
+                self.version,
+                routes,
+                tuple(cat.CustomerEntry(c, "op", 1e6, 1e6) for c in CUSTOMERS),
+                tuple(cat.KeyEntry(k, c, "") for k, c in self.holders.items()),
+                tuple(cat.GroupLimits(group, CONNECTIONS) for group in GROUPS),
+                idle_transaction_s=3.0,
+            )
+        )
+
+    def announce(self, name, leaving=False):
+        self.sequence += 1
+        group = self.instances[name].group
+        port = 1000 + list(self.instances).index(name)
+        endpoint = cat.Endpoint(
+            name,
+            group,
+            "host",
+            port,
+            "zone-a",
+            "west",
+            0,
+            leaving,
+            self.sequence,
+            77,
+        )
+        self.change(cat.AnnounceEndpoint(endpoint))
+
+    def install(self, group):
+        """Let the daemon learn who leads a group."""
+        term = self.terms[group]
+        if self.state.catalogue.group(group).term < term:
+            start = cat.TermStart(term, 0)
+            leader = self.leaders[group]
+            self.change(cat.InstallTerm(group, term, leader, (), start))
+
+    def promote(self, name):
+        """Let an instance lead with what it has; the others lose what goes beyond."""
+        leader = self.instances[name]
+        group = leader.group
+        if name == self.leaders[group] or not leader.is_up:
+            return
+        self.leaders[group] = name
+        self.terms[group] += 1
+        for other in self.instances.values():
+            if other.group != group or other is leader:
+                continue
+            common = _common_length(other.log, leader.log)
+            self.rolled_back |= {req for _, req in other.log[common:]}
+            del other.log[common:]
+        self.rolled_back -= leader.requests()
+
+    def replicate(self, name, count):
+        """Let a replica receive some commits of its primary."""
+        replica = self.instances[name]
+        leader = self.instances[self.leaders[replica.group]]
+        if replica is not leader and replica.is_up and leader.is_up:
+            end = len(replica.log) + count
+            replica.log = leader.log[: max(end, len(replica.log))]
+
+    def move_route(self, name, group):
+        self.route_groups[name] = group
+        self.configure()
+
+    def change_kind(self, name, consistency):
+        self.consistencies[name] = consistency
+        self.configure()
+
+    def move_key(self, key, customer):
+        """Give a key to a customer, or take it away."""
+        if customer:
+            self.holders[key] = customer
+        else:
+            self.holders.pop(key, None)
+        self.configure()
+
+    def tick(self, elapsed_s):
+        self.now += elapsed_s
+        self.feed(SweepTick(self.now))
+
+    # Callers.
+
+    def connect(self, key, route):
+        self.numbers += 1
+        caller = self.numbers
+        self.callers[caller] = Caller(key, route)
+        self.feed(CallerConnected(self.now, caller, key, route))
+        return caller
+
+    def disconnect(self, caller):
+        if self.callers.pop(caller, None) is not None:
+            self.feed(CallerDisconnected(self.now, caller))
+
+    def idle_callers(self):
+        return [
+            number
+            for number, caller in self.callers.items()
+            if not caller.busy and number in self.state.sessions
+        ]
+
+    def send(self, number, kind):
+        """Send a statement that fits the state of the caller's session."""
+        caller = self.callers[number]
+        if caller.failed:
+            kind = StatementKind.ROLLBACK
+        if caller.in_transaction == (kind in BEGINS):
+            kind = StatementKind.READ
+        if not caller.in_transaction and kind in ENDS and not caller.failed:
+            kind = StatementKind.WRITE
+        if kind in BEGINS:
+            caller.transaction_number += 1
+            caller.writes = []
+        self.numbers += 1
+        req = self.numbers
+        in_transaction = caller.in_transaction
+        self.sent[req] = Sent(
+            number,
+            kind,
+            self.now,
+            caller.transaction_number if in_transaction else 0,
+        )
+        caller.busy = True
+        marks = Marks(request_id=f"r{req}")
+        self.feed(StatementArrived(self.now, req, number, kind, "x", marks))
+
+    # The daemon.
+
+    def feed(self, event):
+        self.apply(reduce(self.state, event))
+
+    def apply(self, step):
+        self.state = step.state
+        for effect in step.effects:
+            if isinstance(effect, AnswerCaller):
+                self._check_answer(effect)
+            elif isinstance(effect, CloseCaller):
+                self.pending.append(effect)
+            elif isinstance(effect, CloseConnection):
+                self._close(effect.conn)
+            elif isinstance(effect, OpenConnection):
+                self.pending.append(effect)
+            elif isinstance(effect, RunStatement):
+                self._check_sent(effect)
+                self.pending.append(effect)
+
+    def _check_sent(self, run):
+        sent = self.sent[run.req]
+        request = self.state.requests.get(run.req)
+        assert request is not None, "sent after its answer"
+        runs = [e.req for e in self.pending if isinstance(e, RunStatement)]
+        assert run.req not in runs, "sent while it runs"
+        holder = self.holders.get(self.callers[sent.caller].key)
+        conn = self.conns[run.conn]
+        if sent.kind is not StatementKind.ROLLBACK:
+            assert conn.customer == holder, "runs for another customer"
+        sent.group = conn.instance.group
+
+    def _close(self, number):
+        """Close a connection; what was sent on it may run all the same."""
+        conn = self.conns.pop(number, None)
+        runs = [e for e in self.pending if getattr(e, "conn", None) == number]
+        for run in runs:
+            self.pending.remove(run)
+            is_statement = isinstance(run, RunStatement) and conn is not None
+            if is_statement and self.rng.random() < 0.5:
+                self._execute(run, conn)
+
+    def _check_answer(self, effect):
+        req = effect.req
+        sent = self.sent[req]
+        assert req not in self.answered, "answered twice"
+        self.answered[req] = effect.refusal
+        caller = self.callers.get(sent.caller)
+        if caller is None:
+            return
+        caller.busy = False
+        caller.in_transaction = effect.in_transaction
+        caller.failed = effect.failed_transaction
+        if effect.refusal is None:
+            self._record_success(req, sent, caller)
+        else:
+            self._record_refusal(req, sent, caller, effect.refusal)
+        if not caller.in_transaction and sent.kind is not StatementKind.COMMIT:
+            self._deny(caller.writes)
+            caller.writes = []
+
+    def _record_success(self, req, sent, caller):
+        if sent.kind is StatementKind.WRITE and sent.transaction_number:
+            caller.writes.append(req)
+        elif sent.kind is StatementKind.WRITE:
+            self._acknowledge(sent.caller, [req])
+        elif sent.kind is StatementKind.COMMIT:
+            self._acknowledge(sent.caller, caller.writes)
+            caller.writes = []
+
+    def _record_refusal(self, req, sent, caller, refusal):
+        is_promise = refusal.code.outcome is Outcome.NOT_RUN
+        is_promise = is_promise or refusal.code is Code.TRANSACTION_LOST
+        if sent.kind is StatementKind.WRITE and is_promise:
+            self._deny([req])
+        if sent.kind is StatementKind.COMMIT and not caller.in_transaction:
+            if is_promise:
+                self._deny(caller.writes)
+            caller.writes = []
+
+    def _deny(self, reqs):
+        """Record writes that are known to have no effect."""
+        for req in reqs:
+            for instance in self.instances.values():
+                assert req not in instance.requests(), "ran, but was refused"
+            self.denied.add(req)
+
+    def _acknowledge(self, caller, reqs):
+        for req in reqs:
+            kept = any(req in i.requests() for i in self.instances.values())
+            assert kept or req in self.rolled_back, "acknowledged, but did not run"
+            self.acked[req] = self.now
+            self.sessions_writes.setdefault(caller, set()).add(req)
+
+    # Endpoints.
+
+    def deliver(self, index, outcome):
+        """Perform one pending effect with an outcome: ok, busy, lost or error."""
+        if not self.pending:
+            return
+        effect = self.pending.pop(index % len(self.pending))
+        if isinstance(effect, CloseCaller):
+            self.disconnect(effect.caller)
+        elif isinstance(effect, OpenConnection):
+            self._open(effect, outcome)
+        else:
+            self._run(effect, outcome)
+
+    def _open(self, effect, outcome):
+        instance = self.instances[effect.endpoint]
+        if instance.is_up and outcome == "ok":
+            self.conns[effect.conn] = Connection(instance, effect.customer)
+            event = ConnectionOpened(self.now, effect.conn, effect.endpoint, "77")
+        else:
+            reason = OpenFailure.TOO_MANY if instance.is_up else OpenFailure.UNREACHABLE
+            event = ConnectionRefused(self.now, effect.conn, effect.endpoint, reason)
+        self.feed(event)
+
+    def _run(self, run, outcome):
+        conn = self.conns.get(run.conn)
+        if conn is None:
+            return
+        if outcome == "busy":
+            opened = conn.transaction is not None
+            self._fail(run, Failure.BUSY, usable=True, in_transaction=opened)
+            return
+        failure = self._execute(run, conn)
+        if outcome == "lost":
+            self.conns.pop(run.conn)
+            self._fail(run, Failure.LOST)
+            endpoint = conn.instance.name
+            self.feed(ConnectionBroken(self.now, run.conn, endpoint))
+        elif failure is Failure.READ_ONLY and conn.transaction is not None:
+            conn.transaction = None
+            self._fail(run, failure)
+        elif failure is not None:
+            self._fail(run, failure, usable=True)
+        else:
+            position = conn.instance.position()
+            opened = conn.transaction is not None
+            self.feed(
+                StatementDone(
+                    self.now, run.req, run.conn, position, in_transaction=opened
+                )
+            )
+
+    def _fail(self, run, failure, **fields):
+        self.feed(StatementFailed(self.now, run.req, run.conn, failure, **fields))
+
+    def _execute(self, run, conn):
+        """Run a statement and return how it failed, or None."""
+        sent = self.sent[run.req]
+        instance = conn.instance
+        leads = self.leaders[instance.group] == instance.name
+        if not instance.is_up:
+            return Failure.LOST
+        if run.min_position is not None and not instance.holds(run.min_position):
+            return Failure.BEHIND
+        if (run.require_proof or (run.begin and not run.read_only)) and not leads:
+            return Failure.READ_ONLY
+        if run.begin:
+            assert conn.transaction is None, "begins inside a transaction"
+            conn.transaction = Transaction(
+                sent.caller, sent.transaction_number, run.read_only
+            )
+        self._check_transaction(sent, conn)
+        if conn.transaction is not None and not conn.transaction.is_read_only:
+            writes_nothing = not conn.transaction.writes
+            is_empty_commit = sent.kind is StatementKind.COMMIT and writes_nothing
+            if not leads and not is_empty_commit:
+                return Failure.READ_ONLY
+        return self._execute_kind(run, sent, conn, leads)
+
+    def _execute_kind(self, run, sent, conn, leads):
+        instance = conn.instance
+        if sent.kind is StatementKind.READ:
+            self._check_read(run, sent, instance)
+        elif sent.kind is StatementKind.WRITE:
+            if not leads:
+                return Failure.READ_ONLY
+            if conn.transaction is None:
+                self._commit(instance, [run.req])
+            else:
+                conn.transaction.writes.append(run.req)
+        else:
+            if sent.kind is StatementKind.COMMIT:
+                self._commit(instance, conn.transaction.writes)
+            conn.transaction = None
+        return None
+
+    def _check_transaction(self, sent, conn):
+        if not sent.transaction_number:
+            assert conn.transaction is None, "a single statement in a transaction"
+            return
+        assert conn.transaction is not None, "a statement outside its transaction"
+        found = (conn.transaction.caller, conn.transaction.number)
+        assert found == (sent.caller, sent.transaction_number), "mixed transactions"
+
+    def _commit(self, instance, reqs):
+        for req in reqs:
+            assert req not in self.denied, "runs although it was refused"
+            ran = any(req in i.requests() for i in self.instances.values())
+            assert not ran and req not in self.rolled_back, "runs twice"
+            instance.log.append((self.terms[instance.group], req))
+
+    def _check_read(self, run, sent, instance):
+        """Check that a read sees what its route and its session require."""
+        request = self.state.requests.get(run.req)
+        if request is None or sent.transaction_number:
+            return
+        present = instance.requests()
+        consistency = request.route.consistency
+        slack_s = 0.0 if consistency is cat.Consistency.PRIMARY else STALENESS_S
+        needed = {
+            req
+            for req, at in self.acked.items()
+            if at < sent.sent_at - slack_s and self._ran_in(req, instance.group)
+        }
+        if consistency is cat.Consistency.OWN_WRITES:
+            own = self.sessions_writes.get(sent.caller, set())
+            needed |= {req for req in own if self._ran_in(req, instance.group)}
+        assert needed - self.rolled_back <= present, "a stale read"
+
+    def _ran_in(self, req, group):
+        return any(
+            req in i.requests() for i in self.instances.values() if i.group == group
+        )
+
+    def break_connection(self, index):
+        """Break a connection that runs no statement; its transaction is rolled back."""
+        busy = {e.conn for e in self.pending if isinstance(e, RunStatement)}
+        quiet = sorted(set(self.conns) - busy)
+        if quiet:
+            number = quiet[index % len(quiet)]
+            conn = self.conns.pop(number)
+            self.feed(ConnectionBroken(self.now, number, conn.instance.name))
+
+    def stop_or_start(self, name):
+        instance = self.instances[name]
+        instance.is_up = not instance.is_up
+        if not instance.is_up:
+            for number, conn in list(self.conns.items()):
+                if conn.instance is instance and number in self.conns:
+                    self._break(number, instance)
+
+    def _break(self, number, instance):
+        del self.conns[number]
+        for run in [e for e in self.pending if getattr(e, "conn", None) == number]:
+            self.pending.remove(run)
+            if isinstance(run, RunStatement):
+                self._fail(run, Failure.LOST)
+        self.feed(ConnectionBroken(self.now, number, instance.name))
+
+    def heal(self):
+        """Repair all faults; every request is then answered."""
+        for instance in self.instances.values():
+            instance.is_up = True
+        for group in GROUPS:
+            self.install(group)
+        for _ in range(200):
+            self.tick(0.05)
+            for name in self.instances:
+                self.replicate(name, 1000)
+            for _ in range(200):
+                if not self.pending:
+                    break
+                self.deliver(0, "ok")
+        assert not self.state.requests, "a request without an answer"
+        unanswered = {r for r, s in self.sent.items() if s.caller in self.callers}
+        assert unanswered <= set(self.answered), "a statement without an answer"
+
+
+def _common_length(first, second):
+    length = 0
+    while length < min(len(first), len(second)) and first[length] == second[length]:
+        length += 1
+    return length
