Check key and lease again after the answer to BEGIN

Callers saw: the first statement of a transaction ran for the customer that had lost its key, if the key moved while BEGIN waited for a slot of the endpoint. On the MySQL front end it also ran after the catalogue lease.

Cause: the reducer checks key and lease when it decides to send. The line protocol then sends BEGIN, and the statement with its answer, for which it asked only the end of the lease of the first moment (RunStatement.valid_until). The MySQL adapter asked nothing after BEGIN, nor after the request id of a statement marked `once`.

Change: both adapters ask may_send, which decides with the state of the moment of sending: the request is still on that connection, and its key and lease admit it. A statement that may not be sent fails as NOT_SENT, and the reducers answer it. RunStatement.valid_until is gone; its test asks may_send at the same instant.

--- a/lovagewalk/edge/_endpoints.py
+++ b/lovagewalk/edge/_endpoints.py
@@ -28,6 +28,7 @@
     StatementDone,
     StatementFailed,
     StreamEnded,
+    may_send,
 )
 from lovagewalk.runtime import Network, Ports
 
@@ -102,6 +103,10 @@
     """The endpoint has already recorded the request id of a statement."""
 
 
+class NotSentError(Exception):
+    """A statement may not be sent any more."""
+
+
 class EndpointClient:
     """Connections of a daemon to endpoints."""
 
@@ -172,6 +177,9 @@
         try:
             await self._emulate_round_trip(endpoint)
             event = await self._execute(conn, effect)
+        except NotSentError:
+            self._report_failure(effect, Failure.NOT_SENT)
+            return
         except DuplicateRequestError:
             position = await self._read_position(conn)
             self._report_failure(
@@ -191,6 +199,8 @@
             await self._record_request_id(conn, effect)
         elif effect.begin:
             await _execute_text(conn, "BEGIN")
+        if not may_send(self._ports.state, effect, self._ports.now()):
+            raise NotSentError
         result = await self._fetch(conn, effect)
         self._count_inter_region_bytes(effect, result.rows)
         if effect.once is not None:
--- a/lovagewalk/platform/_endpoints.py
+++ b/lovagewalk/platform/_endpoints.py
@@ -17,6 +17,7 @@
     SetVariable,
     StatementDone,
     StatementFailed,
+    may_send,
 )
 from lovagewalk.runtime import (
     InstancePoller,
@@ -202,12 +203,11 @@
             self._send_statement(wait_prefix(effect.min_position))
 
     def _may_send(self) -> bool:
-        """Check the lease again, since this VM may have been suspended."""
-        valid_until = self._effect.valid_until
-        if not self._conn.is_open or 0 < valid_until <= self._ports.now():
-            self._fail(Failure.NOT_SENT, usable=False)
-            return False
-        return True
+        ports = self._ports
+        if self._conn.is_open and may_send(ports.state, self._effect, ports.now()):
+            return True
+        self._fail(Failure.NOT_SENT, usable=False)
+        return False
 
     def _send_statement(self, prefix: str) -> None:
         effect = self._effect
--- a/lovagewalk/routing/__init__.py
+++ b/lovagewalk/routing/__init__.py
@@ -1,5 +1,6 @@
 """Routing of statements: where a request runs and how its caller is answered."""
 
+from ._dispatch import may_send
 from ._draining import begin_drain, plan_drain, refuses_operations
 from ._effects import (
     AcceptCaller,
@@ -65,6 +66,7 @@
     "StatementRejected",
     "StreamEnded",
     "begin_drain",
+    "may_send",
     "plan_drain",
     "refuses_operations",
 ]
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -209,6 +209,20 @@
     return _admit.authorise(state, session, now)
 
 
+def may_send(state: NodeState, effect: RunStatement, now: float) -> bool:
+    """Whether the statement of an effect may still be sent to its endpoint.
+
+    Adapters ask again immediately before they send it: its key may have moved and the
+    lease may have ended since the decision, while the endpoint began its transaction or
+    this VM was suspended.
+    """
+    request = state.requests.get(effect.req)
+    if request is None or request.conn != effect.conn:
+        return False
+    session = state.sessions[request.caller]
+    return _admit.authorise(state, session, now) is None
+
+
 def _refuse_at_send(
     state: NodeState, request: Request, conn: int, refusal: Refusal, now: float
 ) -> Step[NodeState]:
@@ -241,7 +255,6 @@
         min_position=None if session.conn else request.min_position,
         require_proof=request.require_proof,
         prepared=request.prepared,
-        valid_until=state.fresh_until if session.key else 0.0,
     )
     return Step(_place.store_request(state, request), (effect,))
 
--- a/lovagewalk/routing/_effects.py
+++ b/lovagewalk/routing/_effects.py
@@ -59,9 +59,6 @@
         The endpoint has to prove that it is the primary at this time.
     prepared : PreparedShape or None
         Statement to execute; the text holds the arguments.
-    valid_until : float
-        The statement must not be sent later, in monotonic seconds; 0 for no
-        limit.
     """
 
     req: int
@@ -77,7 +74,6 @@
     min_position: Position | None = None
     require_proof: bool = False
     prepared: PreparedShape | None = None
-    valid_until: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/routing/tests/provider_site.py
+++ b/lovagewalk/routing/tests/provider_site.py
@@ -119,7 +119,11 @@
         proposal = cat.Proposal("", "test", 0.0, command)
         applied = cat.apply_proposal(self.state.catalogue, self.revision, proposal)
         assert applied.result.refusal is None, applied.result
-        self.apply_step(install_catalogue(self.state, applied.catalogue, self.now))
+        self.receive(applied.catalogue)
+
+    def receive(self, catalogue):
+        """Install a catalogue, as when it arrives at the daemon."""
+        self.apply_step(install_catalogue(self.state, catalogue, self.now))
 
     def record_proof(self, position, age_s=0.0):
         """Record a position that the primary held `age_s` ago."""
--- a/lovagewalk/routing/tests/test_moved_keys.py
+++ b/lovagewalk/routing/tests/test_moved_keys.py
@@ -4,63 +4,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from lovagewalk import catalogue as cat
-from lovagewalk.core import Code, replace
-from lovagewalk.routing import CallerDisconnected, RunStatement, StatementKind
-from lovagewalk.shares import Share
+from lovagewalk.core import Code
+from lovagewalk.routing import CallerDisconnected, StatementKind
 
-from .provider_site import CUSTOMER, GROUP, KEY, ROUTES, Site, route
-
-OTHER, OTHER_KEY = "royalties", "other-digest"
-OPEN_ROUTE = route("open", cat.Consistency.BOUNDED, route_class=cat.RouteClass.OPEN)
-
-
-class KeySite(Site):
-    """A site with two customers, which checks for whom each statement runs."""
-
-    def __init__(self):
-        self.version = 1
-        self.key_of_caller = {}
-        super().__init__()
-        share = Share(OTHER, 1e6, 1e6, 1e6, 0.0, 1e9)
-        self.state = replace(self.state, shares=self.state.shares.set(OTHER, share))
-        self.assign({KEY: CUSTOMER, OTHER_KEY: OTHER})
-
-    def assign(self, holders):
-        """Install a configuration in which customers hold these keys."""
-        self.version += 1
-        customers = (CUSTOMER, OTHER)
-        self.change(
-            cat.ReplaceConfiguration(
-                self.version,
-                (*ROUTES, OPEN_ROUTE),
-                tuple(cat.CustomerEntry(c, "op", 1e6, 1e6) for c in customers),
-                tuple(cat.KeyEntry(key, who, "") for key, who in holders.items()),
-                (cat.GroupLimits(GROUP, 46),),
-                idle_transaction_s=3.0,
-            )
-        )
-
-    def connect(self, route_name, key=KEY):
-        caller = super().connect(route_name, key)
-        self.key_of_caller[caller] = key
-        return caller
-
-    def apply_step(self, step):
-        super().apply_step(step)
-        for effect in step.effects:
-            if isinstance(effect, RunStatement) and effect.req in self.state.requests:
-                self._check_customer(effect)
-
-    def _check_customer(self, run):
-        request = self.state.requests[run.req]
-        session = self.state.sessions[request.caller]
-        if session.key is None or request.kind is StatementKind.ROLLBACK:
-            return
-        holder = self.state.catalogue.key(self.key_of_caller[request.caller])
-        pool = self.state.pools[self.get_endpoint(run)]
-        assert holder is not None, "runs with a withdrawn key"
-        assert pool.connections[run.conn].customer == holder.customer
+from .key_site import OTHER, OTHER_KEY, KeySite
+from .provider_site import CUSTOMER, KEY
 
 
 def test_a_session_does_not_run_for_the_customer_that_lost_its_key():
--- a/lovagewalk/routing/tests/test_session_state.py
+++ b/lovagewalk/routing/tests/test_session_state.py
@@ -8,6 +8,7 @@
     PrepareShape,
     SetVariable,
     StatementKind,
+    may_send,
 )
 from lovagewalk.sessions import PreparedShape
 
@@ -40,10 +41,12 @@
     assert not site.runs and site.refusal_code(req) is Code.TRANSACTION_LOST
 
 
-def test_a_statement_carries_the_end_of_its_lease():
+def test_a_statement_may_not_be_sent_after_the_lease():
     site = Site()
     site.write(site.connect("till"))
-    assert site.pop_run().valid_until == site.state.fresh_until
+    run = site.pop_run()
+    assert may_send(site.state, run, site.state.fresh_until - 0.001)
+    assert not may_send(site.state, run, site.state.fresh_until)
 
 
 def test_a_withdrawn_key_ends_its_sessions():
