Roll back by closing the connection once key or lease is gone

Callers saw: ROLLBACK was sent to the endpoint for a customer that had lost its key, and however long ago the daemon last reached control.

Cause: a ROLLBACK was exempt from the check of key and lease at the moment of sending, so that a caller can always end its transaction.

Change: a ROLLBACK that may not be sent is answered after the connection of its transaction is closed, which rolls it back. The time limit still does not apply to it.

Evidence: 6 of 71 tests of test_moved_key_conditions.py and test_moved_keys.py failed before (ROLLBACK after the move and after the lease, in three forms of delivery). KeySite now checks ROLLBACK as any other statement.

--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -23,7 +23,7 @@
 from ._leaving import has_left
 from ._settings import apply_setup, plan_setup
 from ._state import Phase, Request
-from ._transactions import has_lost_transaction
+from ._transactions import abort_transaction, has_lost_transaction
 from ._types import WRITE_KINDS, StatementKind
 
 
@@ -199,11 +199,10 @@
 ) -> Refusal | None:
     """Check time limit, key and lease again immediately before a statement is sent.
 
-    All may have expired while the statement waited or this VM was suspended.
+    All may have expired while the statement waited or this VM was suspended. The time
+    limit does not keep a transaction open that its caller rolls back.
     """
-    if request.kind is StatementKind.ROLLBACK:
-        return None
-    if now >= request.deadline:
+    if now >= request.deadline and request.kind is not StatementKind.ROLLBACK:
         code = Code.CONNECTION_LOST if request.may_have_run else Code.OVERLOADED
         return Refusal(code)
     return _admit.authorise(state, session, now)
@@ -226,7 +225,11 @@
 def _refuse_at_send(
     state: NodeState, request: Request, conn: int, refusal: Refusal, now: float
 ) -> Step[NodeState]:
-    if state.sessions[request.caller].conn:
+    session = state.sessions[request.caller]
+    if session.conn and request.kind is StatementKind.ROLLBACK:
+        step = abort_transaction(state, session, TransactionState.NONE, now)
+        return step.then(answer(step.state, request))
+    if session.conn:
         return _recovery.abort_and_answer(state, request, now, refusal.code.label)
     step = return_connection(state, conn, now)
     return step.then(answer(step.state, request, refusal))
--- a/lovagewalk/routing/tests/key_site.py
+++ b/lovagewalk/routing/tests/key_site.py
@@ -7,7 +7,7 @@
 from lovagewalk.codec import decode, encode
 from lovagewalk.control._messages import CatalogueUpdate
 from lovagewalk.core import replace
-from lovagewalk.routing import RunStatement, StatementKind
+from lovagewalk.routing import RunStatement
 from lovagewalk.shares import Share
 
 from .provider_site import CUSTOMER, GROUP, KEY, ROUTES, Site, route
@@ -95,7 +95,7 @@
     def _check_customer(self, run):
         request = self.state.requests[run.req]
         session = self.state.sessions[request.caller]
-        if session.key is None or request.kind is StatementKind.ROLLBACK:
+        if session.key is None:
             return
         assert self.now < self.state.fresh_until, "runs after the lease"
         holder = self.state.catalogue.key(self.key_of_caller[request.caller])
--- a/lovagewalk/routing/tests/test_moved_key_conditions.py
+++ b/lovagewalk/routing/tests/test_moved_key_conditions.py
@@ -13,7 +13,7 @@
 from lovagewalk.core import Code, replace
 from lovagewalk.groups import Position
 from lovagewalk.pools import ConnectionOpened
-from lovagewalk.routing import Failure, Phase, StatementKind
+from lovagewalk.routing import CallerDisconnected, Failure, Phase, StatementKind
 from lovagewalk.shares import Share
 
 from .key_site import DELIVERIES, OTHER, KeySite
@@ -227,3 +227,35 @@
     site.release_held()
     site.write(caller)
     assert len(site.runs) == 1
+
+
+@pytest.mark.parametrize("kind", [StatementKind.COMMIT, StatementKind.ROLLBACK])
+def test_a_transaction_whose_statement_ran_during_the_move_does_not_go_on(site, kind):
+    """Its statement ends as it would have; what follows is not sent."""
+    caller, conn = _begin_pinned(site)
+    site.write(caller)
+    run = site.pop_run()
+    _move(site)
+    site.complete(run, open_transaction=True)
+    assert caller in site.closed
+    site.send(caller, kind)
+    assert not site.runs
+    site.feed(CallerDisconnected(site.now, caller))
+    assert conn not in site.state.conn_endpoints
+
+
+@pytest.mark.parametrize("kind", [StatementKind.COMMIT, StatementKind.ROLLBACK])
+def test_a_transaction_ends_unsent_once_the_lease_is_over(site, kind):
+    """ROLLBACK was sent to the endpoint, however long ago control was reached.
+
+    The transaction is rolled back all the same, since its connection is closed.
+    """
+    caller, conn = _begin_pinned(site)
+    _expire_lease(site)
+    req = site.send(caller, kind)
+    assert not site.runs and conn not in site.state.conn_endpoints
+    refusal = site.answers[req].refusal
+    if kind is StatementKind.ROLLBACK:
+        assert refusal is None and not site.answers[req].in_transaction
+    else:
+        assert refusal.code is Code.TRANSACTION_LOST
