Roll back a transaction in backoff as soon as its session ends

Callers saw: a transaction stayed open at the endpoint, with its locks, after its key had moved, until its caller's connection was gone; a caller that does not read its last answer delays that. Its refusal still said that the transaction was open.

Cause: a session that ends does not cut a statement that its endpoint runs. That was recognised by the connection of the statement, which a statement in backoff keeps.

Change: the phase of the statement decides.

--- a/lovagewalk/routing/_callers.py
+++ b/lovagewalk/routing/_callers.py
@@ -209,14 +209,20 @@
     session = replace(session, closing=True)
     state = replace(state, sessions=state.sessions.set(session.caller, session))
     step = Step(state)
-    if session.conn and (request is None or request.conn != session.conn):
+    if session.conn and not _is_sent(request):
         step = abort_transaction(state, session, TransactionState.LOST, now)
     # The freed connection may have gone to this session's own waiting statement.
     request = step.state.requests.get(session.req)
     if request is None:
         effect = CloseCaller(session.caller, refusal)
         return Step(step.state, step.effects + (effect,))
-    if request.phase in (Phase.RUNNING, Phase.STREAMING, Phase.CONFIRMING):
+    if _is_sent(request):
         return step
     updated = remove_from_queue(step.state, request)
     return Step(updated, step.effects).then(answer(updated, request, refusal))
+
+
+def _is_sent(request: Request | None) -> bool:
+    """Whether a request has been sent to an endpoint and is not answered in full."""
+    sent_phases = (Phase.RUNNING, Phase.STREAMING, Phase.CONFIRMING)
+    return request is not None and request.phase in sent_phases
--- a/lovagewalk/routing/tests/test_moved_key_conditions.py
+++ b/lovagewalk/routing/tests/test_moved_key_conditions.py
@@ -259,3 +259,11 @@
         assert refusal is None and not site.answers[req].in_transaction
     else:
         assert refusal.code is Code.TRANSACTION_LOST
+
+
+def test_a_transaction_in_backoff_is_rolled_back_by_the_move(site):
+    req = _back_off_in_transaction(site)
+    conn = site.state.requests[req].conn
+    _move(site)
+    assert conn not in site.state.conn_endpoints
+    assert not site.answers[req].in_transaction
