Heartbeats: slots and remaining cold time; settings: whether endpoints are paced

Pacing needs the slots that an endpoint announces and the time for which it is slow after its start; the decoder ignored both. They are kept in Endpoint (slots, cold_left_s). The cold time is a duration as of the announcement, since machines share no clock; a shorter one is the same content, so a countdown causes no log entry. Wrong values count as unknown, since they were accepted until now.

Identity.paces_endpoints is set where the deployment's rules name health and pool; nothing uses it yet.

--- a/lovagewalk/catalogue/__init__.py
+++ b/lovagewalk/catalogue/__init__.py
@@ -48,6 +48,8 @@
     TermStart,
     Versioned,
     Voter,
+    bound_cold_time,
+    bound_slots,
 )
 from ._validity import check_command, check_proposal, find_problems
 
@@ -99,6 +101,8 @@
     "diff_catalogues",
     "estimate_size",
     "find_problems",
+    "bound_cold_time",
+    "bound_slots",
     "hash_key",
     "is_equal_for_followers",
 ]
--- a/lovagewalk/catalogue/_state.py
+++ b/lovagewalk/catalogue/_state.py
@@ -11,6 +11,11 @@
 
 from lovagewalk.core import Refusal, replace
 
+# Bounds of what an instance reports, far above the values of any deployment: they keep
+# a wrong value from disabling the pace of an endpoint for long.
+MAX_SLOTS = 10_000
+MAX_COLD_S = 600.0
+
 
 class RouteClass(Enum):
     """Who may use a route."""
@@ -128,6 +133,16 @@
     withdrawn: bool = False
 
 
+def bound_slots(slots: int) -> int:
+    """Return the slots that an instance reports; 0 for unknown if out of bounds."""
+    return slots if 0 <= slots <= MAX_SLOTS else 0
+
+
+def bound_cold_time(cold_left_s: float) -> float:
+    """Return the remaining cold time that an instance reports, within bounds."""
+    return min(max(cold_left_s, 0.0), MAX_COLD_S)
+
+
 @dataclass(frozen=True, slots=True)
 class Endpoint:
     """One announced database instance.
@@ -144,6 +159,12 @@
     born : int
         Start of the instance in Unix milliseconds, 0 if it does not report it; the
         sequence restarts with each start.
+    slots : int
+        Statements that it runs concurrently; 0 if unknown.
+    cold_left_s : float
+        Time for which it is still slow after its start, in seconds, as of this
+        announcement. No clock is shared between machines, so each daemon counts it
+        down from when it learns of it.
     """
 
     name: str
@@ -156,6 +177,8 @@
     leaving: bool = False
     sequence: int = 0
     born: int = 0
+    slots: int = 0
+    cold_left_s: float = 0.0
 
     @property
     def announcement_order(self) -> tuple[int, int]:
@@ -168,8 +191,14 @@
         return str(self.born)
 
     def has_same_content(self, other: "Endpoint") -> bool:
-        """Whether two announcements differ in their sequence at most."""
-        return replace(self, sequence=other.sequence) == other
+        """Whether this announcement adds nothing to an earlier one.
+
+        Its sequence may differ, and its remaining cold time may be shorter.
+        """
+        if self.cold_left_s > other.cold_left_s:
+            return False
+        current = replace(self, sequence=other.sequence, cold_left_s=other.cold_left_s)
+        return current == other
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/codec/tests/test_codec.py
+++ b/lovagewalk/codec/tests/test_codec.py
@@ -5,11 +5,18 @@
 import msgpack
 import pytest
 
-from lovagewalk.catalogue import Catalogue, NoteHolder, Proposal, apply_proposal
+from lovagewalk.catalogue import (
+    AnnounceEndpoint,
+    Catalogue,
+    Endpoint,
+    NoteHolder,
+    Proposal,
+    apply_proposal,
+)
 from lovagewalk.codec import CODEC_VERSION, MAX_FRAME_BYTES, decode, encode
 from lovagewalk.consensus import LogEntry, SnapshotRequest, VoteRequest
 from lovagewalk.control.tests.control_fleet import configuration
-from lovagewalk.core import Code, LovageError
+from lovagewalk.core import Code, LovageError, replace
 
 GROUP_NAMES = tuple(f"group-{number}" for number in range(200))
 
@@ -36,6 +43,27 @@
     assert decode(encode(message)) == message
 
 
+def test_an_endpoint_of_an_earlier_version_is_decoded():
+    """Journals and snapshots without the fields for pacing must still load."""
+    endpoint = Endpoint("a", "g", "host", 1, "z", "r", 0, slots=4, cold_left_s=2.0)
+    entry = LogEntry(1, 1, Proposal("", "op", 0.0, AnnounceEndpoint(endpoint)))
+    old = replace(endpoint, slots=0, cold_left_s=0.0)
+    version, name, body = msgpack.unpackb(encode(entry))
+    _remove_pacing_fields(body["proposal"]["command"]["endpoint"])
+    decoded = decode(msgpack.packb((version, name, body)))
+    assert decoded.proposal.command.endpoint == old
+    snapshot = SnapshotRequest(1, 2, 1, (), Catalogue().with_endpoint(endpoint), 0)
+    version, name, body = msgpack.unpackb(encode(snapshot))
+    _remove_pacing_fields(body["catalogue"]["endpoints"][0])
+    decoded = decode(msgpack.packb((version, name, body)))
+    assert decoded.catalogue.endpoints["a"] == old
+
+
+def _remove_pacing_fields(raw):
+    for field in ("slots", "cold_left_s"):
+        del raw[field]
+
+
 @pytest.mark.parametrize(
     "data",
     [
--- a/lovagewalk/control/tests/test_heartbeats.py
+++ b/lovagewalk/control/tests/test_heartbeats.py
@@ -47,3 +47,27 @@
     fleet.run(0.2)
     assert fleet.answers[ticket].refusal.code is Code.CHANGE_BAD
     assert not fleet.leader().catalogue.endpoints
+
+
+def test_a_remaining_cold_time_that_counts_down_causes_no_log_entry():
+    """Otherwise each heartbeat of a cold endpoint would go through the log."""
+    fleet = _running_fleet()
+    fleet.send_heartbeat("a", "g", slots=4, cold_left_s=8.0)
+    fleet.run(0.2)
+    revision = fleet.leader().catalogue.revision
+    for sequence, cold_left_s in ((2, 6.8), (3, 5.6), (4, 0.0)):
+        ticket = fleet.send_heartbeat(
+            "a", "g", sequence, slots=4, cold_left_s=cold_left_s
+        )
+        fleet.run(0.2)
+        assert fleet.answers[ticket].refusal is None
+    assert fleet.leader().catalogue.revision == revision
+
+
+def test_an_endpoint_that_is_cold_again_is_recorded():
+    fleet = _running_fleet()
+    fleet.send_heartbeat("a", "g", slots=4)
+    fleet.run(0.2)
+    fleet.send_heartbeat("a", "g", 2, slots=4, cold_left_s=8.0)
+    fleet.run(0.2)
+    assert fleet.leader().catalogue.endpoints["a"].cold_left_s == 8.0
--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -50,6 +50,8 @@
         Whether other daemons can open links to it, so that it may own buckets.
     drain_limits : DrainLimits
         How long callers may continue while it drains.
+    paces_endpoints : bool
+        Whether it sends to endpoints at a pace that their answers determine.
     """
 
     name: str
@@ -61,6 +63,7 @@
     entry: bool = True
     drain_limits: DrainLimits = DrainLimits()
     may_own: bool = False
+    paces_endpoints: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/platform/_configuration.py
+++ b/lovagewalk/platform/_configuration.py
@@ -14,6 +14,8 @@
     ReplaceConfiguration,
     RouteClass,
     RouteEntry,
+    bound_cold_time,
+    bound_slots,
     check_command,
     hash_key,
 )
@@ -133,6 +135,8 @@
         leaving=_LEAVING_BY_STATE[state],
         sequence=reader.get("seq", int),
         born=reader.get("born", int, 0),
+        slots=bound_slots(reader.get_hint("slots", int, 0)),
+        cold_left_s=bound_cold_time(reader.get_hint("coldLeftMs", float, 0) / MS_PER_S),
     )
     _check(AnnounceEndpoint(endpoint))
     return endpoint
--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -13,7 +13,6 @@
     Address,
     TableReader,
     is_port,
-    parse_address,
     require_variable,
 )
 
@@ -21,6 +20,8 @@
 SECRET_VARIABLE = "LOVAGEWALK_FLEET_SECRET"
 # The deploy file names the same port; the internal ports change from day to day.
 METRICS_PORT = 9464
+# Rules of a deployment that cover the health of endpoints and shared connection pools.
+PACING_INVARIANTS = frozenset(("health", "pool"))
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +49,8 @@
         Address of the provider, which promotes instances.
     grace_s : float
         Time between a request to stop and a forced stop, in seconds.
+    paces_endpoints : bool
+        Whether the deployment's rules name all of `PACING_INVARIANTS`.
     """
 
     name: str
@@ -65,6 +68,7 @@
     provider: Address | None
     grace_s: float
     secret: str = field(repr=False)
+    paces_endpoints: bool = False
 
     @property
     def control_names(self) -> tuple[str, ...]:
@@ -110,9 +114,10 @@
     """
     reader = TableReader(raw, Code.SETTINGS_BAD)
     listen = reader.table("listenAddrs")
-    seeds = _decode_seed_hosts(reader)
+    seeds = reader.hosts("seedNodes")
     if not seeds and listen.address("controlPlane") is None:
         raise LovageError(Code.SETTINGS_BAD, "seedNodes: an entry VM needs one")
+    invariants = reader.get_hint("invariants", list, [])
     return PlatformSettings(
         name=reader.get("nodeName", str),
         host=reader.get("ip", str),
@@ -129,6 +134,7 @@
         provider=reader.table("providerApi").address("addr"),
         grace_s=reader.table("bounds").get("graceS", float, 6.0),
         secret=secret,
+        paces_endpoints=all(name in invariants for name in PACING_INVARIANTS),
     )
 
 
@@ -138,14 +144,3 @@
     if len(ports) != 2 or not all(map(is_port, ports)):
         raise LovageError(Code.SETTINGS_BAD, "internalPorts: not two ports")
     return ports[0]
-
-
-def _decode_seed_hosts(reader: TableReader) -> tuple[str, ...]:
-    """Return the hosts of the seeds; all VMs use `peers_port` as their port."""
-    hosts = []
-    for text in reader.get("seedNodes", list, []):
-        try:
-            hosts.append(parse_address(str(text))[0])
-        except ValueError as exc:
-            raise LovageError(Code.SETTINGS_BAD, "seedNodes: not IP:PORT") from exc
-    return tuple(hosts)
--- a/lovagewalk/platform/tests/test_configuration.py
+++ b/lovagewalk/platform/tests/test_configuration.py
@@ -141,6 +141,23 @@
     )
     assert (endpoint.region, endpoint.leaving) == ("doo-west", False)
     assert endpoint.announcement_order == (1700000000000, 4)
+    assert (endpoint.slots, endpoint.cold_left_s) == (3, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        ({"coldLeftMs": 2500}, (3, 2.5)),
+        ({"coldLeftMs": -1, "slots": -1}, (0, 0.0)),
+        ({"coldLeftMs": None, "slots": "many"}, (0, 0.0)),
+        ({"coldLeftMs": 1e300, "slots": 10**15}, (0, 600.0)),
+    ],
+)
+def test_an_instance_is_registered_whatever_it_reports_for_pacing(change, expected):
+    """Both fields were ignored; a wrong value must not keep an instance out."""
+    body = json.dumps({**HEARTBEAT, **change}).encode()
+    endpoint = decode_heartbeat("i-1", body, REGIONS)
+    assert (endpoint.slots, endpoint.cold_left_s) == expected
 
 
 @pytest.mark.parametrize(
--- a/lovagewalk/platform/tests/test_settings.py
+++ b/lovagewalk/platform/tests/test_settings.py
@@ -38,6 +38,23 @@
     assert "long-enough" not in repr(cfg)
 
 
+@pytest.mark.parametrize(
+    ("invariants", "expected"),
+    [
+        (["pool", "lease", "health"], True),
+        (["health"], False),
+        (["pool"], False),
+        ([], False),
+        ("health pool", False),
+        ([["health"], 7, None], False),
+    ],
+)
+def test_pacing_needs_rules_for_both_health_and_pools(invariants, expected):
+    """Other deployments keep the fixed backoff."""
+    cfg = decode_settings({**RAW, "invariants": invariants}, "long-enough")
+    assert cfg.paces_endpoints is expected
+
+
 @pytest.mark.parametrize(
     "change",
     [
--- a/lovagewalk/settings/_reader.py
+++ b/lovagewalk/settings/_reader.py
@@ -6,7 +6,7 @@
 
 from lovagewalk.core import Code, LovageError, find_value_problem
 
-from ._address import Address
+from ._address import Address, parse_address
 
 
 def _refuse_constant(name: str) -> None:
@@ -71,6 +71,16 @@
             raise LovageError(self._code, reason)
         return value
 
+    def get_hint(self, key: str, value_type: type, default: Any) -> Any:
+        """Return the value of a field, or the default if it is missing or wrong.
+
+        For fields without which the rest of the table is still usable.
+        """
+        try:
+            return self.get(key, value_type, default)
+        except LovageError:
+            return default
+
     def _check_value(self, key: str, value: Any) -> None:
         problem = find_value_problem(value)
         if problem:
@@ -103,3 +113,12 @@
         for value in values:
             self._check_value(key, value)
         return values
+
+    def hosts(self, key: str) -> tuple[str, ...]:
+        """Return the hosts in a list of ``IP:PORT`` fields, empty if it is missing."""
+        try:
+            return tuple(
+                parse_address(str(text))[0] for text in self.get(key, list, [])
+            )
+        except ValueError as exc:
+            raise LovageError(self._code, f"{self._path}{key}: not IP:PORT") from exc
