Pools and routing: endpoints are paced where the deployment requires it

The fixed backoff knows neither the number of daemons nor the endpoint's latency.

Change: where Identity.paces_endpoints is set, Pool.pace decides in may_send, record_send, plan_openings and estimate_wait instead of the backoff; refusals are only counted. Endpoints that join, restart, return, are promoted or are lost start with single statements at random times. A queued request whose turn comes after its deadline is refused at once. Each change of state has a record and a metric with its cause. Without the setting pools have no pace and nothing changes.

The tests of a saturated primary and of random steps now run with the backoff and with the pace.

--- a/lovagewalk/daemon/_changes.py
+++ b/lovagewalk/daemon/_changes.py
@@ -4,9 +4,11 @@
 from lovagewalk.core import Step, replace
 from lovagewalk.groups._reducer import reset_group
 from lovagewalk.node import NodeState
+from lovagewalk.pools import change_pace
 from lovagewalk.records import ConfigurationInstalled, PrimaryInstalled
 from lovagewalk.routing import _callers, _dispatch, _outcome, _place, _sweep
 from lovagewalk.routing._leaving import record_leaving
+from lovagewalk.routing._pacing import restart_paces
 
 
 def install_catalogue(
@@ -22,6 +24,7 @@
     groups_changed = catalogue.groups is not before.groups
     if endpoints_changed or groups_changed:
         step = Step(resize_pools(state))
+        step = step.then(restart_paces(step.state, before, now))
     if endpoints_changed:
         step = step.then(_apply_endpoint_changes(step.state, before, now))
     if groups_changed:
@@ -89,6 +92,15 @@
                 pool, limit=recomputed.limit, fair_limit=recomputed.fair_limit
             )
             pools = pools.set(name, resized)
+        if pool.pace is not None and recomputed.pace is not None:
+            share = recomputed.pace.share
+            paced = change_pace(
+                pools[name],
+                lambda pace, share=share: (
+                    pace if pace.share == share else replace(pace, share=share)
+                ),
+            )
+            pools = pools.set(name, paced)
     return replace(state, pools=pools)
 
 
--- a/lovagewalk/pools/_policy.py
+++ b/lovagewalk/pools/_policy.py
@@ -9,7 +9,13 @@
 
 from lovagewalk.core import replace
 
-from ._saturation import compute_backoff, has_recent_refusal, may_send, record_send
+from ._saturation import (
+    count_sendable,
+    estimate_turn,
+    has_recent_refusal,
+    may_send,
+    record_send,
+)
 from ._state import CustomerQueue, Pool, PoolConnection
 
 # Cost assumed for a statement that is still running: a quick read at a stand-in.
@@ -139,7 +145,7 @@
         waiting=pool.waiting - dequeued,
         virtual_time=max(pool.virtual_time, queue.virtual_time),
     )
-    return Assignment(record_send(updated, now), req, conn)
+    return Assignment(record_send(updated, now, (conn,)), req, conn)
 
 
 def assign_next(
@@ -279,9 +285,7 @@
     """Return how long a new request would wait for a connection, in seconds."""
     if pool is None:
         return 0.0
-    backoff_s = 0.0
-    if has_recent_refusal(pool, now):
-        backoff_s = (pool.waiting + 1) * compute_backoff(pool.refusals)
+    backoff_s = estimate_turn(pool, now)
     if pool.busy < pool.limit:
         return backoff_s
     service_s = READ_ESTIMATE_S
@@ -345,7 +349,7 @@
     """
     if now < pool.retry_at or not pool.waiting or not may_send(pool, now):
         return Openings()
-    customers = _wanted_customers(pool)
+    customers = _wanted_customers(pool)[: count_sendable(pool, now)]
     limit = pool.limit
     if has_recent_refusal(pool, now):
         limit = min(limit, max(pool.fair_limit, 1))
--- a/lovagewalk/pools/_reducer.py
+++ b/lovagewalk/pools/_reducer.py
@@ -1,15 +1,17 @@
 """Reducers of pool connections that open, fail to open, or break."""
 
-from lovagewalk.core import Step, reduces, replace
+from lovagewalk.core import Effect, Step, reduces, replace
 from lovagewalk.groups import record_primary_failure
 from lovagewalk.node import NodeState
 from lovagewalk.routing import Phase, _callers, _dispatch, _place, _recovery, _sweep
+from lovagewalk.routing._pacing import log_pace_change
 from lovagewalk.routing._transactions import end_transaction
 from lovagewalk.sessions import TransactionState
 
 from ._effects import CloseConnection
 from ._events import ConnectionBroken, ConnectionOpened, ConnectionRefused, OpenFailure
 from ._policy import add_connection, lower_limit, record_open_failure
+from ._saturation import record_connected, record_loss
 
 # The end of a running statement or of a stream is an event of its own.
 _ANSWERED_ELSEWHERE = frozenset((Phase.RUNNING, Phase.STREAMING, Phase.CONFIRMING))
@@ -23,6 +25,7 @@
     pool = replace(
         add_connection(pool, event.conn, event.incarnation), answered_at=event.at
     )
+    pool = record_connected(pool, event.conn, event.at)
     state = replace(state, pools=state.pools.set(event.endpoint, pool))
     return _dispatch.dispatch(state, event.endpoint, event.at)
 
@@ -44,13 +47,18 @@
     if event.reason is OpenFailure.TOO_MANY:
         pool = lower_limit(pool, event.at)
         state = replace(state, pools=state.pools.set(event.endpoint, pool))
+    effects: tuple[Effect, ...] = ()
     if event.reason is OpenFailure.UNREACHABLE:
+        before = state
         state = _record_unreachable(state, event.endpoint, event.at)
-    return _sweep.move_waiting(state, event.endpoint, event.at)
+        effects = log_pace_change(before, state, event.endpoint)
+    step = Step(state, effects)
+    return step.then(_sweep.move_waiting(state, event.endpoint, event.at))
 
 
 def _record_unreachable(state: NodeState, name: str, now: float) -> NodeState:
     state = _recovery.eject(state, name, now)
+    state = _place.update_pool(state, name, lambda pool: record_loss(pool, now, now))
     endpoint = state.catalogue.endpoints.get(name)
     if endpoint is None:
         return state
--- a/lovagewalk/pools/_state.py
+++ b/lovagewalk/pools/_state.py
@@ -4,6 +4,8 @@
 
 from immutables import Map
 
+from lovagewalk.pace import Pace
+
 
 @dataclass(frozen=True, slots=True)
 class PoolConnection:
@@ -105,6 +107,8 @@
         After recent refusals, nothing is sent to the endpoint before this time.
     saturated : bool
         Whether the refusals were more than a burst; reset once `refusals` is 0.
+    pace : Pace or None
+        Pace of sends, determined from the answers; None where a fixed backoff applies.
     """
 
     endpoint: str
@@ -128,6 +132,7 @@
     refused_at: float = 0.0
     backoff_until: float = 0.0
     saturated: bool = False
+    pace: Pace | None = None
 
     @property
     def busy(self) -> int:
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -102,6 +102,34 @@
     waiting: int
 
 
+@logged_as("routing", "pace of an endpoint changed")
+@dataclass(frozen=True, slots=True)
+class EndpointPaceChanged(LogRecord):
+    """This daemon limits what it sends to an endpoint in another way than before.
+
+    Attributes
+    ----------
+    state : str
+        ``unknown``, ``probing``, ``rising``, or ``steady`` for no limit.
+    cause : str
+        The last reason for a rise or a fall.
+    limit : float
+        Statements in flight; below one, the mean number that the send rate results in.
+    share : float
+        This daemon's equal part of the endpoint's slots.
+    """
+
+    endpoint: str
+    group: str
+    state: str
+    cause: str
+    limit: float
+    share: float
+    latency_ms: float
+    best_ms: float
+    waiting: int
+
+
 @logged_as("http", "request refused")
 @dataclass(frozen=True, slots=True)
 class HttpRequestRefused(LogRecord):
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -65,7 +65,9 @@
         step = step.then(close_connection(step.state, conn, now))
     pool = _place.get_pool(step.state, endpoint)
     if openings.customers:
-        pool = record_send(pool, now)
+        first = step.state.next_conn
+        conns = tuple(range(first, first + len(openings.customers)))
+        pool = record_send(pool, now, conns)
     return step.then(_open_for_customers(step.state, pool, entry, openings.customers))
 
 
--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -17,13 +17,15 @@
 from ._answer import MAX_RETRY_CREDIT, answer
 from ._effects import DiscardResult
 from ._events import Failure, StatementDone, StatementFailed, StreamEnded
-from ._recovery import log_saturation_change, record_contact, recover
+from ._recovery import log_load_changes, record_contact, recover
 from ._state import Phase, Request
 from ._transactions import abort_transaction, end_transaction
 from ._types import WRITE_KINDS, StatementKind
 
 # One attempt at each endpoint of a group of three, and another at the primary.
 MAX_ATTEMPTS = 4
+# Kinds whose duration shows the load of an endpoint; a commit also waits for replicas.
+_TIMED_KINDS = frozenset((StatementKind.READ, StatementKind.WRITE))
 READ_ONLY_DETAIL = "primary is read only"
 
 
@@ -33,10 +35,17 @@
     if request is None or request.conn != event.conn:
         step = _dispatch.close_connection(state, event.conn, event.at)
         return Step(step.state, step.effects + (DiscardResult(event.req),))
+    latency_s = 0.0
+    if request.kind in _TIMED_KINDS:
+        latency_s = event.at - request.sent_at
     updated = _place.update_pool(
-        state, request.endpoint, lambda pool: record_served(pool, event.at)
+        state,
+        request.endpoint,
+        lambda pool: record_served(
+            pool, event.at, event.conn, latency_s, request.sent_at
+        ),
     )
-    step = Step(updated, log_saturation_change(state, updated, request))
+    step = Step(updated, log_load_changes(state, updated, request))
     return step.then(_handle_result(updated, request, event))
 
 
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -17,6 +17,7 @@
     translate_position,
 )
 from lovagewalk.node import NodeState
+from lovagewalk.pace import Pace, compute_share, create_pace
 from lovagewalk.pools import (
     CustomerQueue,
     Pool,
@@ -191,7 +192,25 @@
     fair_limit = connections // daemons
     limit = max(MIN_POOL_LIMIT, int(connections * PEAK_TO_MEAN_LOAD / daemons))
     limit = min(limit, connections)
-    return Pool(endpoint, limit=limit, fair_limit=fair_limit, dedicated=True)
+    return Pool(
+        endpoint,
+        limit=limit,
+        fair_limit=fair_limit,
+        dedicated=True,
+        pace=_initial_pace(state, endpoint, daemons),
+    )
+
+
+def _initial_pace(state: NodeState, name: str, daemons: int) -> Pace | None:
+    """Return the pace towards an endpoint; None where a fixed backoff applies.
+
+    The seed differs between daemons, so that their probes are spread.
+    """
+    if not state.identity.paces_endpoints:
+        return None
+    endpoint = state.catalogue.endpoints[name]
+    seed = int.from_bytes(f"{state.identity.name} {name}".encode())
+    return create_pace(compute_share(endpoint.slots, daemons), seed)
 
 
 def choose_target(
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -9,7 +9,15 @@
 from lovagewalk.core import Code, Effect, Handlers, Refusal, Step, replace
 from lovagewalk.groups import record_missing_position, record_primary_failure
 from lovagewalk.node import NodeState
-from lovagewalk.pools import FIRST_BACKOFF_S, compute_backoff, record_refusal
+from lovagewalk.pools import (
+    FIRST_BACKOFF_S,
+    Pool,
+    compute_backoff,
+    record_ended,
+    record_loss,
+    record_read_error,
+    record_refusal,
+)
 from lovagewalk.records import (
     EndpointRecovered,
     EndpointSaturated,
@@ -20,6 +28,7 @@
 from . import _dispatch, _place
 from ._answer import answer
 from ._events import Failure, StatementFailed
+from ._pacing import log_pace_change
 from ._state import Phase, Request
 from ._transactions import abort_transaction, end_transaction
 from ._types import StatementKind
@@ -41,9 +50,7 @@
 ) -> Step[NodeState]:
     """Retry a failed statement where that is safe, or answer its caller."""
     recorded = _record_failure(state, request, event)
-    effects = _log_failure(request, event) + log_saturation_change(
-        state, recorded, request
-    )
+    effects = _log_failure(request, event) + log_load_changes(state, recorded, request)
     return Step(recorded, effects).then(_retry_or_answer(recorded, request, event))
 
 
@@ -63,20 +70,21 @@
     return (record,)
 
 
-def log_saturation_change(
+def log_load_changes(
     before: NodeState, after: NodeState, request: Request
 ) -> tuple[Effect, ...]:
-    """Return the log record of a change in whether an endpoint is saturated."""
+    """Return the log records of changes in an endpoint's saturation and pace."""
     if before is after:
         return ()
+    paced = log_pace_change(before, after, request.endpoint)
     old, new = (state.pools.get(request.endpoint) for state in (before, after))
     if old is None or new is None or old.saturated == new.saturated:
-        return ()
+        return paced
     if new.saturated:
-        return (
+        return paced + (
             EndpointSaturated(new.endpoint, request.group, new.refusals, new.waiting),
         )
-    return (EndpointRecovered(new.endpoint, request.group, new.waiting),)
+    return paced + (EndpointRecovered(new.endpoint, request.group, new.waiting),)
 
 
 def _retry_or_answer(
@@ -108,16 +116,15 @@
 ) -> NodeState:
     """Record what a failure shows about its endpoint and group."""
     failed_read = event.failure is Failure.ERROR and request.is_read
+    state = _place.update_pool(
+        state,
+        request.endpoint,
+        lambda pool: _record_in_pool(pool, request, event),
+    )
     if event.failure is Failure.LOST or failed_read:
         state = eject(state, request.endpoint, event.at)
     if event.failure not in (Failure.LOST, Failure.NOT_SENT):
         state = record_contact(state, request.endpoint, event.at)
-    if event.failure is Failure.BUSY:
-        state = _place.update_pool(
-            state,
-            request.endpoint,
-            lambda pool: record_refusal(pool, request.sent_at, event.at),
-        )
     config = state.catalogue.group(request.group)
     is_primary = request.endpoint == config.primary
     if is_primary and event.failure in (Failure.LOST, Failure.READ_ONLY):
@@ -129,6 +136,17 @@
     return state
 
 
+def _record_in_pool(pool: Pool, request: Request, event: StatementFailed) -> Pool:
+    """Record what a failure shows about the capacity of its endpoint."""
+    if event.failure is Failure.BUSY:
+        return record_refusal(pool, request.sent_at, event.at, event.conn)
+    if event.failure is Failure.LOST:
+        return record_loss(pool, request.sent_at, event.at)
+    if event.failure is Failure.ERROR and request.is_read:
+        return record_read_error(pool, event.conn, event.at)
+    return record_ended(pool, event.conn)
+
+
 def record_contact(state: NodeState, endpoint: str, now: float) -> NodeState:
     """Record that an endpoint has answered."""
     return _place.update_pool(
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -5,13 +5,14 @@
 from lovagewalk.core import Code, Event, Refusal, Step, every, reduces, replace
 from lovagewalk.groups import is_isolated_from_primary
 from lovagewalk.node import NodeState
-from lovagewalk.pools import Pool, find_surplus
+from lovagewalk.pools import Pool, estimate_queued_turn, find_surplus, record_loss
 from lovagewalk.sessions import Session, TransactionState
 from lovagewalk.shares import return_tokens, take_token
 
 from . import _admit, _callers, _dispatch, _outcome, _place, _recovery
 from ._answer import answer
 from ._draining import answer_deadline, refuses_operations
+from ._pacing import log_pace_change
 from ._state import Phase, Request
 from ._transactions import abort_transaction, end_transaction
 from ._types import StatementKind
@@ -178,6 +179,10 @@
         return _recovery.refuse_unreachable_primary(
             _callers.remove_from_queue(state, request), request
         )
+    wait_s = _estimate_turn(state, request, now)
+    if wait_s > request.deadline - now:
+        dequeued = _callers.remove_from_queue(state, request)
+        return _recovery.refuse_overloaded(dequeued, request, wait_s)
     if request.phase is Phase.RUNNING and _is_unresponsive(state, request, now):
         event = _outcome.StatementFailed(
             now, request.req, request.conn, _outcome.Failure.LOST, detail="silent"
@@ -186,6 +191,14 @@
     return Step(state)
 
 
+def _estimate_turn(state: NodeState, request: Request, now: float) -> float:
+    """Return how long the pace of an endpoint delays a queued request, in seconds."""
+    pool = state.pools.get(request.endpoint)
+    if pool is None or request.phase is not Phase.CONNECTION:
+        return 0.0
+    return estimate_queued_turn(pool, request.customer, request.req, now)
+
+
 def _move_queued_read(
     state: NodeState, request: Request, now: float
 ) -> Step[NodeState]:
@@ -228,9 +241,13 @@
         dequeued = _callers.remove_from_queue(state, request)
         return answer(dequeued, request, Refusal(code))
     endpoint = request.endpoint
-    step = _dispatch.close_connection(
-        _recovery.eject(state, endpoint, now), request.conn, now
+    ejected = _place.update_pool(
+        _recovery.eject(state, endpoint, now),
+        endpoint,
+        lambda pool: record_loss(pool, request.sent_at, now),
     )
+    step = Step(ejected, log_pace_change(state, ejected, endpoint))
+    step = step.then(_dispatch.close_connection(ejected, request.conn, now))
     if session.conn:
         ended = end_transaction(step.state, session, TransactionState.NONE)
         step = Step(ended, step.effects)
--- a/lovagewalk/routing/tests/endpoint_model.py
+++ b/lovagewalk/routing/tests/endpoint_model.py
@@ -120,7 +120,7 @@
 class World:
     """A daemon, two groups of three instances, callers and an operator."""
 
-    def __init__(self, seed=0):
+    def __init__(self, seed=0, paced=False):
         self.rng = random.Random(seed)
         self.now = 100.0
         self.numbers = 0
@@ -146,7 +146,7 @@
         self.consistencies = dict(CONSISTENCIES)
         self.holders = dict(zip(KEYS, CUSTOMERS, strict=True))
         self.state = NodeState(
-            Identity("edge", "zone-a", "west", b"secret"),
+            Identity("edge", "zone-a", "west", b"secret", paces_endpoints=paced),
             fresh_until=1e9,
             entry_daemons=1,
         )
--- a/lovagewalk/routing/tests/provider_site.py
+++ b/lovagewalk/routing/tests/provider_site.py
@@ -58,9 +58,15 @@
 
 
 class Site:
-    """A daemon with the primary and one replica in its region, one in another."""
+    """A daemon with the primary and one replica in its region, one in another.
 
-    def __init__(self, connections=46):
+    Parameters
+    ----------
+    paced : bool
+        Whether it sends at a pace that the endpoints' answers determine.
+    """
+
+    def __init__(self, connections=46, paced=False, name="edge"):
         self.now = 100.0
         self.last_number = 0
         self.revision = 0
@@ -71,7 +77,14 @@
         self.refusal_reasons = {}
         self.unresponsive = set()
         self.state = NodeState(
-            Identity("edge", "zone-a", REGION, b"secret", drain_limits=DRAIN_LIMITS),
+            Identity(
+                name,
+                "zone-a",
+                REGION,
+                b"secret",
+                drain_limits=DRAIN_LIMITS,
+                paces_endpoints=paced,
+            ),
             fresh_until=1e9,
             entry_daemons=1,
         )
@@ -99,10 +112,29 @@
             )
         )
 
-    def announce(self, name, zone="zone-a", region=REGION, sequence=1, leaving=False):
+    def announce(
+        self,
+        name,
+        zone="zone-a",
+        region=REGION,
+        sequence=1,
+        leaving=False,
+        born=77,
+        **reported,
+    ):
         port = 1000 + sum(name.encode())
         endpoint = cat.Endpoint(
-            name, GROUP, "host", port, zone, region, 0, leaving, sequence, 77
+            name,
+            GROUP,
+            "host",
+            port,
+            zone,
+            region,
+            0,
+            leaving,
+            sequence,
+            born,
+            **reported,
         )
         self.change(cat.AnnounceEndpoint(endpoint))
 
--- a/lovagewalk/routing/tests/test_endpoint_machine.py
+++ b/lovagewalk/routing/tests/test_endpoint_machine.py
@@ -10,6 +10,7 @@
 import traceback
 from dataclasses import dataclass
 
+import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
@@ -209,10 +210,10 @@
                 world.disconnect(rng.choice(sorted(world.callers)))
 
 
-def play_seed(seed, steps, left_out=()):
+def play_seed(seed, steps, left_out=(), paced=False):
     """Play one seed; return the number of answers, or raise with the step as a note."""
     rng = random.Random(seed)
-    world = World(seed)
+    world = World(seed, paced)
     mix = _choose_mix(rng, left_out)
     names, weights = list(mix.weights), list(mix.weights.values())
     for number in range(steps):
@@ -226,9 +227,10 @@
     return len(world.answered)
 
 
-def test_some_seeds_of_mixed_steps():
+@pytest.mark.parametrize("paced", [False, True])
+def test_some_seeds_of_mixed_steps(paced):
     for seed in range(12):
-        assert play_seed(seed, 300) > 0
+        assert play_seed(seed, 300, paced=paced) > 0
 
 
 def _play_by_hand(first, count, steps, left_out):
--- a/lovagewalk/routing/tests/test_saturated_primary.py
+++ b/lovagewalk/routing/tests/test_saturated_primary.py
@@ -70,9 +70,9 @@
 class Daemon(Site):
     """One of many daemons, with a network delay to the endpoints."""
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, number):
         self.fleet = None
-        super().__init__()
+        super().__init__(paced=fleet.paced, name=f"edge-{number}")
         self.change(
             cat.ReplaceConfiguration(
                 2,
@@ -138,6 +138,8 @@
     ----------
     route : str
         The route of all reads.
+    paced : bool
+        Whether the daemons send at a pace that the answers determine.
     """
 
     def __init__(
@@ -146,7 +148,9 @@
         max_connections=MAX_CONNECTIONS,
         reads_per_s=READS_PER_S,
         route="board",
+        paced=False,
     ):
+        self.paced = paced
         self.daemon_count = daemon_count
         self.max_connections = max_connections
         self.reads_per_s = reads_per_s
@@ -154,7 +158,7 @@
         self.now = 0.0
         self.due = []
         self.endpoints = {name: Endpoint() for name in (PRIMARY, NEAR, FAR)}
-        self.daemons = [Daemon(self) for _ in range(daemon_count)]
+        self.daemons = [Daemon(self, number) for number in range(daemon_count)]
         self.steps = self.reads_sent = 0
         self.reads_due = 0.0
 
@@ -213,9 +217,9 @@
         return len(answers) - len(refused), len(refused)
 
 
-@pytest.fixture
-def fleet():
-    return Fleet()
+@pytest.fixture(params=[False, True], ids=["backoff", "pace"])
+def fleet(request):
+    return Fleet(paced=request.param)
 
 
 def test_reads_leave_a_saturated_primary_for_its_replicas(fleet):
@@ -234,6 +238,20 @@
     assert primary.refused <= reads_sent, "on average each read is refused at most once"
 
 
+@pytest.mark.parametrize("reads_per_s", [150, 300])
+def test_the_pace_wastes_fewer_statements_at_a_saturated_primary(reads_per_s):
+    """On a busy day of 61 daemons, 15% of what was sent was refused."""
+    results = []
+    for paced in (False, True):
+        fleet = Fleet(60, 70, reads_per_s, "till", paced)
+        fleet.run(2.5)
+        served, _ = fleet.outcomes()
+        results.append((served, fleet.endpoints[PRIMARY].refused))
+    (served, refused), (paced_served, paced_refused) = results
+    assert paced_refused <= 0.65 * refused
+    assert paced_served >= served
+
+
 def test_saturation_of_an_endpoint_and_its_end_are_logged_once():
     site = Site()
     records = []
--- a/lovagewalk/runtime/_decision_log.py
+++ b/lovagewalk/runtime/_decision_log.py
@@ -10,6 +10,7 @@
 from lovagewalk.pools import OpenConnection, OpenFailure
 from lovagewalk.records import (
     CallerClosed,
+    EndpointPaceChanged,
     EndpointRefused,
     HttpRequestRefused,
     LogRecord,
@@ -113,5 +114,12 @@
     write_record(effect)
 
 
+def _perform_pace_record(ports: "Ports", effect: EndpointPaceChanged) -> None:
+    ports.metrics.count_pace_change(effect.endpoint, effect.state, effect.cause)
+    _perform_record(ports, effect)
+
+
+performs(EndpointPaceChanged)(_perform_pace_record)
 for _record_type in record_types():
-    performs(_record_type)(_perform_record)
+    if _record_type is not EndpointPaceChanged:
+        performs(_record_type)(_perform_record)
--- a/lovagewalk/runtime/_metrics.py
+++ b/lovagewalk/runtime/_metrics.py
@@ -1,5 +1,6 @@
 """Metrics of one daemon."""
 
+import math
 from bisect import bisect_left
 from collections import Counter
 from itertools import accumulate
@@ -116,6 +117,19 @@
             "Statements refused in a row by an endpoint that is full.",
             registry=self.registry,
         )
+        self.pace_limit = Gauge(
+            "lovagewalk_endpoint_pace_limit",
+            "Statements in flight that the pace allows; +Inf for no limit.",
+            registry=self.registry,
+        )
+        pace_changes = aioprometheus.Counter(
+            "lovagewalk_endpoint_pace_changes_total",
+            "Changes of the pace by endpoint, new state and cause.",
+            registry=self.registry,
+        )
+        self._pace_changes = LabelledCounter(
+            pace_changes, ("endpoint", "state", "cause")
+        )
         self.sample_age = Gauge(
             "lovagewalk_group_sample_age_seconds",
             "Age of the last proof of a primary by group.",
@@ -224,6 +238,10 @@
         self._statements.increment(endpoint)
         self._queue_times.observe((endpoint,), waited_s)
 
+    def count_pace_change(self, endpoint: str, state: str, cause: str) -> None:
+        """Count a change of the pace towards an endpoint."""
+        self._pace_changes.increment(endpoint, state, cause)
+
     def count_event(self, part: str, event: str) -> None:
         """Count a logged change of the state, or an order."""
         self._events.increment(part, event)
@@ -235,6 +253,7 @@
             self._statements,
             self._connections,
             self._events,
+            self._pace_changes,
         ):
             counts.collect()
         for times in (self._route_times, self._queue_times):
@@ -269,6 +288,9 @@
             self.pool_connections.set({"endpoint": name}, len(pool.connections))
             self.pool_waiting.set({"endpoint": name}, pool.waiting)
             self.pool_refusals.set({"endpoint": name}, pool.refusals)
+            if pool.pace is not None:
+                limit = pool.pace.limit if pool.pace.is_limited else math.inf
+                self.pace_limit.set({"endpoint": name}, limit)
 
     def _collect_lags(self, view: GroupView) -> None:
         """Set each instance's lag behind the newest known position of its group.
--- a/lovagewalk/runtime/tests/test_metrics.py
+++ b/lovagewalk/runtime/tests/test_metrics.py
@@ -15,7 +15,9 @@
 from lovagewalk.core import Code, Refusal, perform, replace
 from lovagewalk.groups import GroupView, InstanceStatus, InstanceView, Role
 from lovagewalk.node import Identity, NodeState
-from lovagewalk.records import PromotionOrdered
+from lovagewalk.pace import Pace, PaceState
+from lovagewalk.pools import Pool
+from lovagewalk.records import EndpointPaceChanged, PromotionOrdered
 from lovagewalk.routing import AnswerCaller, Phase, RequestTrace, StatementKind
 from lovagewalk.runtime._metrics import Metrics, customer_class_label
 
@@ -76,6 +78,27 @@
     )
 
 
+def test_the_pace_of_an_endpoint_and_the_causes_of_its_changes_are_shown():
+    """Without them an operator cannot tell a limited endpoint from an idle one."""
+    ports = SimpleNamespace(metrics=Metrics())
+    record = EndpointPaceChanged("i-1", "g", "probing", "busy", 0.5, 0.1, 14.0, 12.0, 3)
+    perform(ports, record)
+    limited = Pace(PaceState.PROBING, limit=0.5)
+    pools = {
+        "i-1": Pool("i-1", 3, pace=limited),
+        "i-2": Pool("i-2", 3, pace=Pace()),
+        "i-3": Pool("i-3", 3),
+    }
+    identity = Identity("e", "z", "r", b"secret")
+    ports.metrics.collect_state(NodeState(identity, pools=Map(pools)), 1.0, 0)
+    text = _render(ports.metrics)
+    labels = '{cause="busy",endpoint="i-1",state="probing"}'
+    assert f"pace_changes_total{labels} 1" in text
+    assert 'pace_limit{endpoint="i-1"} 0.5' in text
+    assert 'pace_limit{endpoint="i-2"} inf' in text.replace("+Inf", "inf")
+    assert 'pace_limit{endpoint="i-3"}' not in text
+
+
 def test_position_lag_covers_only_the_newest_term():
     view = GroupView("g")
     for name, term, index in (("old", 1, 90), ("first", 2, 50), ("behind", 2, 44)):
