Pace: daemons without callers keep none

A control VM created a pool with a pace for each endpoint that joined, and logged and showed paces at which nothing is ever sent. Found in review; a test guards it.

--- a/lovagewalk/routing/_pacing.py
+++ b/lovagewalk/routing/_pacing.py
@@ -13,10 +13,12 @@
 def restart_paces(state: NodeState, before: Catalogue, now: float) -> Step[NodeState]:
     """Start the pace of endpoints anew that joined, restarted or were promoted.
 
-    A daemon without an earlier catalogue knows of no change.
+    A daemon without an earlier catalogue knows of no change, and one that serves no
+    callers sends nothing.
     """
     step = Step(state)
-    if not state.identity.paces_endpoints or not before.revision:
+    identity = state.identity
+    if not (identity.paces_endpoints and identity.entry) or not before.revision:
         return step
     for name, endpoint in state.catalogue.endpoints.items():
         group = state.catalogue.group(endpoint.group)
--- a/lovagewalk/routing/tests/test_pacing.py
+++ b/lovagewalk/routing/tests/test_pacing.py
@@ -83,6 +83,14 @@
     assert len(fresh.runs) == 1 and _pace(fresh, PRIMARY).state is PaceState.STEADY
 
 
+def test_a_daemon_without_callers_keeps_no_pace(site):
+    """A control VM would show and log a pace at which nothing is ever sent."""
+    identity = replace(site.state.identity, entry=False)
+    site.state = replace(site.state, identity=identity, pools=Map())
+    announce(site, PRIMARY, 3, born=78)
+    assert not site.state.pools and not site.records
+
+
 def test_a_restarted_endpoint_gets_one_probe_at_a_time(site):
     announce(site, PRIMARY, 3, born=78)
     assert _pace(site, PRIMARY).state is PaceState.UNKNOWN
