Pace: starts with the equal part of the reported daemons; errors lower a risen pace

A daemon whose first report from control came after an endpoint had joined kept the limit of a fleet of one. In a fleet with fewer daemons than slots an unknown endpoint got one statement at a time instead of the equal part. Errors in a row lowered only an unlimited pace, so that a limit on statements in flight made a high rate of fast errors.

--- a/lovagewalk/daemon/_changes.py
+++ b/lovagewalk/daemon/_changes.py
@@ -4,6 +4,7 @@
 from lovagewalk.core import Step, replace
 from lovagewalk.groups._reducer import reset_group
 from lovagewalk.node import NodeState
+from lovagewalk.pace import change_share
 from lovagewalk.pools import change_pace
 from lovagewalk.records import ConfigurationInstalled, PrimaryInstalled
 from lovagewalk.routing import _callers, _dispatch, _outcome, _place, _sweep
@@ -95,10 +96,7 @@
         if pool.pace is not None and recomputed.pace is not None:
             share = recomputed.pace.share
             paced = change_pace(
-                pools[name],
-                lambda pace, share=share: (
-                    pace if pace.share == share else replace(pace, share=share)
-                ),
+                pools[name], lambda pace, share=share: change_share(pace, share)
             )
             pools = pools.set(name, paced)
     return replace(state, pools=pools)
--- a/lovagewalk/pace/__init__.py
+++ b/lovagewalk/pace/__init__.py
@@ -1,6 +1,7 @@
 """Pace at which a daemon sends to an endpoint that recovers or is overloaded."""
 
 from ._decisions import (
+    change_share,
     compute_interval,
     compute_share,
     count_sendable,
@@ -22,6 +23,7 @@
     "Pace",
     "PaceCause",
     "PaceState",
+    "change_share",
     "compute_interval",
     "compute_share",
     "count_sendable",
--- a/lovagewalk/pace/_decisions.py
+++ b/lovagewalk/pace/_decisions.py
@@ -62,6 +62,16 @@
     return (slots or DEFAULT_SLOTS) / max(daemons, 1)
 
 
+def change_share(pace: Pace, share: float) -> Pace:
+    """Return the pace with another equal part; an unknown endpoint starts with it."""
+    if share == pace.share:
+        return pace
+    pace = replace(pace, share=share)
+    if pace.state is not PaceState.UNKNOWN:
+        return pace
+    return replace(pace, limit=_min_limit(pace))
+
+
 def restart_pace(
     pace: Pace, cause: PaceCause, now: float, cold_left_s: float = 0.0
 ) -> Pace:
@@ -198,9 +208,7 @@
     All daemons usually see it at the same moment, so the pace starts anew. While
     probes are lost, they go on at the pace that the endpoint could serve.
     """
-    if not pace.is_limited:
-        return restart_pace(pace, PaceCause.LOST, now)
-    if sent_at < pace.lowered_at:
+    if pace.is_limited and sent_at < pace.lowered_at:
         return pace
     return restart_pace(pace, PaceCause.LOST, now)
 
@@ -208,7 +216,8 @@
 def record_error(pace: Pace, now: float) -> Pace:
     """Record a read that failed; several in a row show a disturbed endpoint."""
     pace = replace(pace, errors=pace.errors + 1)
-    if pace.is_limited or pace.errors < DISTURBING_ERRORS:
+    is_lowest = pace.is_limited and pace.limit <= _min_limit(pace)
+    if is_lowest or pace.errors < DISTURBING_ERRORS:
         return pace
     errors = pace.errors
     return replace(restart_pace(pace, PaceCause.ERRORS, now), errors=errors)
@@ -241,7 +250,7 @@
 
 def _min_limit(pace: Pace) -> float:
     """Return the equal part, of which all daemons together fill the slots."""
-    return min(pace.share, 1.0)
+    return min(pace.share, STEADY_LIMIT)
 
 
 def _remove_sent(pace: Pace, conn: int) -> Pace:
@@ -263,6 +272,7 @@
     interval_s = compute_interval(pace)
     if not interval_s:
         return 0.0
+    turn_s = max(pace.next_send_at - now, 0.0)
     if pace.threshold >= STEADY_LIMIT:
         waiting = max(waiting - START_QUEUE, 0)
-    return max(pace.next_send_at - now, 0.0) + waiting * interval_s
+    return turn_s + waiting * interval_s
--- a/lovagewalk/routing/tests/test_pacing.py
+++ b/lovagewalk/routing/tests/test_pacing.py
@@ -276,3 +276,12 @@
     assert tuple(site.answers) == queue.reqs[2:], "half a second each, of a second"
     refusal = site.answers[queue.reqs[2]].refusal
     assert refusal.code is Code.OVERLOADED and refusal.retry_after_s > 1.0
+
+
+def test_an_unknown_endpoint_starts_with_the_part_of_the_reported_daemons(site):
+    """Before the first report a daemon takes itself for the only one."""
+    site.state = resize_pools(replace(site.state, entry_daemons=0))
+    announce(site, PRIMARY, 3, born=78)
+    assert _pace(site, PRIMARY).limit == 4
+    site.state = resize_pools(replace(site.state, entry_daemons=FLEET))
+    assert _pace(site, PRIMARY).limit == pytest.approx(4 / FLEET)
