--- a/lovagewalk/pace/_decisions.py
+++ b/lovagewalk/pace/_decisions.py
@@ -21,12 +21,11 @@
 # Intervals vary by this fraction, so that daemons that saw the same event drift apart.
 JITTER_FRACTION = 0.5
 # Factor by which each answer at about the best latency raises the limit, until the
-# endpoint refuses a statement. In the model of 60 daemons, 2.0 left the endpoint idle
-# where six statements waited at each of 10 of them: a tenth took over 0.5 s.
+# endpoint refuses a statement. From the equal part in a fleet of 60 daemons, the limit
+# reaches one in three answers, within the shortest latency objective.
 RISE_FACTOR = 3.0
-# The same above the limit to which the last refusal lowered it. In the model, 1.2 left
-# the endpoint idle after a burst (6% fewer statements within 0.5 s than without a
-# pace); with 2.0, 31% of what a fleet sent at twice the capacity was refused.
+# The same above the limit to which the last refusal lowered it: a slower rise refuses
+# less of what a saturated endpoint is sent, a faster one leaves it idle for less time.
 SLOW_RISE_FACTOR = 1.75
 FALL_FACTOR = 0.5
 # From this limit on, nothing is limited: no endpoint runs more statements at once than
