Catalogue: evacuated zones, and the order of requests for them

Cause: the request of an operator to evacuate a zone has to be as durable as a configuration and in force on all daemons. Change: the command SetZoneEvacuation; the catalogue keeps the evacuated zones and the revision of the last request for each zone, by which delayed copies of earlier requests are recognised.

--- a/lovagewalk/catalogue/_apply.py
+++ b/lovagewalk/catalogue/_apply.py
@@ -281,6 +281,43 @@
     )
 
 
+@applies(commands.SetZoneEvacuation)
+def _set_zone_evacuation(
+    catalogue: Catalogue, index: int, command: commands.SetZoneEvacuation
+) -> AppliedChange:
+    """Evacuate a known zone, or withdraw that.
+
+    A copy of a request that was delayed on a link may follow a later, opposite one. It
+    is recognised by the revision that its VM had seen, and changes nothing. It is not
+    refused for good, since the VM of a new request may also have been behind.
+    """
+    zone = command.zone
+    if not _is_known_zone(catalogue, command):
+        detail = "unknown zone: no settings and no endpoint name it"
+        return _refuse(catalogue, index, Code.CHANGE_BAD, detail)
+    requested_at = catalogue.zone_requests.get(zone, 0)
+    if requested_at > command.seen:
+        if (zone in catalogue.evacuated_zones) == command.evacuated:
+            return AppliedChange(catalogue, ChangeResult(requested_at))
+        detail = "the zone was changed meanwhile; send it again"
+        return _refuse(catalogue, requested_at, Code.CONFIG_STALE, detail)
+    change = frozenset((zone,))
+    zones = catalogue.evacuated_zones
+    changed = replace(
+        catalogue,
+        evacuated_zones=zones | change if command.evacuated else zones - change,
+        zone_requests=catalogue.zone_requests.set(zone, index),
+    )
+    return AppliedChange(changed, ChangeResult(index))
+
+
+def _is_known_zone(catalogue: Catalogue, command: commands.SetZoneEvacuation) -> bool:
+    zone = command.zone
+    if command.in_settings or zone in catalogue.zone_requests:
+        return True
+    return any(endpoint.zone == zone for endpoint in catalogue.endpoints.values())
+
+
 @applies(commands.ChangeControlVoters)
 def _change_control_voters(
     catalogue: Catalogue, index: int, command: commands.ChangeControlVoters
--- a/lovagewalk/catalogue/_commands.py
+++ b/lovagewalk/catalogue/_commands.py
@@ -180,6 +180,24 @@
     document: bytes = field(default=b"", repr=False)
 
 
+@dataclass(frozen=True, slots=True)
+class SetZoneEvacuation:
+    """Evacuate an availability zone, or withdraw its evacuation.
+
+    Attributes
+    ----------
+    in_settings : bool
+        Whether the settings of the VM that was asked name the zone.
+    seen : int
+        Revision of the catalogue at that VM when it was asked.
+    """
+
+    zone: str
+    evacuated: bool
+    in_settings: bool = False
+    seen: int = 0
+
+
 Command = (
     NoChange
     | ReplaceConfiguration
@@ -196,6 +214,7 @@
     | AllocateFence
     | InstallTerm
     | RecordAccess
+    | SetZoneEvacuation
 )
 
 
--- a/lovagewalk/catalogue/_delta.py
+++ b/lovagewalk/catalogue/_delta.py
@@ -35,6 +35,8 @@
         Entries that are new or have changed.
     gone_customers, gone_routes, gone_keys, gone_endpoints : tuple of str
         Names of removed entries.
+    evacuated_zones : tuple of str
+        All evacuated zones, sorted.
     """
 
     base: int
@@ -51,6 +53,7 @@
     gone_routes: tuple[str, ...] = ()
     gone_keys: tuple[str, ...] = ()
     gone_endpoints: tuple[str, ...] = ()
+    evacuated_zones: tuple[str, ...] = ()
 
 
 def diff_catalogues(old: Catalogue, new: Catalogue) -> CatalogueDelta:
@@ -76,6 +79,7 @@
         gone_routes=_removed_names(old.routes, new.routes),
         gone_keys=_removed_names(old.keys, new.keys),
         gone_endpoints=_removed_names(old.endpoints, new.endpoints),
+        evacuated_zones=tuple(sorted(new.evacuated_zones)),
     )
 
 
@@ -92,6 +96,7 @@
         old.version == new.version
         and old.idle_transaction_s == new.idle_transaction_s
         and old.control_voters == new.control_voters
+        and old.evacuated_zones == new.evacuated_zones
     )
 
 
@@ -129,6 +134,7 @@
             {item.entry.key_id: item for item in delta.keys},
             delta.gone_keys,
         ),
+        evacuated_zones=frozenset(delta.evacuated_zones),
         groups=patch(catalogue.groups, {item.name: item for item in delta.groups}, ()),
     )
     for name in delta.gone_endpoints:
--- a/lovagewalk/catalogue/_state.py
+++ b/lovagewalk/catalogue/_state.py
@@ -370,6 +370,11 @@
         By daemon, the identity of its process that may hold shares.
     divided : frozenset of str
         Customers whose rates are divided into shares that daemons may hold.
+    evacuated_zones : frozenset of str
+        Zones whose endpoints get no work.
+    zone_requests : Map of str to int
+        Revision of the last accepted request for the evacuation of a zone, or for its
+        withdrawal, by zone; only control VMs hold it.
     """
 
     revision: int = 0
@@ -388,12 +393,19 @@
     idle_transaction_s: float = 0.0
     holders: Map = field(default_factory=Map)
     divided: frozenset[str] = frozenset()
+    evacuated_zones: frozenset[str] = frozenset()
+    zone_requests: Map = field(default_factory=Map)
 
     def get_incarnation(self, name: str) -> str:
         """Return the identity of an endpoint's data, empty for an unknown endpoint."""
         endpoint = self.endpoints.get(name)
         return endpoint.incarnation if endpoint else ""
 
+    def is_evacuated(self, name: str) -> bool:
+        """Whether an endpoint is in an evacuated zone."""
+        endpoint = self.endpoints.get(name)
+        return endpoint is not None and endpoint.zone in self.evacuated_zones
+
     def customer(self, name: str) -> CustomerEntry | None:
         """Return a customer's entry, or None."""
         found = self.customers.get(name)
--- a/lovagewalk/catalogue/_validity.py
+++ b/lovagewalk/catalogue/_validity.py
@@ -18,6 +18,7 @@
     IssueKey,
     Proposal,
     ReplaceConfiguration,
+    SetZoneEvacuation,
     WithdrawKey,
 )
 from ._configuration import check_configuration
@@ -111,6 +112,14 @@
         yield "name is not a single word"
 
 
+@checks_fields(SetZoneEvacuation)
+def _check_evacuation(command: SetZoneEvacuation) -> Iterator[str]:
+    if not 0 < len(command.zone) <= MAX_NAME_LENGTH:
+        yield "zone is empty or too long"
+    if command.seen < 0:
+        yield "a revision is negative"
+
+
 @checks_fields(CustomerEntry)
 def _check_customer(entry: CustomerEntry) -> Iterator[str]:
     if not _is_name(entry.name):
--- a/lovagewalk/codec/_codec.py
+++ b/lovagewalk/codec/_codec.py
@@ -6,6 +6,7 @@
 
 import msgpack
 from cattrs import Converter
+from cattrs.gen import make_dict_unstructure_fn, override
 from cattrs.strategies import configure_tagged_union
 from immutables import Map
 
@@ -62,14 +63,29 @@
     )
     configure_tagged_union(cat.Command, converter)
     configure_tagged_union(cat.CustomerEntry | cat.RouteEntry | cat.KeyEntry, converter)
+    # Left out where it is empty, so that versions before it accept the delta.
+    unstructure_delta = make_dict_unstructure_fn(
+        cat.CatalogueDelta, converter, evacuated_zones=override(omit_if_default=True)
+    )
+    converter.register_unstructure_hook(cat.CatalogueDelta, unstructure_delta)
     converter.register_unstructure_hook(cat.Catalogue, _unstructure_catalogue)
     converter.register_structure_hook(cat.Catalogue, _structure_catalogue)
     return converter
 
 
 def _unstructure_catalogue(catalogue: cat.Catalogue) -> dict[str, Any]:
+    """Return a catalogue's fields.
+
+    Those of evacuations are left out where none was ever requested, so that versions
+    before them read the snapshot.
+    """
     unstructure = _converter.unstructure
+    evacuations = {
+        "evacuated_zones": sorted(catalogue.evacuated_zones),
+        "zone_requests": dict(catalogue.zone_requests),
+    }
     return {
+        **(evacuations if any(evacuations.values()) else {}),
         "revision": catalogue.revision,
         "customers": unstructure(list(catalogue.customers.values())),
         "routes": unstructure(list(catalogue.routes.values())),
@@ -116,6 +132,8 @@
         holders=Map(raw["holders"]),
         divided=frozenset(raw["divided"]),
         idle_transaction_s=float(raw["idle_transaction_s"]),
+        evacuated_zones=frozenset(raw.get("evacuated_zones", ())),
+        zone_requests=Map(raw.get("zone_requests", {})),
         results=Map(results),
         result_order=tuple(request_id for request_id, _ in results),
     )
