Operators: evacuate a zone and withdraw that, over HTTP and by command

Cause: operators ask any control VM to evacuate a zone. Change: POST and DELETE /lovagewalk/drain/ZONE on the platform, POST and DELETE /evacuations/ZONE of the product's own interface, and the command 'lovagewalk evacuate'. The audit trail and the history name the requests.

--- a/lovagewalk/cli/_commands.py
+++ b/lovagewalk/cli/_commands.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 import aiohttp
 from mysql_mimic.auth import NativePasswordAuthPlugin
@@ -26,6 +27,13 @@
 EXIT_FAILED = 1
 EXIT_BAD_INPUT = 2
 DEFAULT_ADDRESS = "127.0.0.1:8306"
+HISTORY_COMMANDS = (
+    "PutCustomer",
+    "PutRoute",
+    "IssueKey",
+    "WithdrawKey",
+    "SetZoneEvacuation",
+)
 # 18 bytes encode to 24 base64 characters without padding.
 SECRET_BYTES = 18
 
@@ -105,10 +113,10 @@
     def history(
         self, token: str, name: str = "", address: str = DEFAULT_ADDRESS
     ) -> None:
-        """Print accepted and refused changes of entries and keys, oldest first."""
+        """Print accepted and refused changes of operators, oldest first."""
         for line in _fetch_audit(address, token):
             record = parse_line(line)
-            if record.kind in ("PutCustomer", "PutRoute", "IssueKey", "WithdrawKey"):
+            if record.kind in HISTORY_COMMANDS:
                 if str(name) in record.detail:
                     print(
                         f"{record.index}\t{record.operator}\t{record.kind}\t"
@@ -250,6 +258,29 @@
             _call_daemon(address, token, lambda client: client.post("/switch", body))
         )
 
+    def evacuate(
+        self,
+        zone: str,
+        token: str,
+        withdraw: bool = False,
+        address: str = DEFAULT_ADDRESS,
+        operator: str = "operator",
+    ) -> None:
+        """Stop all work at the endpoints of a zone within 5 s.
+
+        Parameters
+        ----------
+        withdraw : bool
+            Return the zone to service instead.
+        """
+        path = f"/evacuations/{quote(str(zone), safe='')}"
+        path = f"{path}?operator={quote(str(operator), safe='')}"
+
+        async def send(client: OperatorClient) -> Any:
+            return await (client.delete(path) if withdraw else client.post(path, {}))
+
+        _print(_call_daemon(address, token, send))
+
     def drain(self, token: str, address: str = DEFAULT_ADDRESS) -> None:
         """Drain and stop a daemon."""
         _print(_call_daemon(address, token, lambda client: client.post("/drain", {})))
--- a/lovagewalk/control/__init__.py
+++ b/lovagewalk/control/__init__.py
@@ -9,6 +9,7 @@
     SendOrder,
     StopDaemon,
 )
+from ._evacuation import build_evacuation
 from ._events import (
     CatalogueRequested,
     ChangeRequested,
@@ -61,6 +62,7 @@
     "SendOrder",
     "StopDaemon",
     "SwitchRequested",
+    "build_evacuation",
     "holds_shares",
     "is_ready",
 ]
--- a/lovagewalk/edge/_daemon.py
+++ b/lovagewalk/edge/_daemon.py
@@ -124,6 +124,7 @@
             drain_limits=DRAIN_LIMITS,
             # All daemons have the addresses of the control VMs alone.
             may_own="control" in daemon.roles,
+            zones=frozenset((daemon.zone,)),
         )
         control_names = tuple(self.cfg.control)
         target = daemon.name if identity.control else control_names[0]
--- a/lovagewalk/edge/_operators.py
+++ b/lovagewalk/edge/_operators.py
@@ -15,6 +15,7 @@
     ChangeRequested,
     DrainRequested,
     SwitchRequested,
+    build_evacuation,
     is_ready,
 )
 from lovagewalk.core import Code, LovageError, Refusal
@@ -71,6 +72,8 @@
                 web.post("/switch", self._switch),
                 web.post("/drain", self._drain),
                 web.post("/announce", self._announce),
+                web.post("/evacuations/{zone}", self._evacuate),
+                web.delete("/evacuations/{zone}", self._withdraw_evacuation),
             ]
         )
         self._runner = web.AppRunner(app, access_log=None)
@@ -174,6 +177,20 @@
         self._ports.feed(DrainRequested(self._ports.now()))
         return web.json_response({"draining": True})
 
+    async def _evacuate(self, req: web.Request) -> web.Response:
+        return await self._set_evacuation(req, True)
+
+    async def _withdraw_evacuation(self, req: web.Request) -> web.Response:
+        return await self._set_evacuation(req, False)
+
+    async def _set_evacuation(self, req: web.Request, evacuated: bool) -> web.Response:
+        self._authorise(req)
+        zone = req.match_info["zone"]
+        command = build_evacuation(self._ports.state, zone, evacuated)
+        operator = req.query.get("operator", "operator")[:MAX_REQUEST_ID_LENGTH]
+        proposal = Proposal("", operator, self._ports.wall_clock(), command)
+        return _change_response(await self._propose(proposal), "")
+
     async def _announce(self, req: web.Request) -> web.Response:
         body = await req.read()
         signature = req.headers.get(SIGNATURE_HEADER, "")
@@ -253,6 +270,7 @@
         "region": state.identity.region,
         "draining": state.draining,
         "revision": state.catalogue.revision,
+        "evacuated_zones": sorted(state.catalogue.evacuated_zones),
         "fresh_s": round(max(state.fresh_until - ports.now(), 0.0), 3),
         "sessions": len(state.sessions),
         "requests": len(state.requests),
--- a/lovagewalk/edge/tests/test_operators.py
+++ b/lovagewalk/edge/tests/test_operators.py
@@ -5,8 +5,9 @@
 import pytest
 from aiohttp.test_utils import make_mocked_request
 
+from lovagewalk.catalogue import ChangeResult
 from lovagewalk.control import FollowState, PeerMessage
-from lovagewalk.control._messages import FollowReply
+from lovagewalk.control._messages import FollowReply, ProposalResult
 from lovagewalk.core import Code, LovageError, Shell, TimerService
 from lovagewalk.edge._operators import OperatorServer
 from lovagewalk.node import Identity, NodeState
@@ -60,3 +61,36 @@
     reply = FollowReply(report.seq, "vm2", True, 0, None, ())
     ports.feed(PeerMessage(ports.now(), "vm2", reply))
     assert (await response).status == 200
+
+
+def _evacuation_request(method, token=TOKEN):
+    return make_mocked_request(
+        method,
+        "/evacuations/zone%20a?operator=anna",
+        headers={"Authorization": f"Bearer {token}"},
+        match_info={"zone": "zone a"},
+    )
+
+
+@pytest.mark.parametrize("method", ["POST", "DELETE"])
+async def test_an_evacuation_is_forwarded_with_its_operator(method):
+    """Guards against a trail that does not say who evacuated a zone."""
+    server = _operator_server(60.0)
+    handlers = {"POST": server._evacuate, "DELETE": server._withdraw_evacuation}
+    response = asyncio.create_task(handlers[method](_evacuation_request(method)))
+    await asyncio.sleep(0)
+    ports = server._ports
+    (message,) = ports.peers.sent
+    command = message.proposal.command
+    assert (command.zone, command.evacuated) == ("zone a", method == "POST")
+    assert message.proposal.operator == "anna"
+    result = ProposalResult(message.ticket, ChangeResult(7), "vm2")
+    ports.feed(PeerMessage(ports.now(), "vm2", result))
+    assert (await response).status == 200
+
+
+async def test_an_evacuation_without_the_operators_token_is_refused():
+    server = _operator_server(60.0)
+    with pytest.raises(LovageError) as caught:
+        await server._evacuate(_evacuation_request("POST", "another"))
+    assert caught.value.code is Code.UNAUTHORISED and not server._ports.peers.sent
--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -52,6 +52,8 @@
         How long callers may continue while it drains.
     paces_endpoints : bool
         Whether it sends to endpoints at a pace that their answers determine.
+    zones : frozenset of str
+        Availability zones that its settings name.
     """
 
     name: str
@@ -64,6 +66,7 @@
     drain_limits: DrainLimits = DrainLimits()
     may_own: bool = False
     paces_endpoints: bool = False
+    zones: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/operators/_client.py
+++ b/lovagewalk/operators/_client.py
@@ -67,6 +67,11 @@
         async with self._session.post(self._base_url + path, json=body) as response:
             return await self._decode(response)
 
+    async def delete(self, path: str) -> Any:
+        """Send a DELETE request and return the decoded JSON answer."""
+        async with self._session.delete(self._base_url + path) as response:
+            return await self._decode(response)
+
     async def change(self, command: dict[str, Any], **fields: Any) -> Any:
         """Propose a change; with a ``request_id`` it may safely be sent again."""
         return await self.post("/changes", {"command": command, **fields})
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -92,6 +92,7 @@
             drain_limits=plan_drain(cfg.grace_s, OUT_OF_ROTATION_S),
             may_own=True,
             paces_endpoints=cfg.paces_endpoints,
+            zones=frozenset((cfg.zone, *cfg.regions)),
         )
         seeds = cfg.control_names
         target = self.name if self.is_control else seeds[0]
--- a/lovagewalk/platform/_http_handlers.py
+++ b/lovagewalk/platform/_http_handlers.py
@@ -1,12 +1,12 @@
 """HTTP handlers for operators, endpoints and the load balancer."""
 
 from collections.abc import Callable, Mapping
+from urllib.parse import unquote
 
-from lovagewalk.catalogue import Proposal
 from lovagewalk.control import (
-    ChangeRequested,
     EndpointHeartbeat,
     EndpointLeft,
+    build_evacuation,
     is_ready,
 )
 from lovagewalk.core import Code, Event
@@ -28,6 +28,7 @@
 READY_PATH = "/lovagewalk/readyz"
 CONFIG_PATH = "/lovagewalk/config"
 INSTANCE_PATH = "/lovagewalk/instances/"
+EVACUATION_PATH = "/lovagewalk/drain/"
 
 
 class HttpHandlers:
@@ -57,17 +58,25 @@
                 return await self._record_heartbeat(name, request.body)
             if request.method == "DELETE":
                 return await self._remove_endpoint(name)
+        is_evacuation = request.path.startswith(EVACUATION_PATH)
+        if is_evacuation and request.method in ("POST", "DELETE"):
+            return await self._set_evacuation(request)
         return HttpResponse(404)
 
     async def _put_configuration(self, request: HttpRequest) -> HttpResponse:
         command = decode_configuration(request.body)
-        proposal = Proposal("", OPERATOR, self._ports.wall_clock(), command)
-        result = await self._ports.pending_requests.change(
-            lambda ticket: ChangeRequested(self._ports.now(), ticket, proposal),
-            CHANGE_TIMEOUT_S,
+        result = await self._ports.pending_requests.propose(
+            command, OPERATOR, CHANGE_TIMEOUT_S
         )
         return json_response(200, {"version": result.revision})
 
+    async def _set_evacuation(self, request: HttpRequest) -> HttpResponse:
+        zone = unquote(request.path.removeprefix(EVACUATION_PATH))
+        evacuated = request.method == "POST"
+        command = build_evacuation(self._ports.state, zone, evacuated)
+        await self._ports.pending_requests.propose(command, OPERATOR, CHANGE_TIMEOUT_S)
+        return json_response(200, {"zone": zone, "evacuated": evacuated})
+
     async def _get_configuration(self) -> HttpResponse:
         """Return the latest configuration, as the operator sent it."""
         catalogue = await self._ports.pending_requests.read_catalogue(True)
--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -1,7 +1,6 @@
 """Decodes the platform's settings file."""
 
 import os
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -13,6 +12,7 @@
     Address,
     TableReader,
     is_port,
+    read_toml,
     require_variable,
 )
 
@@ -97,11 +97,7 @@
         ``SETTINGS_BAD``, which names the first wrong setting.
     """
     path, secret = read_environment(environ)
-    try:
-        raw = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError, RecursionError) as exc:
-        raise LovageError(Code.SETTINGS_BAD, f"settings file: {exc}") from exc
-    return decode_settings(raw, secret)
+    return decode_settings(read_toml(path), secret)
 
 
 def decode_settings(raw: Mapping[str, Any], secret: str) -> PlatformSettings:
@@ -114,7 +110,8 @@
     """
     reader = TableReader(raw, Code.SETTINGS_BAD)
     listen = reader.table("listenAddrs")
-    seeds = reader.hosts("seedNodes")
+    # All VMs use `peers_port` as their port.
+    seeds = tuple(address.host for address in reader.address_list("seedNodes"))
     if not seeds and listen.address("controlPlane") is None:
         raise LovageError(Code.SETTINGS_BAD, "seedNodes: an entry VM needs one")
     invariants = reader.get_hint("invariants", list, [])
--- a/lovagewalk/runtime/_pending_requests.py
+++ b/lovagewalk/runtime/_pending_requests.py
@@ -4,8 +4,13 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from lovagewalk.catalogue import Catalogue, ChangeResult
-from lovagewalk.control import AnswerReader, AnswerRequester, CatalogueRequested
+from lovagewalk.catalogue import Catalogue, ChangeResult, Command, Proposal
+from lovagewalk.control import (
+    AnswerReader,
+    AnswerRequester,
+    CatalogueRequested,
+    ChangeRequested,
+)
 from lovagewalk.core import Code, Event, LovageError, performs
 
 from ._futures import set_result_if_pending
@@ -83,6 +88,22 @@
             raise LovageError(refusal.code, refusal.detail)
         return result
 
+    async def propose(
+        self, command: Command, operator: str, timeout_s: float
+    ) -> ChangeResult:
+        """Propose an operator's command, and return its result.
+
+        Raises
+        ------
+        LovageError
+            If the command is refused, or not decided in time.
+        """
+        proposal = Proposal("", operator, self._ports.wall_clock(), command)
+        return await self.change(
+            lambda ticket: ChangeRequested(self._ports.now(), ticket, proposal),
+            timeout_s,
+        )
+
     async def read_catalogue(self, with_document: bool = False) -> Catalogue:
         """Return the latest catalogue.
 
--- a/lovagewalk/settings/__init__.py
+++ b/lovagewalk/settings/__init__.py
@@ -3,7 +3,7 @@
 from ._address import Address, is_port, parse_address
 from ._environment import require_variable
 from ._load import MIN_SECRET_LENGTH, Problem, SettingsError, load_settings
-from ._reader import TableReader, parse_json
+from ._reader import TableReader, parse_json, read_toml
 from ._schema import (
     AnnounceSection,
     DaemonSection,
@@ -37,5 +37,6 @@
     "load_settings",
     "parse_address",
     "parse_json",
+    "read_toml",
     "require_variable",
 ]
--- a/lovagewalk/settings/_reader.py
+++ b/lovagewalk/settings/_reader.py
@@ -1,7 +1,9 @@
 """Reads typed values from decoded tables and reports errors by field name."""
 
 import json
+import tomllib
 from collections.abc import Mapping
+from pathlib import Path
 from typing import Any
 
 from lovagewalk.core import Code, LovageError, find_value_problem
@@ -29,6 +31,20 @@
         raise LovageError(code, "cannot be read in full") from exc
 
 
+def read_toml(path: Path) -> dict[str, Any]:
+    """Return the content of a settings file.
+
+    Raises
+    ------
+    LovageError
+        ``SETTINGS_BAD`` if the file cannot be read or is not TOML.
+    """
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError, RecursionError) as exc:
+        raise LovageError(Code.SETTINGS_BAD, f"settings file: {exc}") from exc
+
+
 class TableReader:
     """Reads and checks the fields of a table from a file or a request.
 
@@ -105,6 +121,13 @@
             raise LovageError(self._code, f"{self._path}{key}: not IP:PORT")
         return address
 
+    def address_list(self, key: str) -> list[Address]:
+        """Return a list of addresses, each as ``IP:PORT``; empty if it is missing."""
+        addresses = [Address.try_parse(str(text)) for text in self.get(key, list, [])]
+        if None in addresses:
+            raise LovageError(self._code, f"{self._path}{key}: not IP:PORT")
+        return addresses
+
     def string_list(self, key: str) -> list[str]:
         """Return a list of strings; the field is required."""
         values = self.get(key, list)
@@ -113,12 +136,3 @@
         for value in values:
             self._check_value(key, value)
         return values
-
-    def hosts(self, key: str) -> tuple[str, ...]:
-        """Return the hosts in a list of ``IP:PORT`` fields, empty if it is missing."""
-        try:
-            return tuple(
-                parse_address(str(text))[0] for text in self.get(key, list, [])
-            )
-        except ValueError as exc:
-            raise LovageError(self._code, f"{self._path}{key}: not IP:PORT") from exc
