Control: move primaries out of evacuated zones

Cause: a primary in an evacuated zone would get no work, although a replica elsewhere can take over. Change: the leader starts a promotion once a replica outside has answered; a move that began without one would leave the group without a primary. Groups that control promotes by statements switch as for a leaving primary. The record of a promotion names the reason.

--- a/lovagewalk/control/_primary_choice.py
+++ b/lovagewalk/control/_primary_choice.py
@@ -45,19 +45,24 @@
     endpoints = state.catalogue.group_endpoints(failover.group)
     return max(
         candidates,
-        key=lambda instance: _candidate_key(instance, failover, config, endpoints),
+        key=lambda instance: (
+            instance.status.last_term,
+            instance.status.index,
+            not state.catalogue.is_evacuated(instance.endpoint),
+            *_placement_key(instance, failover, config, endpoints),
+        ),
     )
 
 
-def _candidate_key(
+def _placement_key(
     instance: FencedInstance,
     failover: Failover,
     config: GroupConfig,
     endpoints: tuple[Endpoint, ...],
-) -> tuple[int, int, bool, bool, bool, str]:
-    """Return the sort key of a candidate: its log position, then its placement.
+) -> tuple[bool, bool, bool, str]:
+    """Return the sort key of a candidate by its placement.
 
-    At equal positions, the target, or else the previous primary, is preferred, then a
+    The target, or else the previous primary, is preferred, then a
     region with another instance to read from, then the region of the previous primary.
     """
     regions = {endpoint.name: endpoint.region for endpoint in endpoints}
@@ -65,8 +70,6 @@
     region_size = sum(other == region for other in regions.values())
     preferred = failover.target or config.primary
     return (
-        instance.status.last_term,
-        instance.status.index,
         instance.endpoint == preferred,
         region_size > 1,
         region == regions.get(config.primary),
--- a/lovagewalk/control/_provider.py
+++ b/lovagewalk/control/_provider.py
@@ -39,6 +39,7 @@
     resume_replicas,
 )
 from ._suspicion import Suspicions, collect_suspicions
+from ._zone_moves import can_take_over, may_order, may_start_move, record_order
 
 # Samples of a primary's position stay young compared with the shortest staleness
 # bound at the users' sites, 1.5 s.
@@ -85,7 +86,26 @@
     if _is_lost(state, config, suspicions, now):
         return _start_promotion(state, config, now)
     step = poll_instances(state, (endpoint,), PRIMARY_POLL_PERIOD_S, now)
-    return step.then(resume_replicas(step.state, config, now))
+    step = step.then(resume_replicas(step.state, config, now))
+    if not state.catalogue.is_evacuated(config.primary):
+        return step
+    return step.then(_move_primary(step.state, config, now))
+
+
+def _move_primary(state: NodeState, config: GroupConfig, now: float) -> Step[NodeState]:
+    """Promote a replica outside the evacuated zones, once one can take over."""
+    replicas = tuple(
+        endpoint
+        for endpoint in state.catalogue.group_endpoints(config.name)
+        if endpoint.name != config.primary
+        and (config.sync_replicas or not state.catalogue.is_evacuated(endpoint.name))
+    )
+    step = poll_instances(state, replicas, SURVEY_PERIOD_S, now)
+    if not can_take_over(step.state, config, now):
+        return step
+    if not may_start_move(step.state.control, now):
+        return step
+    return step.then(_start_promotion(step.state, config, now))
 
 
 def _find_new_primary(state: NodeState, config: GroupConfig) -> InstanceView | None:
@@ -182,6 +202,7 @@
         term=config.term,
         silent_ms=round(unresponsive_s * 1000),
         leaving=endpoint is None or endpoint.leaving,
+        evacuated=state.catalogue.is_evacuated(config.primary),
         suspecting=collect_suspicions(state.control, now).count(config),
     )
 
@@ -224,7 +245,12 @@
         return step.then(_install(state, config, new_primary, now))
     view = get_view(state, config.name)
     candidates = find_candidates(state, view, config, promotion)
-    others = [e for e in endpoints if e.name != config.primary]
+    others = [
+        endpoint
+        for endpoint in endpoints
+        if endpoint.name != config.primary
+        and (config.sync_replicas or not state.catalogue.is_evacuated(endpoint.name))
+    ]
     if len(candidates) < answers_needed(config, len(others)):
         return step
     if (
@@ -232,6 +258,8 @@
         and now - promotion.stage_started_at < SURVEY_TIMEOUT_S
     ):
         return step
+    if not may_order(state, config, now):
+        return step
     target = max(candidates, key=lambda i: candidate_key(state, config, i))
     promotion = replace(
         promotion,
@@ -240,10 +268,12 @@
         stage_started_at=now,
         ordered_at=now,
     )
-    return step.then(_order_promotion(_set_promotion(state, promotion), promotion))
+    return step.then(_order_promotion(_set_promotion(state, promotion), promotion, now))
 
 
-def _order_promotion(state: NodeState, promotion: Promotion) -> Step[NodeState]:
+def _order_promotion(
+    state: NodeState, promotion: Promotion, now: float
+) -> Step[NodeState]:
     effect = PromoteInstance(
         promotion.group, promotion.target, state.identity.name, promotion.fence
     )
@@ -252,7 +282,7 @@
         target=promotion.target,
         fence=promotion.fence,
     )
-    return Step(state, (record, effect))
+    return Step(record_order(state, now), (record, effect))
 
 
 @at_stage(PromotionStage.ORDER)
@@ -264,7 +294,9 @@
     if new_primary is not None:
         return _install(state, config, new_primary, now)
     target = state.catalogue.endpoints.get(promotion.target)
-    is_excluded = target is not None and target.leaving and not config.sync_replicas
+    is_excluded = target is not None and not config.sync_replicas
+    if is_excluded:
+        is_excluded = target.leaving or state.catalogue.is_evacuated(target.name)
     if target is None or is_excluded or _target_failed(state, promotion, now):
         return _start_promotion(_remove_promotion(state, promotion.group), config, now)
     # The other replicas receive nothing, so that every commit that is confirmed before
@@ -275,8 +307,11 @@
     step = poll_instances(state, (target,), SURVEY_PERIOD_S, now, order)
     if promotion.accepted or now - promotion.ordered_at < ORDER_RETRY_S:
         return step
+    if not may_order(state, config, now):
+        return step
     promotion = replace(promotion, ordered_at=now)
-    return step.then(_order_promotion(_set_promotion(step.state, promotion), promotion))
+    state = _set_promotion(step.state, promotion)
+    return step.then(_order_promotion(state, promotion, now))
 
 
 def _target_failed(state: NodeState, promotion: Promotion, now: float) -> bool:
--- a/lovagewalk/control/_repair.py
+++ b/lovagewalk/control/_repair.py
@@ -38,7 +38,7 @@
         if view is not None and is_stable and view.term == config.term:
             step = step.then(_follow_primary(step.state, view, config))
             step = step.then(_repair_voters(step.state, view, config, now))
-            step = step.then(_replace_leaving_primary(step.state, config, now))
+            step = step.then(_replace_departing_primary(step.state, view, config, now))
     return step
 
 
@@ -164,17 +164,37 @@
     return Voter(name, status.incarnation)
 
 
-def _replace_leaving_primary(
-    state: NodeState, config: GroupConfig, now: float
+def _replace_departing_primary(
+    state: NodeState, view: GroupView, config: GroupConfig, now: float
 ) -> Step[NodeState]:
-    """Start a switch away from a primary whose endpoint is leaving."""
-    primary = state.catalogue.endpoints.get(config.primary)
-    if primary is None or not primary.leaving or config.name in state.control.failovers:
+    """Start a switch away from a primary that leaves, or whose zone is evacuated.
+
+    An evacuated primary still serves, so its successor has to answer.
+    """
+    catalogue = state.catalogue
+    primary = catalogue.endpoints.get(config.primary)
+    if primary is None or config.name in state.control.failovers:
+        return Step(state)
+    if not primary.leaving and not catalogue.is_evacuated(primary.name):
         return Step(state)
     for voter in config.voters:
-        endpoint = state.catalogue.endpoints.get(voter.name)
-        if endpoint is not None and not endpoint.leaving:
+        endpoint = catalogue.endpoints.get(voter.name)
+        if endpoint is None or endpoint.leaving or catalogue.is_evacuated(voter.name):
+            continue
+        if primary.leaving or _is_answering_replica(view, voter, config, now):
             return _failover.start_term_change(
                 state, config, config.voters, now, target=endpoint.name
             )
     return Step(state)
+
+
+def _is_answering_replica(
+    view: GroupView, voter: Voter, config: GroupConfig, now: float
+) -> bool:
+    instance = view.instances.get(voter.name)
+    primary = view.instances.get(config.primary)
+    if instance is None or primary is None or primary.status is None:
+        return False
+    if now - instance.seen_at > UNRESPONSIVE_S:
+        return False
+    return _caught_up_voter(view, voter.name, primary, config) == voter
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -370,6 +370,8 @@
         Customers that are proposed to the log as divided among daemons.
     owners : Map of str to Ownership
         Owners of undivided buckets, by customer.
+    recent_orders : tuple of float
+        Times of the last orders to the provider, in monotonic seconds.
     """
 
     led_term: int = 0
@@ -388,3 +390,4 @@
     proposed_holders: Map = field(default_factory=Map)
     proposed_divided: frozenset[str] = frozenset()
     owners: Map = field(default_factory=Map)
+    recent_orders: tuple[float, ...] = ()
--- a/lovagewalk/control/_survey.py
+++ b/lovagewalk/control/_survey.py
@@ -103,8 +103,9 @@
         if instance is None or instance.status is None:
             continue
         # Where replicas confirm commits, a leaving one may be the only replica that
-        # holds some commit.
-        if endpoint.leaving and not config.sync_replicas:
+        # holds some commit, and so may one in an evacuated zone.
+        is_evacuated = state.catalogue.is_evacuated(endpoint.name)
+        if (endpoint.leaving or is_evacuated) and not config.sync_replicas:
             continue
         is_replica = instance.status.role is Role.REPLICA
         if is_replica and instance.sent_at >= promotion.stage_started_at:
@@ -114,14 +115,21 @@
 
 def candidate_key(
     state: NodeState, config: GroupConfig, instance: InstanceView
-) -> tuple[int, int, bool, str]:
+) -> tuple[int, int, bool, bool, str]:
     """Return the sort key of a candidate: its log position, then its placement.
 
-    A region with another instance to read from is preferred.
+    Zones that are not evacuated are preferred, then a region with another instance to
+    read from.
     """
     endpoints = state.catalogue.group_endpoints(config.name)
     regions = {endpoint.name: endpoint.region for endpoint in endpoints}
     region = regions.get(instance.endpoint, "")
     region_size = sum(other == region for other in regions.values())
     status = instance.status
-    return (status.last_term, status.index, region_size > 1, instance.endpoint)
+    return (
+        status.last_term,
+        status.index,
+        not state.catalogue.is_evacuated(instance.endpoint),
+        region_size > 1,
+        instance.endpoint,
+    )
--- a/lovagewalk/control/tests/control_fleet.py
+++ b/lovagewalk/control/tests/control_fleet.py
@@ -276,13 +276,13 @@
         return self.last_number
 
     def send_heartbeat(
-        self, name, group, sequence=1, leaving=False, up=True, **reported
+        self, name, group, sequence=1, leaving=False, up=True, zone="z", **reported
     ):
         """Send a database's heartbeat to the leader, and return its ticket."""
         self.databases.setdefault(name, Database(name, group)).up = up
         port = 1000 + sum(name.encode())
         endpoint = cat.Endpoint(
-            name, group, "host", port, "z", "r", 0, leaving, sequence, 5, **reported
+            name, group, "host", port, zone, "r", 0, leaving, sequence, 5, **reported
         )
         self.last_number += 1
         event = EndpointHeartbeat(self.now, self.last_number, endpoint)
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -212,6 +212,8 @@
         Time since its last answer to the control leader, in milliseconds.
     leaving : bool
         Whether it has announced that it leaves, or was removed.
+    evacuated : bool
+        Whether its zone is evacuated.
     suspecting : int
         Number of daemons that suspect it to have failed.
     """
@@ -221,6 +223,7 @@
     term: int
     silent_ms: int
     leaving: bool
+    evacuated: bool
     suspecting: int
 
 
