Routing: end the work at endpoints of evacuated zones

Cause: entry daemons sent work to endpoints whose zone is evacuated. Change: replicas there get nothing once the daemon knows; the primary gets what only it can run until a successor is installed, for 4 s at most, and nothing new if there is none. Then requests are refused as not run, open transactions are rolled back, and idle connections are closed. The time counts from the last catalogue that the leader confirmed, so that a daemon that learns late does not stop late. Log records, a metric, and the cause in 'lovagewalk explain'. The test of log records accepts a zone as the subject of a record.

--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -88,6 +88,7 @@
     fresh_until = state.fresh_until
     if state.catalogue.revision >= reply.revision:
         fresh_until = max(fresh_until, sent_at + LEASE_S)
+        state = replace(state, confirmed_at=max(state.confirmed_at, sent_at))
     state = replace(state, follow=follow, fresh_until=fresh_until)
     return confirm_reads(state, sent_at, reply.revision)
 
--- a/lovagewalk/daemon/_changes.py
+++ b/lovagewalk/daemon/_changes.py
@@ -1,13 +1,21 @@
 """Installs a new catalogue on this daemon while requests are in progress."""
 
+from math import isfinite
+
 from lovagewalk.catalogue import Catalogue, Management
-from lovagewalk.core import Step, replace
+from lovagewalk.core import Effect, Step, replace
 from lovagewalk.groups._reducer import reset_group
 from lovagewalk.node import NodeState
 from lovagewalk.pace import change_share
 from lovagewalk.pools import change_pace
-from lovagewalk.records import ConfigurationInstalled, PrimaryInstalled
+from lovagewalk.records import (
+    ConfigurationInstalled,
+    EvacuationWithdrawn,
+    PrimaryInstalled,
+    ZoneEvacuated,
+)
 from lovagewalk.routing import _callers, _dispatch, _outcome, _place, _sweep
+from lovagewalk.routing._evacuation import record_evacuations
 from lovagewalk.routing._leaving import record_leaving
 from lovagewalk.routing._pacing import restart_paces
 
@@ -19,7 +27,7 @@
     before = state.catalogue
     if catalogue.revision <= before.revision:
         return Step(state)
-    state = replace(state, catalogue=catalogue)
+    state = record_evacuations(replace(state, catalogue=catalogue), now)
     step = Step(state)
     endpoints_changed = catalogue.endpoints is not before.endpoints
     groups_changed = catalogue.groups is not before.groups
@@ -30,6 +38,8 @@
         step = step.then(_apply_endpoint_changes(step.state, before, now))
     if groups_changed:
         step = step.then(_apply_group_changes(step.state, before, now))
+    if catalogue.evacuated_zones != before.evacuated_zones:
+        step = step.then(_apply_evacuations(step.state, before, now))
     if _access_changed(before, catalogue):
         step = step.then(_callers.close_unauthorised_sessions(step.state, now))
     if catalogue.version == before.version:
@@ -46,6 +56,36 @@
     return before.keys is not after.keys or before.routes is not after.routes
 
 
+def _apply_evacuations(
+    state: NodeState, before: Catalogue, now: float
+) -> Step[NodeState]:
+    """Place requests again that wait for endpoints of the changed zones."""
+    after = state.catalogue
+    step = Step(state)
+    for zone in sorted(before.evacuated_zones ^ after.evacuated_zones):
+        endpoints = [e for e in after.endpoints.values() if e.zone == zone]
+        for group in sorted({endpoint.group for endpoint in endpoints}):
+            step = step.then(_sweep.place_waiting_again(step.state, group, now))
+        record: Effect = EvacuationWithdrawn(zone=zone, revision=after.revision)
+        if zone in after.evacuated_zones:
+            record = ZoneEvacuated(
+                zone=zone,
+                endpoints=len(endpoints),
+                primaries=sum(
+                    e.name == after.group(e.group).primary for e in endpoints
+                ),
+                since_ms_ago=_elapsed_ms(state.evacuated_since[zone], now),
+                revision=after.revision,
+            )
+        step = Step(step.state, step.effects + (record,))
+    return step
+
+
+def _elapsed_ms(since: float, now: float) -> int:
+    """Return the time since `since` in milliseconds; -1 if that is unknown."""
+    return round((now - since) * 1000) if isfinite(since) else -1
+
+
 def _apply_endpoint_changes(
     state: NodeState, before: Catalogue, now: float
 ) -> Step[NodeState]:
--- a/lovagewalk/explain/_causes.py
+++ b/lovagewalk/explain/_causes.py
@@ -11,6 +11,7 @@
     EndpointRefused,
     EndpointSaturated,
     EndpointStatementFailed,
+    EvacuationWithdrawn,
     LeadershipGained,
     LeadershipLost,
     LeaseGained,
@@ -20,6 +21,7 @@
     PromotionOrdered,
     PromotionStarted,
     RequestAnswered,
+    ZoneEvacuated,
     get_record_message,
 )
 
@@ -44,6 +46,8 @@
             EndpointRecovered,
             BucketOffered,
             OwnerSilent,
+            ZoneEvacuated,
+            EvacuationWithdrawn,
         ),
     )
 ) | {"daemon started", "daemon drains"}
@@ -164,6 +168,12 @@
 def _no_endpoint(answer: LogLine, log_lines: Sequence[LogLine]) -> str:
     promotion = _latest(log_lines, PromotionStarted)
     installation = _latest(log_lines, PrimaryInstalled)
+    evacuation = _latest(log_lines, ZoneEvacuated)
+    if "evacuated" in str(answer.get("detail")):
+        return (
+            f"Only endpoints in evacuated zones could serve it; {answer.vm} had known "
+            f"of the evacuation of {evacuation.get('zone')} since {evacuation.time}."
+        )
     if promotion.time and promotion.time > installation.time:
         return (
             f"The primary {promotion.get('primary')} of {promotion.get('group')} was "
--- a/lovagewalk/explain/tests/test_explain.py
+++ b/lovagewalk/explain/tests/test_explain.py
@@ -6,6 +6,7 @@
 
 from lovagewalk.core import Code
 from lovagewalk.explain import explain, parse_log
+from lovagewalk.routing._recovery import EVACUATED_DETAIL
 
 
 def _line(time, part, message, vm="", **fields):
@@ -53,6 +54,7 @@
         (Code.CONFIG_STALE, {}, "had no lease"),
         (Code.KEY_WITHDRAWN, {"version": 7}, "version 7 does not admit"),
         (Code.OVERLOADED, {"phase": "backoff", "attempts": 9}, "sent 9 times"),
+        (Code.NO_ENDPOINT, {"detail": EVACUATED_DETAIL}, "in evacuated zones"),
         (
             Code.CONNECTION_LOST,
             {"endpoint": "i-1", "kind": "write"},
--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -99,6 +99,11 @@
         Endpoint of each pool connection, open or opening.
     leaving_since : Map of str to float
         Since when this daemon knows that an endpoint leaves, in monotonic seconds.
+    confirmed_at : float
+        When a report was sent whose answer confirmed that the catalogue was the latest,
+        in monotonic seconds.
+    evacuated_since : Map of str to float
+        Since when each evacuated zone may have been evacuated, in monotonic seconds.
     access_counts : Map of AccessKey to int
         Statements answered since the last audit report.
     entry_daemons : int
@@ -129,6 +134,8 @@
     await_lease_until: float = 0.0
     conn_endpoints: Map = field(default_factory=Map)
     leaving_since: Map = field(default_factory=Map)
+    confirmed_at: float = -math.inf
+    evacuated_since: Map = field(default_factory=Map)
     access_counts: Map = field(default_factory=Map)
     retry_credits: Map = field(default_factory=Map)
     entry_daemons: int = 0
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -130,6 +130,16 @@
     waiting: int
 
 
+@logged_as("routing", "transaction ended by an evacuation")
+@dataclass(frozen=True, slots=True)
+class TransactionEvacuated(LogRecord):
+    """An open transaction in an evacuated zone was rolled back."""
+
+    caller: int
+    endpoint: str
+    group: str
+
+
 @logged_as("http", "request refused")
 @dataclass(frozen=True, slots=True)
 class HttpRequestRefused(LogRecord):
@@ -156,6 +166,35 @@
     revision: int
 
 
+@logged_as("catalogue", "zone evacuated")
+@dataclass(frozen=True, slots=True)
+class ZoneEvacuated(LogRecord):
+    """The evacuation of a zone takes effect on this VM.
+
+    Attributes
+    ----------
+    endpoints, primaries : int
+        Number of endpoints in the zone, and of those that are primaries.
+    since_ms_ago : int
+        Longest time since when it may be in force, in milliseconds; -1 if unknown.
+    """
+
+    zone: str
+    endpoints: int
+    primaries: int
+    since_ms_ago: int
+    revision: int
+
+
+@logged_as("catalogue", "evacuation withdrawn")
+@dataclass(frozen=True, slots=True)
+class EvacuationWithdrawn(LogRecord):
+    """A zone is in service again on this VM."""
+
+    zone: str
+    revision: int
+
+
 @logged_as("catalogue", "catalogue read")
 @dataclass(frozen=True, slots=True)
 class CatalogueRead(LogRecord):
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -18,7 +18,8 @@
 from ._answer import answer, later_position, store_position
 from ._draining import refuses_statements
 from ._effects import CheckReportDue
-from ._recovery import abort_and_answer
+from ._evacuation import cannot_be_served
+from ._recovery import abort_and_answer, refuse_evacuated
 from ._state import Phase, Request
 from ._types import BEGIN_KINDS, StatementKind
 
@@ -177,6 +178,8 @@
 
 @handles(StatementKind.READ, StatementKind.WRITE, StatementKind.DEFINITION)
 def _charge_and_run(state: NodeState, request: Request, now: float) -> Step[NodeState]:
+    if cannot_be_served(state, request, now):
+        return refuse_evacuated(state, request)
     if not request.customer or not _counts_against_rate(state, request):
         return run_admitted(state, request, now)
     share = state.shares.get(request.customer) or Share(request.customer)
--- a/lovagewalk/routing/_consistency.py
+++ b/lovagewalk/routing/_consistency.py
@@ -14,7 +14,7 @@
 from lovagewalk.pools import estimate_wait, is_slow, may_send
 from lovagewalk.sessions import Session, TransactionState
 
-from ._leaving import has_left
+from ._evacuation import takes_no_work
 from ._state import Request
 
 # Number of requests in flight that make one load step in an endpoint's rank; within a
@@ -126,7 +126,9 @@
     endpoints = [
         endpoint
         for endpoint in state.catalogue.group_endpoints(request.group)
-        if not endpoint.leaving and endpoint.name not in request.tried_endpoints
+        if not endpoint.leaving
+        and endpoint.zone not in state.catalogue.evacuated_zones
+        and endpoint.name not in request.tried_endpoints
     ]
     if not endpoints:
         return ""
@@ -161,7 +163,7 @@
 ) -> str:
     if not config.primary or config.term == request.refused_term:
         return ""
-    if has_left(state, config.primary, now):
+    if takes_no_work(state, config.primary, now):
         return ""
     return config.primary if config.primary in state.catalogue.endpoints else ""
 
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -20,7 +20,7 @@
 from . import _admit, _place, _recovery
 from ._answer import answer
 from ._effects import OnceId, RunStatement
-from ._leaving import has_left
+from ._evacuation import is_evacuation_over, takes_no_work
 from ._settings import apply_setup, plan_setup
 from ._state import Phase, Request
 from ._transactions import abort_transaction, has_lost_transaction
@@ -54,7 +54,7 @@
 def _open_connections(state: NodeState, endpoint: str, now: float) -> Step[NodeState]:
     pool = _place.get_pool(state, endpoint)
     entry = state.catalogue.endpoints.get(endpoint)
-    if entry is None:
+    if entry is None or takes_no_work(state, endpoint, now):
         return Step(state)
     if not pool.dedicated:
         customers = ("",) * count_to_open(pool, now)
@@ -114,7 +114,7 @@
     if not _is_current_incarnation(state, request, conn):
         step = close_connection(state, conn, now)
         return step.then(_place.place(step.state, request, now))
-    if has_left(state, request.endpoint, now):
+    if takes_no_work(state, request.endpoint, now):
         step = return_connection(state, conn, now)
         return step.then(_place.place(step.state, request, now))
     if request.has_explicit_consistency or _holds_min_position(state, request):
@@ -164,10 +164,12 @@
     if has_lost_transaction(request, session):
         step = return_connection(state, conn, now)
         return step.then(_recovery.answer_lost_transaction(step.state, request))
+    endpoint = state.conn_endpoints[conn]
+    if session.conn and is_evacuation_over(state, endpoint, now):
+        return _recovery.end_evacuated_transaction(state, request, now)
     refusal = _refusal_at_send(state, session, request, now)
     if refusal is not None:
         return _refuse_at_send(state, request, conn, refusal, now)
-    endpoint = state.conn_endpoints[conn]
     begin = needs_begin(request, session)
     if begin:
         pinned = replace(session, conn=conn, transaction=TransactionState.PINNED)
--- a/lovagewalk/routing/_place.py
+++ b/lovagewalk/routing/_place.py
@@ -29,7 +29,7 @@
 
 from . import _dispatch, _recovery
 from ._consistency import choose_endpoint, plan_request
-from ._leaving import has_left
+from ._evacuation import is_group_evacuated, takes_no_work
 from ._state import Phase, Request
 from ._transactions import has_lost_transaction
 from ._types import StatementKind
@@ -70,6 +70,10 @@
     if request.has_explicit_consistency:
         return _place_explicit(state, request, session, now)
     target = choose_target(state, request, session, now)
+    if target.phase is Phase.PRIMARY and is_group_evacuated(
+        state, request.group, True, now
+    ):
+        return _recovery.refuse_evacuated(state, request)
     request = replace(request, phase=target.phase, endpoint=target.endpoint)
     if target.phase is Phase.CONNECTION:
         return _queue(state, request, now)
@@ -90,6 +94,10 @@
     if request.at_primary and is_isolated_from_primary(state, request.group, now):
         return _recovery.refuse_unreachable_primary(state, request)
     endpoint = choose_endpoint(state, request, now)
+    if not endpoint and is_group_evacuated(
+        state, request.group, request.at_primary, now
+    ):
+        return _recovery.refuse_evacuated(state, request)
     if not endpoint and not request.at_primary:
         if not request.tried_endpoints:
             return _await_primary(state, request)
@@ -229,7 +237,7 @@
         replica = _choose_replica(state, config, request, session, now)
         if replica is not None:
             return replica
-    if has_left(state, config.primary, now):
+    if takes_no_work(state, config.primary, now):
         return Target(Phase.PRIMARY)
     return _choose_primary(config, request)
 
@@ -261,7 +269,11 @@
     if view is None or (session.position is None and max_age is None):
         return None
     min_position = min_read_position(config, session)
-    replicas = live_replicas(state, view, config)
+    replicas = [
+        endpoint
+        for endpoint in live_replicas(state, view, config)
+        if endpoint.zone not in state.catalogue.evacuated_zones
+    ]
     eligible = [
         endpoint
         for endpoint in replicas
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -27,6 +27,7 @@
 
 from . import _dispatch, _place
 from ._answer import answer
+from ._evacuation import retry_time_s
 from ._events import Failure, StatementFailed
 from ._pacing import log_pace_change
 from ._state import Phase, Request
@@ -39,6 +40,7 @@
 MAX_REFUSED_ATTEMPTS = 60
 # A failed endpoint is chosen last for this time, within which a failover begins.
 EJECTION_S = 0.5
+EVACUATED_DETAIL = "the zone of the endpoint is evacuated"
 
 FailureHandler = Callable[[NodeState, Request, StatementFailed], Step[NodeState]]
 _failure_handlers: Handlers[Failure, FailureHandler] = Handlers()
@@ -273,6 +275,26 @@
     return answer(state, request, refusal)
 
 
+def refuse_evacuated(state: NodeState, request: Request) -> Step[NodeState]:
+    """Refuse a request that only endpoints in evacuated zones could serve."""
+    if request.may_have_run:
+        return answer(state, request, Refusal(Code.CONNECTION_LOST, EVACUATED_DETAIL))
+    retry_after_s = retry_time_s(state, request.req)
+    refusal = Refusal(Code.NO_ENDPOINT, EVACUATED_DETAIL, retry_after_s=retry_after_s)
+    return answer(state, request, refusal)
+
+
+def end_evacuated_transaction(
+    state: NodeState, request: Request, now: float
+) -> Step[NodeState]:
+    """Roll back a transaction in an evacuated zone instead of sending a statement."""
+    if request.kind is not StatementKind.ROLLBACK:
+        return abort_and_answer(state, request, now, EVACUATED_DETAIL)
+    session = state.sessions[request.caller]
+    step = abort_transaction(state, session, TransactionState.NONE, now)
+    return step.then(answer(step.state, request))
+
+
 def refuse_overloaded(
     state: NodeState, request: Request, wait_s: float
 ) -> Step[NodeState]:
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -9,7 +9,15 @@
 from lovagewalk.sessions import Session, TransactionState
 from lovagewalk.shares import return_tokens, take_token
 
-from . import _admit, _callers, _dispatch, _outcome, _place, _recovery
+from . import (
+    _admit,
+    _callers,
+    _dispatch,
+    _evacuated_work,
+    _outcome,
+    _place,
+    _recovery,
+)
 from ._answer import answer
 from ._draining import answer_deadline, refuses_operations
 from ._pacing import log_pace_change
@@ -53,6 +61,7 @@
     now = event.at
     step = _callers.answer_early_callers(state, now)
     step = step.then(_admit_all_waiting(step.state, now))
+    step = step.then(_evacuated_work.end_evacuated_work(step.state, now))
     step = step.then(
         walk_requests(step.state, lambda state, req: _sweep_request(state, req, now))
     )
--- a/lovagewalk/runtime/_metrics.py
+++ b/lovagewalk/runtime/_metrics.py
@@ -205,6 +205,12 @@
             "Installed term by group; each change is a change of primary.",
             registry=self.registry,
         )
+        self.zone_evacuated = Gauge(
+            "lovagewalk_zone_evacuated",
+            "Whether a zone is evacuated, for zones that were since the start.",
+            registry=self.registry,
+        )
+        self._seen_evacuations: set[str] = set()
         self.peer_bytes = Gauge(
             "lovagewalk_peer_sent_bytes",
             "Bytes sent to other daemons.",
@@ -272,6 +278,10 @@
         self.version.set({}, state.catalogue.version)
         self.fresh_seconds.set({}, max(state.fresh_until - now, 0.0))
         self.peer_bytes.set({}, sent_bytes)
+        self._seen_evacuations |= state.catalogue.evacuated_zones
+        for zone in self._seen_evacuations:
+            is_evacuated = zone in state.catalogue.evacuated_zones
+            self.zone_evacuated.set({"zone": zone}, int(is_evacuated))
         raft = state.consensus
         self.is_control_leader.set({}, int(raft is not None and raft.is_leader))
         if raft is not None:
--- a/lovagewalk/runtime/tests/test_metrics.py
+++ b/lovagewalk/runtime/tests/test_metrics.py
@@ -10,6 +10,7 @@
     CustomerEntry,
     Proposal,
     PutCustomer,
+    SetZoneEvacuation,
     apply_proposal,
 )
 from lovagewalk.core import Code, Refusal, perform, replace
@@ -126,3 +127,19 @@
         customer_class_label(state, "kiosk") == "3"
         and customer_class_label(state, "") == ""
     )
+
+
+def test_a_zone_is_shown_as_in_service_after_a_withdrawal():
+    """Guards against an alarm that stays on, since the last value was kept."""
+    metrics = Metrics()
+    state = NodeState(Identity("e", "z", "r", b"secret"))
+    metrics.collect_state(state, 1.0, 0)
+    assert "zone_evacuated{" not in _render(metrics)
+    for index, evacuated in enumerate((True, False), 1):
+        command = SetZoneEvacuation("zone-a", evacuated, True, index)
+        proposal = Proposal("", "test", 0.0, command)
+        applied = apply_proposal(state.catalogue, index, proposal)
+        state = replace(state, catalogue=applied.catalogue)
+        metrics.collect_state(state, 1.0, 0)
+        expected = f'zone_evacuated{{zone="zone-a"}} {int(evacuated)}'
+        assert expected in _render(metrics)
--- a/lovagewalk/runtime/tests/test_records.py
+++ b/lovagewalk/runtime/tests/test_records.py
@@ -17,6 +17,7 @@
     "term",
     "after",
     "target",
+    "zone",
 }
 SECRET_WORDS = ("key", "secret", "token", "text", "password", "digest")
 
