--- a/lovagewalk/routing/tests/endpoint_model.py
+++ b/lovagewalk/routing/tests/endpoint_model.py
@@ -205,7 +205,7 @@
             group,
             "host",
             port,
-            "zone-a",
+            self.get_zone(name),
             "west",
             0,
             leaving,
@@ -214,6 +214,9 @@
         )
         self.change(cat.AnnounceEndpoint(endpoint))
 
+    def get_zone(self, name):
+        return "zone-a"
+
     def install(self, group):
         """Let the daemon learn who leads a group."""
         term = self.terms[group]
--- a/lovagewalk/routing/tests/test_evacuation.py
+++ b/lovagewalk/routing/tests/test_evacuation.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from lovagewalk.catalogue import SetZoneEvacuation
+from lovagewalk.catalogue import Consistency, RouteClass, SetZoneEvacuation
 from lovagewalk.core import Code, replace
 from lovagewalk.groups import Position
 from lovagewalk.records import TransactionEvacuated
 from lovagewalk.routing import Failure, StatementKind
 from lovagewalk.routing._evacuation import EVACUATION_WORK_S
 
-from .provider_site import FAR, NEAR, PRIMARY, Site
+from .provider_site import FAR, NEAR, PRIMARY, ROUTES, Site, route
 
 PRIMARY_ZONE, NEAR_ZONE, FAR_ZONE = "zone-b", "zone-a", "zone-c"
 ALL_ZONES = (PRIMARY_ZONE, NEAR_ZONE, FAR_ZONE)
@@ -278,3 +278,22 @@
     reqs = [site.write(site.connect("till")) for _ in range(20)]
     times = {site.answers[req].refusal.retry_after_s for req in reqs}
     assert len(times) == len(reqs)
+
+
+def test_a_late_daemon_opens_no_connection_to_the_zone():
+    """Guards against a connection for what waits in the queue of a suspended daemon."""
+    site = EvacuatedSite(connections=2)
+    free = route("free", Consistency.PRIMARY, route_class=RouteClass.OPEN)
+    site.configure(2, (*ROUTES, free), connections=2)
+    site.unresponsive.add(PRIMARY)
+    site.write(site.connect("till"))
+    queued = site.write(site.connect("free", key=""))
+    site.evacuate(PRIMARY_ZONE)
+    site.now += EVACUATION_WORK_S + 0.1
+    site.unresponsive.clear()
+    (opening,) = site.opened
+    site.open(opening)
+    assert [effect.conn for effect in site.opened] == [opening.conn] * 2
+    site.sweep()
+    site.assert_refused(queued)
+    assert not site.runs
