--- a/lovagewalk/control/tests/test_site_machine.py
+++ b/lovagewalk/control/tests/test_site_machine.py
@@ -29,9 +29,11 @@
 
 
 class SiteMachine(RuleBasedStateMachine):
+    site_type = SimulatedSite
+
     def __init__(self):
         super().__init__()
-        self.site = SimulatedSite()
+        self.site = self.site_type()
         self.started_at = self.site.now
         self.sessions = [
             (entry, route, self.site.connect(entry, route))
