Control: poll replicas outside evacuated zones less often

Cause: for as long as no replica outside answered, or the rate of orders was used up, each was polled ten times a second. Change: 0.3 s between polls, as of primaries; the first one is sent at once. Without an evacuation, admission looks at nothing more.

--- a/lovagewalk/control/_provider.py
+++ b/lovagewalk/control/_provider.py
@@ -100,7 +100,7 @@
         if endpoint.name != config.primary
         and (config.sync_replicas or not state.catalogue.is_evacuated(endpoint.name))
     )
-    step = poll_instances(state, replicas, SURVEY_PERIOD_S, now)
+    step = poll_instances(state, replicas, PRIMARY_POLL_PERIOD_S, now)
     if not can_take_over(step.state, config, now):
         return step
     if not may_start_move(step.state.control, now):
--- a/lovagewalk/control/_zone_moves.py
+++ b/lovagewalk/control/_zone_moves.py
@@ -11,8 +11,7 @@
 # The provider accepts 50 calls a second; the rest is left to lost primaries.
 MOVE_ORDERS_PER_S = 40
 ORDER_WINDOW_S = 1.0
-# A replica that can take over has answered one of the last polls, 0.1 s apart, over a
-# link to another region.
+# A replica that can take over has answered one of the last two polls, 0.3 s apart.
 REPLICA_UNRESPONSIVE_S = 0.6
 _BEFORE_ORDER = frozenset((PromotionStage.ALLOCATE, PromotionStage.SURVEY))
 
--- a/lovagewalk/routing/_evacuation.py
+++ b/lovagewalk/routing/_evacuation.py
@@ -94,6 +94,8 @@
 
     Such a request takes no token, and waits for none.
     """
+    if not state.catalogue.evacuated_zones:
+        return False
     is_read = request.kind in (StatementKind.READ, StatementKind.BEGIN_READ)
     route = request.route
     at_primary = not is_read or (
