--- a/lovagewalk/codec/_codec.py
+++ b/lovagewalk/codec/_codec.py
@@ -53,6 +53,14 @@
     )
 }
 
+# Fields that only some deployments use. They are left out where they have their
+# defaults, so that messages do not grow, and versions before them accept the data. A
+# type is listed after the types that it contains, whose encoding it includes.
+_OPTIONAL_FIELDS: dict[type, tuple[str, ...]] = {
+    cat.CatalogueDelta: ("evacuated_zones",),
+}
+_OPTIONAL_ENDPOINT_FIELDS = ("slots", "cold_left_s")
+
 
 def _build_converter() -> Converter:
     converter = Converter(forbid_extra_keys=True, detailed_validation=False)
@@ -61,18 +69,27 @@
         lambda enum_type: isinstance(enum_type, type) and issubclass(enum_type, Enum),
         lambda name, enum_type: enum_type[name],
     )
+    # Commands contain endpoints.
+    _omit_defaults(converter, cat.Endpoint, _OPTIONAL_ENDPOINT_FIELDS)
     configure_tagged_union(cat.Command, converter)
     configure_tagged_union(cat.CustomerEntry | cat.RouteEntry | cat.KeyEntry, converter)
-    # Left out where it is empty, so that versions before it accept the delta.
-    unstructure_delta = make_dict_unstructure_fn(
-        cat.CatalogueDelta, converter, evacuated_zones=override(omit_if_default=True)
-    )
-    converter.register_unstructure_hook(cat.CatalogueDelta, unstructure_delta)
+    for encoded_type, names in _OPTIONAL_FIELDS.items():
+        _omit_defaults(converter, encoded_type, names)
     converter.register_unstructure_hook(cat.Catalogue, _unstructure_catalogue)
     converter.register_structure_hook(cat.Catalogue, _structure_catalogue)
     return converter
 
 
+def _omit_defaults(
+    converter: Converter, encoded_type: type, names: tuple[str, ...]
+) -> None:
+    """Leave fields of a type out where they have their default values."""
+    optional = {name: override(omit_if_default=True) for name in names}
+    converter.register_unstructure_hook(
+        encoded_type, make_dict_unstructure_fn(encoded_type, converter, **optional)
+    )
+
+
 def _unstructure_catalogue(catalogue: cat.Catalogue) -> dict[str, Any]:
     """Return a catalogue's fields.
 
--- a/lovagewalk/settings/_reader.py
+++ b/lovagewalk/settings/_reader.py
@@ -8,7 +8,7 @@
 
 from lovagewalk.core import Code, LovageError, find_value_problem
 
-from ._address import Address, parse_address
+from ._address import Address
 
 
 def _refuse_constant(name: str) -> None:
