--- a/lovagewalk/daemon/_changes.py
+++ b/lovagewalk/daemon/_changes.py
@@ -17,7 +17,7 @@
 from lovagewalk.routing import _callers, _dispatch, _outcome, _place, _sweep
 from lovagewalk.routing._evacuation import record_evacuations
 from lovagewalk.routing._leaving import record_leaving
-from lovagewalk.routing._pacing import restart_paces
+from lovagewalk.routing._pacing import restart_paces, restart_returned
 
 
 def install_catalogue(
@@ -66,6 +66,8 @@
         endpoints = [e for e in after.endpoints.values() if e.zone == zone]
         for group in sorted({endpoint.group for endpoint in endpoints}):
             step = step.then(_sweep.place_waiting_again(step.state, group, now))
+        if zone in before.evacuated_zones:
+            step = step.then(restart_returned(step.state, tuple(endpoints), now))
         record: Effect = EvacuationWithdrawn(zone=zone, revision=after.revision)
         if zone in after.evacuated_zones:
             record = ZoneEvacuated(
--- a/lovagewalk/routing/_pacing.py
+++ b/lovagewalk/routing/_pacing.py
@@ -48,6 +48,21 @@
     return PaceCause.NONE
 
 
+def restart_returned(
+    state: NodeState, endpoints: tuple[Endpoint, ...], now: float
+) -> Step[NodeState]:
+    """Start the pace of endpoints anew whose zone is not evacuated any more."""
+    step = Step(state)
+    if not state.identity.paces_endpoints:
+        return step
+    for endpoint in endpoints:
+        if state.catalogue.group(endpoint.group).management is Management.PROVIDER:
+            step = step.then(
+                restart_endpoint(step.state, endpoint, PaceCause.RETURNED, now)
+            )
+    return step
+
+
 def restart_endpoint(
     state: NodeState, endpoint: Endpoint, cause: PaceCause, now: float
 ) -> Step[NodeState]:
--- a/lovagewalk/routing/tests/test_pacing.py
+++ b/lovagewalk/routing/tests/test_pacing.py
@@ -3,7 +3,7 @@
 import pytest
 from immutables import Map
 
-from lovagewalk.catalogue import Catalogue
+from lovagewalk.catalogue import Catalogue, SetZoneEvacuation
 from lovagewalk.core import Code, replace
 from lovagewalk.daemon import install_catalogue
 from lovagewalk.daemon._changes import resize_pools
@@ -161,6 +161,16 @@
     assert len(site.runs) == 1
 
 
+def test_an_endpoint_whose_zone_is_not_evacuated_any_more_is_probed(site):
+    """Guards against a flood at endpoints that got no work for a time."""
+    zone = site.state.catalogue.endpoints[NEAR].zone
+    for evacuated in (True, False):
+        revision = site.state.catalogue.revision
+        site.change(SetZoneEvacuation(zone, evacuated, in_settings=True, seen=revision))
+    assert _pace(site, NEAR).state is PaceState.UNKNOWN
+    assert _pace(site, NEAR).cause is PaceCause.RETURNED
+
+
 def test_a_transaction_that_has_begun_is_not_delayed(site):
     """It holds locks that others wait for."""
     caller = site.begin("till")
