Identity and reports: whether a daemon's link is narrow

The platform adapter decodes limits.linkMbps (at most 100) into Identity.low_bandwidth, and reports carry it. The codec leaves out fields of this kind while they have their defaults, so that the messages of all other deployments are as before.

--- a/lovagewalk/codec/_codec.py
+++ b/lovagewalk/codec/_codec.py
@@ -6,6 +6,7 @@
 
 import msgpack
 from cattrs import Converter
+from cattrs.gen import make_dict_unstructure_fn, override
 from cattrs.strategies import configure_tagged_union
 from immutables import Map
 
@@ -52,6 +53,12 @@
     )
 }
 
+# Fields that only some deployments use. They are encoded where they differ from their
+# defaults, so that the messages of all others do not grow.
+_OPTIONAL_FIELDS: dict[type, tuple[str, ...]] = {
+    control.FollowRequest: ("low_bandwidth",),
+}
+
 
 def _build_converter() -> Converter:
     converter = Converter(forbid_extra_keys=True, detailed_validation=False)
@@ -62,6 +69,11 @@
     )
     configure_tagged_union(cat.Command, converter)
     configure_tagged_union(cat.CustomerEntry | cat.RouteEntry | cat.KeyEntry, converter)
+    for message_type, names in _OPTIONAL_FIELDS.items():
+        optional = {name: override(omit_if_default=True) for name in names}
+        converter.register_unstructure_hook(
+            message_type, make_dict_unstructure_fn(message_type, converter, **optional)
+        )
     converter.register_unstructure_hook(cat.Catalogue, _unstructure_catalogue)
     converter.register_structure_hook(cat.Catalogue, _structure_catalogue)
     return converter
--- a/lovagewalk/codec/tests/test_codec.py
+++ b/lovagewalk/codec/tests/test_codec.py
@@ -8,8 +8,9 @@
 from lovagewalk.catalogue import Catalogue, NoteHolder, Proposal, apply_proposal
 from lovagewalk.codec import CODEC_VERSION, MAX_FRAME_BYTES, decode, encode
 from lovagewalk.consensus import LogEntry, SnapshotRequest, VoteRequest
+from lovagewalk.control._messages import FollowRequest
 from lovagewalk.control.tests.control_fleet import configuration
-from lovagewalk.core import Code, LovageError
+from lovagewalk.core import Code, LovageError, replace
 
 GROUP_NAMES = tuple(f"group-{number}" for number in range(200))
 
@@ -54,3 +55,11 @@
     with pytest.raises(LovageError) as caught:
         decode(data)
     assert caught.value.code is Code.FRAME_BAD
+
+
+def test_a_field_of_some_deployments_is_encoded_only_where_it_is_set():
+    """Reports of other deployments would grow on links that are priced by the byte."""
+    plain = FollowRequest("b", 1, 1, False, (), ())
+    flagged = replace(plain, low_bandwidth=True)
+    assert b"low_bandwidth" not in encode(plain)
+    assert (decode(encode(plain)), decode(encode(flagged))) == (plain, flagged)
--- a/lovagewalk/control/_messages.py
+++ b/lovagewalk/control/_messages.py
@@ -91,6 +91,8 @@
         Its region.
     may_own : bool
         Whether other daemons can reach it, so that it may own buckets.
+    low_bandwidth : bool
+        Whether its network link is narrow.
     """
 
     boot: str
@@ -104,6 +106,7 @@
     has_log: bool = False
     region: str = ""
     may_own: bool = False
+    low_bandwidth: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/control/_reports.py
+++ b/lovagewalk/control/_reports.py
@@ -147,6 +147,7 @@
         has_log=has_log(state),
         region=state.identity.region,
         may_own=state.identity.may_own,
+        low_bandwidth=state.identity.low_bandwidth,
     )
     shares = state.shares if target == follow.target else forget_requested(state.shares)
     for share in reported_shares:
--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -48,6 +48,9 @@
         Whether it serves callers.
     may_own : bool
         Whether other daemons can open links to it, so that it may own buckets.
+    low_bandwidth : bool
+        Whether its network link is narrow, so that buckets are lent by region and
+        queues for tokens are short.
     drain_limits : DrainLimits
         How long callers may continue while it drains.
     """
@@ -61,6 +64,7 @@
     entry: bool = True
     drain_limits: DrainLimits = DrainLimits()
     may_own: bool = False
+    low_bandwidth: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -91,6 +91,7 @@
             entry=cfg.callers is not None,
             drain_limits=plan_drain(cfg.grace_s, OUT_OF_ROTATION_S),
             may_own=True,
+            low_bandwidth=cfg.low_bandwidth,
         )
         seeds = cfg.control_names
         target = self.name if self.is_control else seeds[0]
--- a/lovagewalk/platform/tests/test_settings.py
+++ b/lovagewalk/platform/tests/test_settings.py
@@ -38,6 +38,26 @@
     assert "long-enough" not in repr(cfg)
 
 
+@pytest.mark.parametrize(
+    ("limits", "low_bandwidth"),
+    [
+        ({"linkMbps": 2}, True),
+        ({"linkMbps": 5.3}, True),
+        ({"linkMbps": 100}, True),
+        ({"linkMbps": 1000}, False),
+        ({"linkMbps": 0}, False),
+        ({"memoryMb": 200}, False),
+    ],
+)
+def test_the_bandwidth_of_the_link_decides_whether_it_is_narrow(limits, low_bandwidth):
+    cfg = decode_settings({**RAW, "limits": limits}, "long-enough")
+    assert cfg.low_bandwidth is low_bandwidth
+
+
+def test_a_link_of_unstated_bandwidth_is_not_narrow():
+    assert not decode_settings(RAW, "long-enough").low_bandwidth
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -49,6 +69,7 @@
         {"bootstrap": "yes"},
         {"listenAddrs": {"controlPlane": "10.1.0.29"}},
         {"bounds": {"graceS": "six"}},
+        {"limits": {"linkMbps": "2"}},
     ],
 )
 def test_the_error_names_a_wrong_setting(change):
