--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -11,6 +11,15 @@
 
 from lovagewalk.catalogue import Catalogue
 
+# A link of at most this bandwidth, in Mbit/s, is narrow. Links of VMs have 2 to 5.3 or
+# 1,000 Mbit/s.
+NARROW_LINK_MBPS = 100.0
+
+
+def is_narrow_link(bandwidth_mbps: float) -> bool:
+    """Whether a link of this bandwidth is narrow; 0 states no bandwidth."""
+    return 0 < bandwidth_mbps <= NARROW_LINK_MBPS
+
 
 @dataclass(frozen=True, slots=True)
 class DrainLimits:
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -7,7 +7,7 @@
 from lovagewalk.control import ConsensusTick, ControlTick, FollowState, RepairTick
 from lovagewalk.core import Event, Shell, TimerService
 from lovagewalk.daemon import SweepTick
-from lovagewalk.node import Identity, NodeState
+from lovagewalk.node import Identity, NodeState, is_narrow_link
 from lovagewalk.routing import plan_drain
 from lovagewalk.runtime import (
     CallerServer,
@@ -91,13 +91,12 @@
             entry=cfg.callers is not None,
             drain_limits=plan_drain(cfg.grace_s, OUT_OF_ROTATION_S),
             may_own=True,
-            low_bandwidth=cfg.low_bandwidth,
+            low_bandwidth=is_narrow_link(cfg.link_mbps),
         )
         seeds = cfg.control_names
         target = self.name if self.is_control else seeds[0]
-        state = NodeState(
-            identity, follow=FollowState(seeds, target, secrets.token_hex(8))
-        )
+        follow = FollowState(seeds, target, secrets.token_hex(8))
+        state = NodeState(identity, follow=follow)
         if not self.is_control:
             return state
         bootstrap_members = seeds if cfg.bootstrap else ()
--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -21,8 +21,6 @@
 SECRET_VARIABLE = "LOVAGEWALK_FLEET_SECRET"
 # The deploy file names the same port; the internal ports change from day to day.
 METRICS_PORT = 9464
-# A link of at most this bandwidth, in Mbit/s, counts as narrow.
-LOW_BANDWIDTH_MBPS = 100.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,8 +29,6 @@
 
     Attributes
     ----------
-    name : str
-        Name of the VM.
     callers, health, operators : Address or None
         Addresses of the listeners for callers, for the load balancer's checks,
         and for operators and endpoints; None for a listener that is not opened.
@@ -50,8 +46,8 @@
         Address of the provider, which promotes instances.
     grace_s : float
         Time between a request to stop and a forced stop, in seconds.
-    low_bandwidth : bool
-        Whether the VM's network link is narrow; False if its bandwidth is not stated.
+    link_mbps : float
+        Bandwidth of the VM's network link; 0 if it is not stated.
     """
 
     name: str
@@ -68,7 +64,7 @@
     regions: Mapping[str, str]
     provider: Address | None
     grace_s: float
-    low_bandwidth: bool
+    link_mbps: float
     secret: str = field(repr=False)
 
     @property
@@ -133,17 +129,11 @@
         regions=reader.get("zones", dict, {}),
         provider=reader.table("providerApi").address("addr"),
         grace_s=reader.table("bounds").get("graceS", float, 6.0),
-        low_bandwidth=_decode_low_bandwidth(reader),
+        link_mbps=reader.table("limits").get("linkMbps", float, 0.0),
         secret=secret,
     )
 
 
-def _decode_low_bandwidth(reader: TableReader) -> bool:
-    """Return whether the VM's network link is narrow; 0 states no bandwidth."""
-    link_mbps = reader.table("limits").get("linkMbps", float, 0.0)
-    return 0 < link_mbps <= LOW_BANDWIDTH_MBPS
-
-
 def _decode_peers_port(reader: TableReader) -> int:
     """Return the first of the two ports that are reserved for internal use."""
     ports = reader.get("internalPorts", list)
--- a/lovagewalk/platform/tests/test_settings.py
+++ b/lovagewalk/platform/tests/test_settings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from lovagewalk.core import Code, LovageError
+from lovagewalk.node import is_narrow_link
 from lovagewalk.platform._settings import (
     SECRET_VARIABLE,
     SETTINGS_VARIABLE,
@@ -51,11 +52,11 @@
 )
 def test_the_bandwidth_of_the_link_decides_whether_it_is_narrow(limits, low_bandwidth):
     cfg = decode_settings({**RAW, "limits": limits}, "long-enough")
-    assert cfg.low_bandwidth is low_bandwidth
+    assert is_narrow_link(cfg.link_mbps) is low_bandwidth
 
 
 def test_a_link_of_unstated_bandwidth_is_not_narrow():
-    assert not decode_settings(RAW, "long-enough").low_bandwidth
+    assert not is_narrow_link(decode_settings(RAW, "long-enough").link_mbps)
 
 
 @pytest.mark.parametrize(
