Undivided buckets: a part and an owner in each region on narrow links

Cause: with one owner for both regions, half of all operations waited for a round trip between the regions for a token, and the loss of one owner or one link stopped a customer everywhere.

Change: where entry daemons with narrow links report from two regions, the leader lends a bucket in parts by the regions' demand (control/_regions.py). Daemons ask the owner in their region. An owner that has no token in time forwards the need once to the owner of another part, which answers the asker directly. A silent owner is replaced by the other one at its askers, and by another daemon of its region at the leader. The ledger counts parts as it counted whole buckets. Records tell who owns which part and what is forwarded; they also count in lovagewalk_events_total.

A copy of an admission used to add its token to the receiver's bucket; on narrow links, only an expected answer returns a token. Requests for tokens are repeated at once only if another owner was named: a daemon that the leader took for the owner, by the margin of its lease, asked the leader without end (found by the state machine, as a loop).

test_fleet_machine.py: its daemons may have regions and narrow links, hold back messages, and fail instead of running on if messages never end.

--- a/lovagewalk/buckets/__init__.py
+++ b/lovagewalk/buckets/__init__.py
@@ -9,10 +9,13 @@
 from ._messages import (
     BucketOffer,
     BucketOwner,
+    ForwardedAsk,
+    PartOwner,
     TokenAdmission,
     TokenAnswer,
     TokenAsk,
     TokenDenial,
+    TokenForward,
     TokenNeed,
 )
 from ._queue import (
@@ -31,11 +34,14 @@
     "BucketOffer",
     "BucketOwner",
     "DeniedNeed",
+    "ForwardedAsk",
+    "PartOwner",
     "QueuedNeed",
     "TokenAdmission",
     "TokenAnswer",
     "TokenAsk",
     "TokenDenial",
+    "TokenForward",
     "TokenNeed",
     "admit_needs",
     "choose_owner",
--- a/lovagewalk/buckets/_messages.py
+++ b/lovagewalk/buckets/_messages.py
@@ -28,11 +28,43 @@
 
 @dataclass(frozen=True, slots=True)
 class TokenAsk:
-    """Requests tokens from the owner of a bucket, or from the leader."""
+    """Requests tokens from the owner of a bucket, or from the leader.
 
+    Attributes
+    ----------
+    region : str
+        The sender's region, where buckets may be lent by region; empty elsewhere.
+    """
+
+    needs: tuple[TokenNeed, ...]
+    region: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedAsk:
+    """Needs of one daemon that an owner forwards."""
+
+    peer: str
     needs: tuple[TokenNeed, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class TokenForward:
+    """Needs that the sender's part of a bucket cannot admit in time.
+
+    The receiver owns another part. It admits or denies the needs, answers their daemons
+    directly, and forwards none of them again.
+
+    Attributes
+    ----------
+    wants_answer : bool
+        Whether the sender expects an empty `TokenAnswer`, as a sign of life.
+    """
+
+    asks: tuple[ForwardedAsk, ...]
+    wants_answer: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class TokenAdmission:
     """A request that is granted a token.
@@ -64,10 +96,25 @@
 
 @dataclass(frozen=True, slots=True)
 class BucketOwner:
-    """The daemon that owns a customer's bucket; empty if the sender knows of none."""
+    """The daemon that owns a customer's bucket; empty if the sender knows of none.
+
+    Attributes
+    ----------
+    other : str
+        The owner of another part, to be asked if `owner` is silent; empty for none.
+    """
 
     customer: str
     owner: str
+    other: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class PartOwner:
+    """The daemon that owns the part of a bucket that is lent to a region."""
+
+    owner: str
+    region: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +129,8 @@
         Control VM to request tokens from instead; empty if unknown.
     owners : tuple of BucketOwner
         Customers whose needs the sender has not queued, and where to request tokens.
+    next_owners : tuple of BucketOwner
+        Customers whose needs the sender has queued, and where to request tokens later.
     """
 
     admitted: tuple[TokenAdmission, ...] = ()
@@ -89,6 +138,7 @@
     is_leader: bool = True
     leader: str = ""
     owners: tuple[BucketOwner, ...] = ()
+    next_owners: tuple[BucketOwner, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/buckets/_queue.py
+++ b/lovagewalk/buckets/_queue.py
@@ -28,6 +28,8 @@
         Priority of its route; 0 is served first.
     is_accepted : bool
         Whether a short queue has accepted it.
+    is_forwarded : bool
+        Whether the owner of another part has forwarded it.
     """
 
     peer: str
@@ -36,6 +38,7 @@
     missing: float = 1.0
     priority: int = 0
     is_accepted: bool = False
+    is_forwarded: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/codec/_codec.py
+++ b/lovagewalk/codec/_codec.py
@@ -50,13 +50,19 @@
         buckets.BucketOffer,
         buckets.TokenAnswer,
         buckets.TokenAsk,
+        buckets.TokenForward,
     )
 }
 
 # Fields that only some deployments use. They are encoded where they differ from their
 # defaults, so that the messages of all others do not grow.
 _OPTIONAL_FIELDS: dict[type, tuple[str, ...]] = {
+    buckets.BucketOwner: ("other",),
+    buckets.TokenAnswer: ("next_owners",),
+    buckets.TokenAsk: ("region",),
+    buckets.TokenForward: ("wants_answer",),
     control.FollowRequest: ("low_bandwidth",),
+    control.ShareGrant: ("by_region", "others"),
 }
 
 
--- a/lovagewalk/control/_bucket_owners.py
+++ b/lovagewalk/control/_bucket_owners.py
@@ -9,12 +9,8 @@
 from lovagewalk.records import BucketOffered
 
 from ._ownership import UNREPORTED_KEY
-from ._state import (
-    FOLLOWER_LOST_S,
-    ControlState,
-    Ledger,
-    Ownership,
-)
+from ._regions import find_entry_daemons, find_region
+from ._state import ControlState, Ledger, Ownership
 
 # An offer is answered by a report, and the report by a log entry and a grant.
 OFFER_PERIOD_S = 1.0
@@ -36,24 +32,63 @@
     A bucket of which something is lent to another daemon waits for the end of that
     lease at its new owner, who then gets it with the next report.
     """
-    ownership = control.owners.get(ledger.customer)
-    if ownership is not None and now - ownership.offered_at < OFFER_PERIOD_S:
+    owners = control.owners.get(ledger.customer, ())
+    if any(now - ownership.offered_at < OFFER_PERIOD_S for ownership in owners):
         return OfferResult(control)
-    if UNREPORTED_KEY in ledger.holdings:
+    return _offer(control, ledger, _find_candidates(control, ledger, now), owners, now)
+
+
+def offer_part(
+    control: ControlState, ledger: Ledger, region: str, now: float
+) -> OfferResult:
+    """Offer the part of an undivided bucket for one region to a daemon there.
+
+    The daemon gets what the owners of other parts give up, with their next reports.
+    """
+    owners = control.owners.get(ledger.customer, ())
+    replaced = tuple(ownership for ownership in owners if ownership.region == region)
+    if any(now - ownership.offered_at < OFFER_PERIOD_S for ownership in replaced):
         return OfferResult(control)
-    candidates = _find_candidates(control, ledger, now)
+    candidates = tuple(
+        follower.name
+        for follower in find_entry_daemons(control, now)
+        if follower.request.region == region
+        if follower.request.may_own and not follower.request.draining
+    )
+    return _offer(control, ledger, candidates, replaced, now)
+
+
+def _offer(
+    control: ControlState,
+    ledger: Ledger,
+    candidates: tuple[str, ...],
+    replaced: tuple[Ownership, ...],
+    now: float,
+) -> OfferResult:
+    """Offer a bucket, or a part, to one of the candidates.
+
+    Nothing is offered while daemons may hold shares that they have not reported.
+    """
     owner = choose_owner(ledger.customer, candidates)
-    if not owner:
+    if not owner or UNREPORTED_KEY in ledger.holdings:
         return OfferResult(control)
-    owners = control.owners.set(ledger.customer, Ownership(owner, now))
+    region = find_region(control, owner)
+    kept = tuple(
+        ownership
+        for ownership in control.owners.get(ledger.customer, ())
+        if ownership not in replaced
+    )
+    owners = kept + (Ownership(owner, now, region),)
+    control = replace(control, owners=control.owners.set(ledger.customer, owners))
     record = BucketOffered(
         customer=ledger.customer,
         target=owner,
-        before=ownership.owner if ownership else "",
+        before=", ".join(ownership.owner for ownership in replaced),
         candidates=len(candidates),
+        region=region,
     )
     offer = SendToPeer(owner, BucketOffer(ledger.customer))
-    return OfferResult(replace(control, owners=owners), (offer, record))
+    return OfferResult(control, (offer, record))
 
 
 def _find_candidates(
@@ -62,10 +97,8 @@
     """Return the daemons that may own a bucket, in the region with the most demand."""
     demands: dict[str, float] = {}
     candidates: dict[str, tuple[str, ...]] = {}
-    for follower in control.followers.values():
+    for follower in find_entry_daemons(control, now):
         request = follower.request
-        if not request.entry or now - follower.seen_at >= FOLLOWER_LOST_S:
-            continue
         region = request.region
         demand = ledger.demands.get(follower.name, 0.0)
         demands[region] = demands.get(region, 0.0) + demand
--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -7,7 +7,7 @@
 from lovagewalk.daemon._changes import install_catalogue, resize_pools
 from lovagewalk.groups import add_proof, get_view
 from lovagewalk.node import NodeState
-from lovagewalk.records import SeedsReplaced
+from lovagewalk.records import BucketPartChanged, SeedsReplaced
 from lovagewalk.routing import _sweep
 from lovagewalk.shares import (
     Share,
@@ -60,15 +60,20 @@
     if reply.entry_daemons != state.entry_daemons:
         state = resize_pools(replace(state, entry_daemons=reply.entry_daemons))
     shares = state.shares
+    records: tuple[BucketPartChanged, ...] = ()
     for grant in reply.grants:
-        share = shares.get(grant.customer) or Share(grant.customer, updated_at=now)
+        before = shares.get(grant.customer) or Share(grant.customer, updated_at=now)
         lease_until = follow.sent_at + (grant.lease_s or LEASE_S)
-        share = _apply_grant(share, grant, lease_until, now)
+        share = _apply_grant(before, grant, lease_until, now)
+        records += _record_part_change(before, share)
+        if grant.by_region and _shrinks(before, share):
+            # The leader lends what this report gives up to the other regions.
+            follow = replace(follow, is_report_urgent=True)
         shares = shares.set(grant.customer, share)
-    state = replace(state, shares=shares)
+    state = replace(state, shares=shares, follow=follow)
     if state.catalogue.revision >= reply.revision:
         state = _record_held_shares(state)
-    step = Step(state, step.effects)
+    step = Step(state, step.effects + records)
     return step.then(_serve_waiting(step.state, reply.grants, now))
 
 
@@ -179,13 +184,41 @@
     added_rate = max(grant.rate - share.rate, 0.0)
     added_burst = max(grant.burst - share.burst, 0.0)
     share = grow(share, added_rate, added_burst, grant.tokens, now)
-    share = replace(share, lease_until=lease_until, on_demand=grant.on_demand)
+    share = replace(
+        share,
+        lease_until=lease_until,
+        on_demand=grant.on_demand,
+        by_region=grant.by_region,
+    )
+    if share.other_parts != grant.others:
+        share = replace(share, other_parts=grant.others, forward_sent_at=0.0)
     if share.is_whole_bucket and not was_whole_bucket:
         # The requests that wait for another daemon's answer are queued here instead.
-        share = replace(share, owner="", last_asked_req=0, asked_at=0.0)
+        share = replace(share, owner="", other_owner="", last_asked_req=0, asked_at=0.0)
     return share
 
 
+def _shrinks(before: Share, after: Share) -> bool:
+    return after.rate < before.rate or after.burst < before.burst
+
+
+def _record_part_change(before: Share, after: Share) -> tuple[BucketPartChanged, ...]:
+    """Return the record of a part that begins or ends, or whose other owners change."""
+    if not before.by_region and not after.by_region:
+        return ()
+    is_same = before.is_whole_bucket == after.is_whole_bucket
+    if is_same and before.other_parts == after.other_parts:
+        return ()
+    others = ", ".join(f"{part.owner} ({part.region})" for part in after.other_parts)
+    record = BucketPartChanged(
+        customer=after.customer,
+        rate=round(after.rate, 2),
+        burst=round(after.burst, 2),
+        others=others,
+    )
+    return (record,)
+
+
 def _serve_waiting(
     state: NodeState, grants: tuple[ShareGrant, ...], now: float
 ) -> Step[NodeState]:
--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -21,6 +21,7 @@
     GroupSample,
     SuspectNotice,
 )
+from ._ownership import is_lent_to
 from ._peer_messages import on_message
 from ._state import ControlState, Follower, PendingReply
 
@@ -110,7 +111,7 @@
         entry.name
         for entry in entries
         if entry and entry.name not in divided
-        if _is_lent_to(control, entry.name, peer)
+        if is_lent_to(control, entry.name, peer)
         or not _ledger.is_on_demand(entry, entry_daemons)
     )
     if not new_customers:
@@ -124,11 +125,6 @@
     )
 
 
-def _is_lent_to(control: ControlState, customer: str, peer: str) -> bool:
-    ownership = control.owners.get(customer)
-    return ownership is not None and ownership.owner == peer
-
-
 @on_message(SuspectNotice)
 def on_suspect_notice(
     state: NodeState, peer: str, message: SuspectNotice, now: float
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -9,6 +9,7 @@
 
 from immutables import Map
 
+from lovagewalk.buckets import PartOwner
 from lovagewalk.catalogue import CustomerEntry
 from lovagewalk.consensus import (
     ELECTION_TIMEOUT_MIN_S,
@@ -20,7 +21,22 @@
 from lovagewalk.node import NodeState
 
 from ._messages import FollowRequest, ShareGrant, ShareReport
-from ._ownership import UNREPORTED_KEY, adopt_owner, holding_key
+from ._ownership import (
+    UNREPORTED_KEY,
+    adopt_owners,
+    find_owners,
+    holding_key,
+    is_lent_to,
+)
+from ._regions import (
+    WAITING_DEMAND_PER_S,
+    Target,
+    compute_parts,
+    demand_fraction,
+    describe_entry_fleet,
+    find_entry_daemons,
+    is_lent_by_region,
+)
 from ._state import (
     FOLLOWER_LOST_S,
     LEASE_MARGIN,
@@ -32,14 +48,12 @@
     Ledger,
 )
 
-# This fraction of each limit is divided evenly, so that first requests find a token.
-BASE_FRACTION = 0.2
-# A waiting request counts as four arrivals a second, so that tokens reach its daemon
-# within one report.
-WAITING_DEMAND_PER_S = 4.0
 # A share shrinks only if its target is less than this fraction of it, so that a
 # difference of less than a twentieth moves nothing.
 SHRINK_THRESHOLD = 0.95
+# The part of a region shrinks only below this fraction. Until then needs are forwarded,
+# which costs less than the tokens that are not gained while a part moves.
+PART_SHRINK_THRESHOLD = 0.8
 # The time between two removals of expired holdings is short against a lease of 3 s, and
 # keeps the cost of a report constant.
 SWEEP_PERIOD_S = 0.25
@@ -69,14 +83,6 @@
     grants: tuple[ShareGrant, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Target:
-    """The share that a daemon's demand entitles it to."""
-
-    rate: float
-    burst: float
-
-
 def record_reports(
     state: NodeState,
     control: ControlState,
@@ -299,6 +305,7 @@
     follower = control.followers[peer]
     request = follower.request
     entry_daemons = count_entry_daemons(state, control, now)
+    fleet = describe_entry_fleet(control, now)
     ledgers = control.ledgers
     grants: tuple[ShareGrant, ...] = ()
     for report in request.shares:
@@ -321,8 +328,10 @@
             and is_recorded_holder(state, peer, request)
         )
         if is_on_demand(entry, entry_daemons):
-            control = adopt_owner(control, ledger, now)
-            grant = _decide_bucket_grant(control, ledger, entry, peer, report, may_hold)
+            by_region = is_lent_by_region(entry, fleet)
+            control = adopt_owners(control, ledger, now, by_region=by_region)
+            decide = _decide_part_grant if by_region else _decide_bucket_grant
+            grant = decide(control, ledger, entry, peer, report, may_hold, now)
         else:
             target = compute_target(ledger, entry, peer)
             # Queued requests take free tokens before a share may grow.
@@ -383,11 +392,8 @@
     """
     if peer not in ledger.demands:
         return Target(0.0, 0.0)
-    count = len(ledger.demands)
-    demand_fraction = 1 / count
-    if ledger.total_demand > EPSILON:
-        demand_fraction = ledger.demands[peer] / ledger.total_demand
-    fraction = BASE_FRACTION / count + (1 - BASE_FRACTION) * demand_fraction
+    total = ledger.total_demand if ledger.total_demand > EPSILON else 0.0
+    fraction = demand_fraction(ledger.demands[peer], total, len(ledger.demands))
     return Target(entry.rate * fraction, max(entry.burst * fraction, min_burst))
 
 
@@ -406,10 +412,7 @@
     A new leader has not heard from all of them yet; until it can have, their number
     is at least the one that its predecessor stated.
     """
-    count = sum(
-        follower.request.entry and now - follower.seen_at < FOLLOWER_LOST_S
-        for follower in control.followers.values()
-    )
+    count = len(find_entry_daemons(control, now))
     raft: RaftState = state.consensus
     if now - raft.elected_at < FOLLOWER_LOST_S:
         count = max(count, state.entry_daemons)
@@ -423,6 +426,7 @@
     peer: str,
     report: ShareReport,
     may_hold: bool,
+    now: float,
 ) -> ShareGrant:
     """Return the grant of an undivided bucket: the whole to its owner, else nothing.
 
@@ -430,39 +434,83 @@
     queued at the leader are sent on to it.
     """
     name = report.customer
-    ownership = control.owners.get(name)
-    if ownership is None or ownership.owner != peer:
+    parts = compute_parts(control, ledger, entry, now, by_region=False)
+    if peer not in parts or control.followers[peer].request.draining:
         return ShareGrant(name, 0.0, 0.0, 0.0, on_demand=True)
-    if control.followers[peer].request.draining:
-        return ShareGrant(name, 0.0, 0.0, 0.0, on_demand=True)
-    target = Target(entry.rate, entry.burst)
-    grant = _decide_grant(ledger, entry, report, target, may_hold)
+    grant = _decide_grant(ledger, entry, report, parts[peer], may_hold)
     return replace(grant, on_demand=may_hold or grant.burst > 0, lease_s=OWNER_LEASE_S)
 
 
+def _decide_part_grant(
+    control: ControlState,
+    ledger: Ledger,
+    entry: CustomerEntry,
+    peer: str,
+    report: ShareReport,
+    may_hold: bool,
+    now: float,
+) -> ShareGrant:
+    """Return the grant of the part of an undivided bucket for one region.
+
+    An owner goes on reporting the customer until it has its part, and once more when
+    it has given the part up, so that the tokens are free for the other parts.
+    """
+    name = report.customer
+    is_owner = is_lent_to(control, name, peer)
+    if not is_owner or control.followers[peer].request.draining:
+        return ShareGrant(name, 0.0, 0.0, 0.0, on_demand=True)
+    parts = compute_parts(control, ledger, entry, now, by_region=True)
+    target = parts.get(peer, Target(0.0, 0.0))
+    grant = _decide_grant(
+        ledger, entry, report, target, may_hold, PART_SHRINK_THRESHOLD
+    )
+    is_released = target.burst == 0 and report.burst == 0
+    others = tuple(
+        PartOwner(ownership.owner, ownership.region)
+        for ownership in find_owners(control, ledger, now, by_region=True)
+        if ownership.owner != peer
+    )
+    return replace(
+        grant,
+        on_demand=grant.burst > 0 or is_released,
+        lease_s=OWNER_LEASE_S,
+        by_region=True,
+        others=others if grant.burst > 0 else (),
+    )
+
+
 def _decide_grant(
     ledger: Ledger,
     entry: CustomerEntry,
     report: ShareReport,
     target: Target,
     may_grow: bool,
+    shrink_threshold: float = SHRINK_THRESHOLD,
 ) -> ShareGrant:
-    """Return the grant that moves a share towards its target."""
+    """Return the grant that moves a share towards its target.
+
+    Parameters
+    ----------
+    shrink_threshold : float
+        The share shrinks only if its target is less than this fraction of it.
+    """
     free_rate = max(_free_rate(ledger, entry), 0.0) if may_grow else 0.0
     free_burst = max(_free_burst(ledger, entry), 0.0) if may_grow else 0.0
-    rate = _adjust_amount(report.rate, target.rate, free_rate)
-    burst = _adjust_amount(report.burst, target.burst, free_burst)
+    rate = _adjust_amount(report.rate, target.rate, free_rate, shrink_threshold)
+    burst = _adjust_amount(report.burst, target.burst, free_burst, shrink_threshold)
     tokens = 0.0
     if may_grow:
         tokens = min(ledger.tokens, max(burst - report.burst, 0.0))
     return ShareGrant(report.customer, rate, burst, tokens)
 
 
-def _adjust_amount(held: float, target: float, free: float) -> float:
+def _adjust_amount(
+    held: float, target: float, free: float, shrink_threshold: float
+) -> float:
     """Return an amount moved towards its target, by at most `free` upwards."""
     if target >= held:
         return held + min(target - held, free)
-    if target < held * SHRINK_THRESHOLD:
+    if target < held * shrink_threshold:
         return target
     return held
 
--- a/lovagewalk/control/_messages.py
+++ b/lovagewalk/control/_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from lovagewalk.buckets import PartOwner
 from lovagewalk.catalogue import CatalogueDelta, ChangeResult, Proposal
 from lovagewalk.groups import Position
 
@@ -46,6 +47,10 @@
     lease_s : float
         Length of the lease, counted from when the answered report was sent, in
         seconds; 0 for that of all other shares.
+    by_region : bool
+        Whether the share is the part of an undivided bucket for one region.
+    others : tuple of PartOwner
+        Owners of the other parts, the largest part first.
     """
 
     customer: str
@@ -54,6 +59,8 @@
     tokens: float
     on_demand: bool = False
     lease_s: float = 0.0
+    by_region: bool = False
+    others: tuple[PartOwner, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/control/_ownership.py
+++ b/lovagewalk/control/_ownership.py
@@ -1,4 +1,4 @@
-"""Which daemon holds an undivided bucket, by the leader's ledger."""
+"""Which daemons hold an undivided bucket, by the leader's ledger."""
 
 from lovagewalk.core import replace
 
@@ -14,35 +14,78 @@
     return f"{peer}/{request.boot}"
 
 
-def find_owner(control: ControlState, ledger: Ledger, now: float) -> str:
-    """Return the daemon that holds a customer's undivided bucket; empty if none does.
+def find_owners(
+    control: ControlState, ledger: Ledger, now: float, *, by_region: bool
+) -> tuple[Ownership, ...]:
+    """Return the daemons that hold a customer's undivided bucket, largest part first.
 
-    A bucket that a former leader has lent stays where it is.
+    These are one at most, or one in each region. A bucket that a former leader has lent
+    stays where it is.
     """
-    ownership = control.owners.get(ledger.customer)
-    if ownership is not None:
-        return ownership.owner if _holds(control, ledger, ownership.owner, now) else ""
-    for key in ledger.holdings:
-        name = key.partition("/")[0]
-        if key != UNREPORTED_KEY and _holds(control, ledger, name, now):
-            return name
-    return ""
-
-
-def adopt_owner(control: ControlState, ledger: Ledger, now: float) -> ControlState:
-    """Record the owner that a former leader has lent a bucket to, if there is one."""
-    if ledger.customer in control.owners:
+    owners = recorded_owners(control, ledger, now)
+    if not owners or by_region:
+        regions = {ownership.region for ownership in owners}
+        for ownership in _unrecorded_owners(control, ledger, now):
+            if ownership.region not in regions:
+                regions.add(ownership.region)
+                owners += (ownership,)
+    if not by_region:
+        owners = owners[:1]
+    return tuple(o for o in owners if held_burst(control, ledger, o.owner, now) > 0)
+
+
+def recorded_owners(
+    control: ControlState, ledger: Ledger, now: float
+) -> tuple[Ownership, ...]:
+    """Return the owners that were chosen or adopted, largest part first."""
+    owners = control.owners.get(ledger.customer, ())
+    if len(owners) < 2:
+        return owners
+    return tuple(
+        sorted(owners, key=lambda o: -held_burst(control, ledger, o.owner, now))
+    )
+
+
+def _unrecorded_owners(
+    control: ControlState, ledger: Ledger, now: float
+) -> tuple[Ownership, ...]:
+    """Return the daemons to which a former leader has lent a bucket or a part of it."""
+    names = dict.fromkeys(key.partition("/")[0] for key in ledger.holdings)
+    return tuple(
+        Ownership(name, now, control.followers[name].request.region)
+        for name in names
+        if held_burst(control, ledger, name, now) > 0
+    )
+
+
+def adopt_owners(
+    control: ControlState, ledger: Ledger, now: float, *, by_region: bool
+) -> ControlState:
+    """Record the owners that a former leader has lent a bucket to, if there are any."""
+    recorded = control.owners.get(ledger.customer, ())
+    if recorded and not by_region:
         return control
-    owner = find_owner(control, ledger, now)
-    if not owner:
+    known = {ownership.owner for ownership in recorded}
+    adopted = tuple(
+        ownership
+        for ownership in find_owners(control, ledger, now, by_region=by_region)
+        if ownership.owner not in known
+    )
+    if not adopted:
         return control
-    ownership = Ownership(owner, now)
-    return replace(control, owners=control.owners.set(ledger.customer, ownership))
+    owners = control.owners.set(ledger.customer, recorded + adopted)
+    return replace(control, owners=owners)
+
+
+def is_lent_to(control: ControlState, customer: str, peer: str) -> bool:
+    """Whether a customer's bucket, or a part, is lent or offered to a daemon."""
+    return any(o.owner == peer for o in control.owners.get(customer, ()))
 
 
-def _holds(control: ControlState, ledger: Ledger, name: str, now: float) -> bool:
+def held_burst(control: ControlState, ledger: Ledger, name: str, now: float) -> float:
+    """Return the burst that a daemon holds, if it may own buckets."""
     follower = control.followers.get(name)
     if follower is None or not follower.request.may_own:
-        return False
+        return 0.0
     holding = ledger.holdings.get(holding_key(name, follower.request))
-    return holding is not None and holding.burst > 0 and now < holding.expires_at
+    return holding.burst if holding is not None and now < holding.expires_at else 0.0
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -186,16 +186,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Ownership:
-    """The daemon that a customer's bucket is lent to, or is to be lent to.
+    """The daemon that a customer's bucket, or a part, is lent to, or is to be lent to.
 
     Attributes
     ----------
     offered_at : float
         When the bucket was last offered to it, in monotonic seconds.
+    region : str
+        The owner's region.
     """
 
     owner: str
     offered_at: float
+    region: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -368,8 +371,8 @@
         Runs that are proposed to the log as holders of shares, by daemon.
     proposed_divided : frozenset of str
         Customers that are proposed to the log as divided among daemons.
-    owners : Map of str to Ownership
-        Owners of undivided buckets, by customer.
+    owners : Map of str to tuple of Ownership
+        Owners of undivided buckets, by customer: one, or one for each region.
     """
 
     led_term: int = 0
--- a/lovagewalk/control/_token_queue.py
+++ b/lovagewalk/control/_token_queue.py
@@ -27,13 +27,18 @@
 from lovagewalk.node import NodeState
 
 from . import _ledger
-from ._bucket_owners import OfferResult, offer_bucket
+from ._bucket_owners import OfferResult, offer_bucket, offer_part
 from ._messages import ShareRecall
 from ._owned_buckets import owns_bucket, queue_owned_needs
-from ._ownership import adopt_owner, find_owner
+from ._ownership import adopt_owners, find_owners
 from ._peer_messages import on_message
-from ._regions import serves_narrow_links
-from ._state import ControlState, Ledger
+from ._regions import (
+    EntryFleet,
+    describe_entry_fleet,
+    find_region,
+    is_lent_by_region,
+)
+from ._state import ControlState, Ledger, Ownership
 
 # Recalls of a customer's shares are at least a round trip between regions apart.
 RECALL_PERIOD_S = 0.05
@@ -45,16 +50,18 @@
 
     Attributes
     ----------
-    sent_on : tuple of QueuedNeed
-        Needs that their daemons have to send to `owner`.
+    owners : tuple of (str, BucketOwner)
+        Daemons, and where they have to send their needs, which are not queued here.
+    asking_regions : frozenset of str
+        Regions of the daemons whose needs were in the queue.
     """
 
     ledger: Ledger
     admitted: tuple[QueuedNeed, ...] = ()
     denied: tuple[DeniedNeed, ...] = ()
     recalls: tuple[_ledger.Recall, ...] = ()
-    sent_on: tuple[QueuedNeed, ...] = ()
-    owner: str = ""
+    owners: tuple[tuple[str, BucketOwner], ...] = ()
+    asking_regions: frozenset[str] = frozenset()
 
 
 @on_message(TokenAsk)
@@ -66,7 +73,7 @@
     others = tuple(n for n in message.needs if n not in owned)
     step = Step(state)
     if owned:
-        step = queue_owned_needs(state, peer, owned, now)
+        step = queue_owned_needs(state, peer, owned, now, message.region)
     if not others:
         return step
     raft: RaftState = state.consensus
@@ -125,13 +132,11 @@
     if not _ledger.may_grant(state, now):
         return Step(state)
     entry_daemons = _ledger.count_entry_daemons(state, control, now)
-    is_short = serves_narrow_links(control, now)
+    fleet = describe_entry_fleet(control, now)
     answers: dict[str, TokenAnswer] = {}
     effects: tuple[Effect, ...] = ()
     for customer in customers:
-        result = _serve_customer(
-            state, control, customer, entry_daemons, now, is_short=is_short
-        )
+        result = _serve_customer(state, control, customer, entry_daemons, fleet, now)
         queued = control.queued_customers
         if not result.ledger.queue:
             queued = queued - {customer}
@@ -141,7 +146,9 @@
             queued_customers=queued,
         )
         _collect_answers(answers, customer, result)
-        offered = _offer_bucket(state, control, customer, entry_daemons, now)
+        offered = _offer_bucket(
+            state, control, customer, entry_daemons, fleet, result.asking_regions, now
+        )
         control = offered.control
         effects += offered.effects
         effects += tuple(
@@ -157,17 +164,29 @@
     control: ControlState,
     customer: str,
     entry_daemons: int,
+    fleet: EntryFleet,
+    asking_regions: frozenset[str],
     now: float,
 ) -> OfferResult:
-    """Offer a customer's bucket to a daemon if it is not divided and has no owner."""
+    """Offer a customer's bucket to a daemon if it is not divided and has no owner.
+
+    Where it is lent by region, a part is offered in each asking region that has none.
+    """
     entry = state.catalogue.customer(customer)
     if entry is None or not _ledger.is_on_demand(entry, entry_daemons):
         return OfferResult(control)
     ledger = control.ledgers[customer]
-    control = adopt_owner(control, ledger, now)
-    if find_owner(control, ledger, now):
-        return OfferResult(control)
-    return offer_bucket(state, control, ledger, now)
+    by_region = is_lent_by_region(entry, fleet)
+    control = adopt_owners(control, ledger, now, by_region=by_region)
+    owners = find_owners(control, ledger, now, by_region=by_region)
+    regions = asking_regions & fleet.regions if by_region else frozenset()
+    if not owners and not regions:
+        return offer_bucket(state, control, ledger, now)
+    result = OfferResult(control)
+    for region in sorted(regions.difference(o.region for o in owners)):
+        offered = offer_part(result.control, ledger, region, now)
+        result = OfferResult(offered.control, result.effects + offered.effects)
+    return result
 
 
 def _serve_customer(
@@ -175,18 +194,12 @@
     control: ControlState,
     customer: str,
     entry_daemons: int,
+    fleet: EntryFleet,
     now: float,
-    *,
-    is_short: bool,
 ) -> QueueResult:
     """Grant the free tokens in order, then deny late needs and recall shares.
 
-    Where a daemon owns the bucket, the needs of the others are sent on to it.
-
-    Parameters
-    ----------
-    is_short : bool
-        Whether new needs are queued for half of their time at most.
+    Where daemons own the bucket, the needs of the others are sent on to them.
     """
     entry = state.catalogue.customer(customer)
     ledger = control.ledgers[customer]
@@ -195,13 +208,21 @@
         return QueueResult(replace(ledger, queue=()), denied=denied)
     ledger = _ledger.refresh_ledger(state, control, ledger, entry, now)
     on_demand = _ledger.is_on_demand(entry, entry_daemons)
-    owner = find_owner(control, ledger, now) if on_demand else ""
-    sent_on = ledger.queue if owner else ()
-    if owner:
+    peers = dict.fromkeys(need.peer for need in ledger.queue)
+    regions = frozenset(find_region(control, peer) for peer in peers)
+    by_region = is_lent_by_region(entry, fleet)
+    owners: tuple[Ownership, ...] = ()
+    if on_demand:
+        owners = find_owners(control, ledger, now, by_region=by_region)
+    if owners:
         ledger = replace(ledger, queue=())
+        sources = tuple(
+            (peer, _choose_source(control, customer, owners, peer)) for peer in peers
+        )
+        return QueueResult(ledger, owners=sources, asking_regions=regions)
     granted = admit_needs(ledger.queue, ledger.tokens)
     ledger = replace(ledger, tokens=granted.tokens, queue=granted.queue)
-    result = QueueResult(ledger, granted.admitted, sent_on=sent_on, owner=owner)
+    result = QueueResult(ledger, granted.admitted, asking_regions=regions)
     if not ledger.queue:
         return result
     if _ledger.knows_all_holdings(state, control, customer, now):
@@ -213,7 +234,7 @@
             now,
             free_at=_ledger.next_expiry(ledger, now),
             may_be_returned=not on_demand,
-            is_short=is_short,
+            is_short=fleet.has_narrow_links,
         )
         ledger = replace(ledger, queue=denied.queue)
         result = replace(result, ledger=ledger, denied=denied.denied)
@@ -224,6 +245,23 @@
     return replace(result, ledger=ledger, recalls=recalls)
 
 
+def _choose_source(
+    control: ControlState, customer: str, owners: tuple[Ownership, ...], peer: str
+) -> BucketOwner:
+    """Return the owner that a daemon has to ask: that of its region, if there is one.
+
+    A daemon that asks although it owns a part has lost it; it is sent to another owner.
+    """
+    region = find_region(control, peer)
+    names = [
+        ownership.owner
+        for ownership in sorted(owners, key=lambda o: o.region != region)
+    ]
+    if peer in names and len(names) > 1:
+        names.remove(peer)
+    return BucketOwner(customer, *names[:2])
+
+
 def _collect_answers(
     answers: dict[str, TokenAnswer], customer: str, result: QueueResult
 ) -> None:
@@ -237,7 +275,6 @@
         answer = answers.get(peer) or TokenAnswer()
         denial = TokenDenial(denied_need.need.req, denied_need.wait_s)
         answers[peer] = replace(answer, denied=answer.denied + (denial,))
-    for peer in dict.fromkeys(need.peer for need in result.sent_on):
+    for peer, owner in result.owners:
         answer = answers.get(peer) or TokenAnswer()
-        owner = BucketOwner(customer, result.owner)
         answers[peer] = replace(answer, owners=answer.owners + (owner,))
--- a/lovagewalk/control/_token_requests.py
+++ b/lovagewalk/control/_token_requests.py
@@ -1,5 +1,7 @@
 """A daemon's requests for tokens that its own shares do not hold."""
 
+from collections.abc import Iterable
+
 from lovagewalk.buckets import (
     BucketOwner,
     TokenAdmission,
@@ -20,12 +22,16 @@
     level_at,
     remove_tokens,
     return_tokens,
+    turn_to_other_owner,
 )
 
-from ._owned_buckets import owns_bucket
+from ._owned_buckets import find_forward_target, owns_bucket
 from ._peer_messages import on_message
-from ._state import LEADERLESS_RETRY_S, FollowState
+from ._state import LEADERLESS_RETRY_S, OWNER_LEASE_S, FollowState
 
+# An answer that has not come after this time has been lost: a need waits for a second
+# at most, and the answer for a round trip.
+ANSWER_LOST_S = 5.0
 # An owner answers at once. This is many times the round trip between regions.
 OWNER_TIMEOUT_S = 0.3
 
@@ -42,6 +48,8 @@
         if not waiting or (target is None and now < state.follow.next_ask_at):
             continue
         share = replace(share, last_asked_req=waiting[-1].req)
+        if state.identity.low_bandwidth:
+            share = _expect_answers(share, waiting, now)
         if target == share.owner and not share.asked_at:
             share = replace(share, asked_at=now)
         state = replace(state, shares=state.shares.set(customer, share))
@@ -50,25 +58,53 @@
             if need is not None:
                 name = target or state.follow.target
                 needs_by_target[name] = needs_by_target.get(name, ()) + (need,)
+    region = state.identity.region if state.identity.low_bandwidth else ""
     effects = tuple(
-        SendToPeer(name, TokenAsk(needs)) for name, needs in needs_by_target.items()
+        SendToPeer(name, TokenAsk(needs, region))
+        for name, needs in needs_by_target.items()
     )
     return Step(state, step.effects + effects)
 
 
 def _leave_silent_owners(state: NodeState, now: float) -> Step[NodeState]:
-    """Ask the control leader instead of owners that have not answered in time."""
+    """Use no owners that have not answered in time.
+
+    The owner of another part is asked instead if it is known, and the control leader
+    otherwise. Nothing is forwarded to an owner that does not answer forwarded needs.
+    """
     shares = state.shares
     records: tuple[OwnerSilent, ...] = ()
     for customer, share in state.shares.items():
-        if not share.asked_at or now - share.asked_at < OWNER_TIMEOUT_S:
+        if share.asked_at and now - share.asked_at >= OWNER_TIMEOUT_S:
+            silent, source = share.owner, share.other_owner
+            share = _mark_silent(turn_to_other_owner(share), silent, now)
+        elif share.forward_sent_at and now - share.forward_sent_at >= OWNER_TIMEOUT_S:
+            silent, source = find_forward_target(share, now), ""
+            share = _mark_silent(share, silent, now)
+            share = replace(share, forward_sent_at=0.0)
+        else:
             continue
-        records += (OwnerSilent(customer, share.owner, len(share.waiting)),)
-        share = replace(share, owner="", last_asked_req=0, asked_at=0.0)
+        records += (OwnerSilent(customer, silent, source, len(share.waiting)),)
         shares = shares.set(customer, share)
     return Step(replace(state, shares=shares), records)
 
 
+def _mark_silent(share: Share, owner: str, now: float) -> Share:
+    """Record that an owner was silent; its lease is over when this record ends."""
+    return replace(share, silent_owner=owner, silent_until=now + OWNER_LEASE_S)
+
+
+def _expect_answers(share: Share, requests: Iterable[Request], now: float) -> Share:
+    """Record that tokens are requested; forget requests whose answers were lost."""
+    unanswered = share.unanswered
+    for req, asked_at in unanswered.items():
+        if now - asked_at >= ANSWER_LOST_S:
+            unanswered = unanswered.delete(req)
+    for request in requests:
+        unanswered = unanswered.set(request.req, now)
+    return replace(share, unanswered=unanswered)
+
+
 def _find_source(state: NodeState, share: Share, now: float) -> str | None:
     """Return the daemon to request tokens from; None for the control leader."""
     if owns_bucket(state, share.customer, now):
@@ -131,25 +167,31 @@
     """Admit or refuse requests as the leader or the owner has decided."""
     if not message.is_leader:
         return Step(_schedule_retry(state, peer, message.leader, now))
-    state = _record_answer(state, peer)
+    state = _record_answer(state, peer, now)
     for bucket_owner in message.owners:
         state = _set_owner(state, peer, bucket_owner, now)
+    for bucket_owner in message.next_owners:
+        state = _set_next_owner(state, peer, bucket_owner, now)
     step = Step(state)
     for admission in message.admitted:
         step = step.then(_admit_request(step.state, admission, now))
     for denial in message.denied:
         step = step.then(_refuse_request(step.state, denial))
-    if any(bucket_owner.owner for bucket_owner in message.owners):
+    shares = (step.state.shares.get(owner.customer) for owner in message.owners)
+    if any(share is not None and share.owner for share in shares):
         step = step.then(request_tokens(step.state, now))
     return step
 
 
-def _record_answer(state: NodeState, peer: str) -> NodeState:
+def _record_answer(state: NodeState, peer: str, now: float) -> NodeState:
     """Record that an owner has answered."""
     shares = state.shares
     for customer, share in shares.items():
         if share.asked_at and share.owner == peer:
             shares = shares.set(customer, replace(share, asked_at=0.0))
+        if share.forward_sent_at and peer in (p.owner for p in share.other_parts):
+            share = replace(share, forward_sent_at=0.0, forward_answered_at=now)
+            shares = shares.set(customer, share)
     return replace(state, shares=shares)
 
 
@@ -167,10 +209,30 @@
         return state
     if not bucket_owner.owner and share.owner not in ("", peer):
         return state
-    owner = bucket_owner.owner
+    owner, other = bucket_owner.owner, bucket_owner.other
+    if other and share.is_silent(owner, now):
+        owner, other = other, ""
     if owner == state.identity.name:
         owner = ""
-    share = replace(share, owner=owner, last_asked_req=0, asked_at=0.0)
+    share = replace(
+        share, owner=owner, other_owner=other, last_asked_req=0, asked_at=0.0
+    )
+    return replace(state, shares=state.shares.set(share.customer, share))
+
+
+def _set_next_owner(
+    state: NodeState, peer: str, bucket_owner: BucketOwner, now: float
+) -> NodeState:
+    """Request a customer's later tokens from another owner, or the control leader.
+
+    The needs that `peer` has queued stay there.
+    """
+    share = state.shares.get(bucket_owner.customer)
+    if share is None or share.owner != peer or owns_bucket(state, share.customer, now):
+        return state
+    if share.is_silent(bucket_owner.owner, now):
+        return state
+    share = replace(share, owner=bucket_owner.owner, other_owner=bucket_owner.other)
     return replace(state, shares=state.shares.set(share.customer, share))
 
 
@@ -193,15 +255,37 @@
     state: NodeState, admission: TokenAdmission, now: float
 ) -> Step[NodeState]:
     """Admit a request; if it has ended, return its token."""
+    is_expected = _is_answer_expected(state, admission.customer, admission.req)
+    state = _record_answered(state, admission.customer, admission.req)
     request = _find_waiting(state, admission.req)
     if request is None or request.customer != admission.customer:
-        return Step(_return_token(state, admission, now))
+        return Step(_return_token(state, admission, now) if is_expected else state)
     admitted = replace(request, reserved_fraction=0.0)
     return _admit.run_admitted(
         _callers.remove_from_queue(state, admitted), admitted, now
     )
 
 
+def _is_answer_expected(state: NodeState, customer: str, req: int) -> bool:
+    """Whether an answer for a request is expected, and not a copy of an earlier one.
+
+    The token of a copy was never taken from a bucket, so it must not be returned. A
+    second owner's token for a need that was sent twice is lost, which is safe.
+    """
+    if not state.identity.low_bandwidth:
+        return True
+    share = state.shares.get(customer)
+    return share is not None and req in share.unanswered
+
+
+def _record_answered(state: NodeState, customer: str, req: int) -> NodeState:
+    share = state.shares.get(customer)
+    if share is None or req not in share.unanswered:
+        return state
+    share = replace(share, unanswered=share.unanswered.delete(req))
+    return replace(state, shares=state.shares.set(customer, share))
+
+
 def _return_token(state: NodeState, admission: TokenAdmission, now: float) -> NodeState:
     """Put a token back that admits no request, or report it as returned."""
     share = state.shares.get(admission.customer)
@@ -218,6 +302,7 @@
     request = _find_waiting(state, denial.req)
     if request is None:
         return Step(state)
+    state = _record_answered(state, request.customer, denial.req)
     refusal: Refusal = replace(
         _admit.rate_refusal(state, request), retry_after_s=denial.retry_after_s
     )
--- a/lovagewalk/control/tests/test_fleet_machine.py
+++ b/lovagewalk/control/tests/test_fleet_machine.py
@@ -43,6 +43,8 @@
 RATE, BURST = 20.0, 10.0
 CUSTOMER = "c"
 EPSILON = 1e-6
+# Many times the messages that all daemons together send in one step.
+MAX_DELIVERIES = 5000
 
 
 class Daemons:
@@ -56,14 +58,19 @@
         Whether the daemons may own undivided buckets.
     low_bandwidth : bool
         Whether their links are narrow.
+    regions : mapping of str to str
+        Region of each daemon; one for all by default.
     """
 
-    def __init__(self, burst=BURST, may_own=False, low_bandwidth=False):
+    def __init__(self, burst=BURST, may_own=False, low_bandwidth=False, regions=None):
+        self.regions = regions or dict.fromkeys(NAMES, "r")
         self.may_own = may_own
         self.low_bandwidth = low_bandwidth
         self.now = 1.0
         self.wire = []
         self.isolated = set()
+        self.is_held = lambda source, target: False
+        self.held = []
         self.boots = 0
         self.last_number = 0
         self.admitted = set()
@@ -93,7 +100,7 @@
             Identity(
                 name,
                 "z",
-                "r",
+                self.regions[name],
                 b"secret",
                 control=True,
                 may_own=self.may_own,
@@ -137,6 +144,9 @@
         source, target, message = self.wire.pop(position % len(self.wire))
         if source != target and (source in self.isolated or target in self.isolated):
             return
+        if self.is_held(source, target):
+            self.held.append((source, target, message))
+            return
         self.feed(target, PeerMessage(self.now, source, message))
 
     def run(self, seconds):
@@ -145,8 +155,15 @@
             self.now += 0.02
             for name in NAMES:
                 self.tick(name)
-            while self.wire:
-                self.deliver(0)
+            self.deliver_all()
+
+    def deliver_all(self):
+        """Deliver all messages; fail if daemons answer one another without end."""
+        for _ in range(MAX_DELIVERIES):
+            if not self.wire:
+                return
+            self.deliver(0)
+        raise AssertionError(f"messages without end: {self.wire[:4]}")
 
     def change(self, command):
         self.last_number += 1
@@ -179,10 +196,12 @@
 class FleetMachine(RuleBasedStateMachine):
     burst = BURST
     may_own = False
+    low_bandwidth = False
+    regions = None
 
     def __init__(self):
         super().__init__()
-        self.fleet = Daemons(self.burst, self.may_own)
+        self.fleet = Daemons(self.burst, self.may_own, self.low_bandwidth, self.regions)
 
     @rule(name=st.sampled_from(NAMES), elapsed_s=st.sampled_from((0.01, 0.05, 0.6)))
     def tick(self, name, elapsed_s):
--- a/lovagewalk/explain/_causes.py
+++ b/lovagewalk/explain/_causes.py
@@ -6,6 +6,7 @@
 from lovagewalk.core import Code, Handlers
 from lovagewalk.records import (
     BucketOffered,
+    BucketPartChanged,
     ConfigurationInstalled,
     EndpointRecovered,
     EndpointRefused,
@@ -43,6 +44,7 @@
             EndpointSaturated,
             EndpointRecovered,
             BucketOffered,
+            BucketPartChanged,
             OwnerSilent,
         ),
     )
--- a/lovagewalk/records/__init__.py
+++ b/lovagewalk/records/__init__.py
@@ -2,6 +2,7 @@
 
 from ._records import (
     BucketOffered,
+    BucketPartChanged,
     CallerClosed,
     CatalogueRead,
     ConfigurationInstalled,
@@ -18,6 +19,7 @@
     LeadershipLost,
     LeaseGained,
     LeaseLost,
+    NeedsForwarded,
     OwnerSilent,
     PrimaryInstalled,
     PromotionOrdered,
@@ -38,6 +40,7 @@
 
 __all__ = [
     "BucketOffered",
+    "BucketPartChanged",
     "CallerClosed",
     "CatalogueRead",
     "ConfigurationInstalled",
@@ -54,6 +57,7 @@
     "LeadershipLost",
     "LeaseGained",
     "LeaseLost",
+    "NeedsForwarded",
     "LogRecord",
     "OwnerSilent",
     "PrimaryInstalled",
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -364,27 +364,73 @@
         The daemon that it was lent or offered to before; empty for none.
     candidates : int
         Daemons that the owner was chosen from.
+    region : str
+        The owner's region; where buckets are lent by region, the region of the part.
     """
 
     customer: str
     target: str
     before: str
     candidates: int
+    region: str
+
+
+@logged_as("follow", "bucket part changed")
+@dataclass(frozen=True, slots=True)
+class BucketPartChanged(LogRecord):
+    """This daemon owns a part of a bucket, or another part has another owner.
+
+    Attributes
+    ----------
+    rate, burst : float
+        The part owned here; 0 if it was given up.
+    others : str
+        Owners of the other parts, each with its region.
+    """
+
+    customer: str
+    rate: float
+    burst: float
+    others: str
+
+
+@logged_as("follow", "needs forwarded")
+@dataclass(frozen=True, slots=True)
+class NeedsForwarded(LogRecord):
+    """The part of a bucket owned here has no tokens in time for some needs.
+
+    Attributes
+    ----------
+    target : str
+        The owner of another part, which decides on them.
+    needs : int
+        How many needs were sent to it at once.
+    customers : str
+        Their customers.
+    """
+
+    target: str
+    needs: int
+    customers: str
 
 
 @logged_as("follow", "bucket owner is silent")
 @dataclass(frozen=True, slots=True)
 class OwnerSilent(LogRecord):
-    """An owner has not answered in time; the control leader is asked instead.
+    """An owner has not answered in time; another source is asked instead.
 
     Attributes
     ----------
     target : str
         The owner.
+    source : str
+        The owner of another part that is asked instead; empty for the control leader,
+        and where the owner of another part has not answered forwarded needs.
     waiting : int
         Requests of the customer that wait here.
     """
 
     customer: str
     target: str
+    source: str
     waiting: int
--- a/lovagewalk/shares/__init__.py
+++ b/lovagewalk/shares/__init__.py
@@ -13,6 +13,7 @@
     shrink,
     smooth_demand,
     take_token,
+    turn_to_other_owner,
 )
 from ._state import Share
 
@@ -30,4 +31,5 @@
     "shrink",
     "smooth_demand",
     "take_token",
+    "turn_to_other_owner",
 ]
--- a/lovagewalk/shares/_bucket.py
+++ b/lovagewalk/shares/_bucket.py
@@ -124,10 +124,24 @@
     return shares
 
 
+def turn_to_other_owner(share: Share) -> Share:
+    """Request all tokens anew from the other owner, or the control leader."""
+    return replace(
+        share,
+        owner=share.other_owner,
+        other_owner="",
+        last_asked_req=0,
+        asked_at=0.0,
+    )
+
+
 def leave_owner(shares: Map, owner: str) -> Map:
-    """Return the shares so that the control leader is asked instead of an owner."""
+    """Return the shares so that another source is asked instead of an owner.
+
+    That is the owner of another part if one is known, and the control leader otherwise.
+    """
     for customer, share in shares.items():
         if share.owner and share.owner == owner:
-            share = replace(share, owner="", last_asked_req=0, asked_at=0.0)
+            share = turn_to_other_owner(share)
             shares = shares.set(customer, share)
     return shares
--- a/lovagewalk/shares/_state.py
+++ b/lovagewalk/shares/_state.py
@@ -1,8 +1,10 @@
 """A daemon's share of each customer's rate and burst."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from lovagewalk.buckets import QueuedNeed
+from immutables import Map
+
+from lovagewalk.buckets import PartOwner, QueuedNeed
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,24 @@
         if it has answered.
     queue : tuple of QueuedNeed
         Needs of all daemons that wait for a token of the bucket owned here.
+    other_owner : str
+        The owner of another part, asked if `owner` is silent; empty for none.
+    silent_owner : str
+        The daemon that last failed to answer in time.
+    silent_until : float
+        Until when `silent_owner` is not used if there is another, in monotonic seconds.
+    by_region : bool
+        Whether the bucket owned here is lent in parts, one to each region.
+    other_parts : tuple of PartOwner
+        Owners of the other parts of the bucket owned here, the largest part first.
+    forward_sent_at : float
+        Since when an answer to a `TokenForward` is expected, in monotonic seconds; 0
+        for none.
+    forward_answered_at : float
+        When such an answer last came, in monotonic seconds.
+    unanswered : Map of int to float
+        When a token was last requested for a request whose answer is expected, by its
+        number, in monotonic seconds; kept where links are narrow.
     """
 
     customer: str
@@ -59,8 +79,20 @@
     last_asked_req: int = 0
     asked_at: float = 0.0
     queue: tuple[QueuedNeed, ...] = ()
+    other_owner: str = ""
+    silent_owner: str = ""
+    silent_until: float = 0.0
+    by_region: bool = False
+    other_parts: tuple[PartOwner, ...] = ()
+    forward_sent_at: float = 0.0
+    forward_answered_at: float = 0.0
+    unanswered: Map = field(default_factory=Map)
 
     @property
     def is_whole_bucket(self) -> bool:
-        """Whether this daemon owns the customer's bucket."""
+        """Whether this daemon owns the customer's bucket, or a part of it."""
         return self.on_demand and self.burst > 0
+
+    def is_silent(self, owner: str, now: float) -> bool:
+        """Whether a daemon has failed to answer a short time ago."""
+        return owner == self.silent_owner and now < self.silent_until
