Requests for tokens: no immediate repetition to a sender that names itself

Cause: shares that were divided among daemons count as holdings in the ledger. When the number of daemons rises and the bucket is not divided any more, the leader names such a holder as the owner, also itself, until its next report. A daemon asked it again for each answer, once in a round trip.

Change: only a third daemon that an answer names is asked at once; otherwise the request waits for the next tick.

--- a/lovagewalk/control/_token_requests.py
+++ b/lovagewalk/control/_token_requests.py
@@ -164,7 +164,11 @@
 def on_token_answer(
     state: NodeState, peer: str, message: TokenAnswer, now: float
 ) -> Step[NodeState]:
-    """Admit or refuse requests as the leader or the owner has decided."""
+    """Admit or refuse requests as the leader or the owner has decided.
+
+    Another owner that the answer names is asked at once. A sender that names itself and
+    has queued nothing does not own the bucket yet; it is asked again at the next tick.
+    """
     if not message.is_leader:
         return Step(_schedule_retry(state, peer, message.leader, now))
     state = _record_answer(state, peer, now)
@@ -178,7 +182,7 @@
     for denial in message.denied:
         step = step.then(_refuse_request(step.state, denial))
     shares = (step.state.shares.get(owner.customer) for owner in message.owners)
-    if any(share is not None and share.owner for share in shares):
+    if any(share is not None and share.owner not in ("", peer) for share in shares):
         step = step.then(request_tokens(step.state, now))
     return step
 
