Refuse requests for tokens at once while nobody can grant them

What callers saw: while the control VMs were lost, requests of customers whose bucket is not divided waited for 0.55 to 0.8 s and were then told that their customer had used up its rate (LW1101), which was not the reason.

Cause: each request waits for the answer of a leader for the length of an election, also when control has been silent for far longer.

Change: on VMs with narrow links, a request for which no owner is known is refused once control has been silent for 1.5 s, with a code of its own (LW1105) and retry times that are spread over half a second. Waiting requests are refused at the same moment.

--- a/lovagewalk/explain/_causes.py
+++ b/lovagewalk/explain/_causes.py
@@ -137,6 +137,14 @@
     )
 
 
+@explains(Code.RATE_UNKNOWN)
+def _control_silent(answer: LogLine, log_lines: Sequence[LogLine]) -> str:
+    return (
+        f"{answer.vm} had no answer of control, and knew no owner of the bucket of "
+        f"customer {answer.get('customer')}, so no token could come in time."
+    )
+
+
 @explains(Code.CONFIG_STALE)
 def _lease_lost(answer: LogLine, log_lines: Sequence[LogLine]) -> str:
     lease_lost = _latest(
--- a/lovagewalk/explain/tests/test_explain.py
+++ b/lovagewalk/explain/tests/test_explain.py
@@ -50,6 +50,7 @@
     [
         ("ok", {"elapsed_ms": 12, "endpoint": "i-1", "attempts": 2}, "12 ms by i-1"),
         (Code.RATE_EXCEEDED, {"customer": "kiosk"}, "kiosk had used up its rate"),
+        (Code.RATE_UNKNOWN, {"customer": "kiosk"}, "no answer of control"),
         (Code.CONFIG_STALE, {}, "had no lease"),
         (Code.KEY_WITHDRAWN, {"version": 7}, "version 7 does not admit"),
         (Code.OVERLOADED, {"phase": "backoff", "attempts": 9}, "sent 9 times"),
--- a/lovagewalk/routing/_admit.py
+++ b/lovagewalk/routing/_admit.py
@@ -32,6 +32,14 @@
 # Limit of the wait for a leader's answer on a token: a control leader election takes
 # 0.8 s, after which the daemons send their first reports to the new leader.
 LEADER_ANSWER_WAIT_S = 1.2
+# After this time without an answer of control, requests for tokens are not sent in
+# vain: an election takes 0.8 s, and daemons report to the new leader within 0.5 s.
+CONTROL_SILENT_S = 1.5
+# Retry delay while control is silent: about the duration of an election. It grows by up
+# to `RETRY_SPREAD`, so that refused callers do not return at the same moment.
+CONTROL_RETRY_S = 1.0
+RETRY_SPREAD = 0.5
+RETRY_STEPS = 16
 # Reserved from the statement's time limit for its run, which takes 0.3 s at most.
 RUN_MARGIN_S = 0.25
 # Upper limit of the waiting requests counted in the retry delay sent to a caller.
@@ -225,6 +233,9 @@
 def _wait_for_tokens(
     state: NodeState, share: Share, request: Request
 ) -> Step[NodeState]:
+    if lacks_token_source(state, share, request.arrived_at):
+        state = replace(state, shares=state.shares.set(request.customer, share))
+        return answer(state, request, silent_control_refusal(request))
     ahead = _place.count_ahead(state, share.waiting, request)
     if ahead >= max_waiting(state, share):
         state = replace(state, shares=state.shares.set(request.customer, share))
@@ -236,6 +247,23 @@
     return Step(_place.store_request(state, request), (CheckReportDue(),))
 
 
+def lacks_token_source(state: NodeState, share: Share, now: float) -> bool:
+    """Whether neither an owner nor control can grant a token of a customer.
+
+    A token that is asked for would come after the request's time limit, which is known
+    in advance. Only VMs with narrow links refuse for it.
+    """
+    if not state.identity.low_bandwidth or share.owner or share.burst:
+        return False
+    return now - state.follow.answered_at >= CONTROL_SILENT_S
+
+
+def silent_control_refusal(request: Request) -> Refusal:
+    """Return the refusal of a request whose customer's rate is not known here."""
+    spread = RETRY_SPREAD * (request.req % RETRY_STEPS) / RETRY_STEPS
+    return Refusal(Code.RATE_UNKNOWN, retry_after_s=CONTROL_RETRY_S * (1 + spread))
+
+
 def rate_refusal(state: NodeState, request: Request) -> Refusal:
     """Return the refusal of a request beyond its customer's rate.
 
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -7,7 +7,7 @@
 from lovagewalk.node import NodeState
 from lovagewalk.pools import Pool, find_surplus
 from lovagewalk.sessions import Session, TransactionState
-from lovagewalk.shares import return_tokens, take_token
+from lovagewalk.shares import Share, return_tokens, take_token
 
 from . import _admit, _callers, _dispatch, _outcome, _place, _recovery
 from ._answer import answer
@@ -151,9 +151,8 @@
     if request.phase is Phase.REPLICA and waited >= _place.MAX_REPLICA_WAIT_S:
         moved = replace(request, phase=Phase.CONNECTION)
         return _place.place(_place.store_request(state, moved), moved, now)
-    if request.phase is Phase.TOKENS and now >= _admit.token_deadline(request):
-        refusal = _admit.rate_refusal(state, request)
-        return answer(_callers.remove_from_queue(state, request), request, refusal)
+    if request.phase is Phase.TOKENS:
+        return _sweep_waiting_for_token(state, request, now)
     if request.has_explicit_consistency:
         return _sweep_explicit(state, request, now)
     is_overdue = waited >= RUNNING_LIMIT_S or now >= answer_deadline(state)
@@ -164,6 +163,20 @@
     return _expire(state, request)
 
 
+def _sweep_waiting_for_token(
+    state: NodeState, request: Request, now: float
+) -> Step[NodeState]:
+    """Refuse a request whose token comes too late, or that nobody can grant."""
+    share = state.shares.get(request.customer) or Share(request.customer)
+    if _admit.lacks_token_source(state, share, now):
+        refusal = _admit.silent_control_refusal(request)
+    elif now >= _admit.token_deadline(request):
+        refusal = _admit.rate_refusal(state, request)
+    else:
+        return Step(state)
+    return answer(_callers.remove_from_queue(state, request), request, refusal)
+
+
 def _sweep_explicit(state: NodeState, request: Request, now: float) -> Step[NodeState]:
     if now >= request.deadline:
         return _expire_explicit(state, request, now)
