Owners of parts keep the lease of all shares

What callers saw: after the loss of all control VMs, callers within their rates were refused 2 s later, although their keys are accepted for 3 s.

Cause: owners' leases of 2 s, chosen since the loss of an owner stops its customers for as long. With a part in each region, the other owner goes on.

Change: parts are lent for 3 s.

The adapter compares the bandwidth of the link where it opens its links, too.

--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -453,7 +453,10 @@
     """Return the grant of the part of an undivided bucket for one region.
 
     An owner goes on reporting the customer until it has its part, and once more when
-    it has given the part up, so that the tokens are free for the other parts.
+    it has given the part up, so that the tokens are free for the other parts. A part
+    has the lease of all shares, which is longer than that of a whole bucket: while
+    control is lost, callers are admitted for as long as their keys are accepted, and a
+    lost owner leaves the other parts.
     """
     name = report.customer
     is_owner = is_lent_to(control, name, peer)
@@ -473,7 +476,6 @@
     return replace(
         grant,
         on_demand=grant.burst > 0 or is_released,
-        lease_s=OWNER_LEASE_S,
         by_region=True,
         others=others if grant.burst > 0 else (),
     )
--- a/lovagewalk/control/_token_requests.py
+++ b/lovagewalk/control/_token_requests.py
@@ -27,7 +27,7 @@
 
 from ._owned_buckets import find_forward_target, owns_bucket
 from ._peer_messages import on_message
-from ._state import LEADERLESS_RETRY_S, OWNER_LEASE_S, FollowState
+from ._state import LEADERLESS_RETRY_S, LEASE_S, FollowState
 
 # An answer that has not come after this time has been lost: a need waits for a second
 # at most, and the answer for a round trip.
@@ -91,7 +91,7 @@
 
 def _mark_silent(share: Share, owner: str, now: float) -> Share:
     """Record that an owner was silent; its lease is over when this record ends."""
-    return replace(share, silent_owner=owner, silent_until=now + OWNER_LEASE_S)
+    return replace(share, silent_owner=owner, silent_until=now + LEASE_S)
 
 
 def _expect_answers(share: Share, requests: Iterable[Request], now: float) -> Share:
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -58,7 +58,11 @@
         self.ports.provider = ProviderClient(self.ports, cfg.provider)
         secret = cfg.secret.encode()
         self.ports.peers = Peers(
-            self.ports, name, secret, Address.try_parse, compact=cfg.low_bandwidth
+            self.ports,
+            name,
+            secret,
+            Address.try_parse,
+            compact=is_narrow_link(cfg.link_mbps),
         )
 
     async def start(self) -> None:
