Name the owners of buckets before daemons ask for tokens

What callers saw: in the first seconds after a loss of control, callers of customers that their daemon had not served before were refused, while others were admitted by the owners.

Cause: a daemon learned an owner from its first request for a token, which the leader answers, and a bucket got an owner with the first request of any daemon.

A daemon that asks a wrong owner is sent on as before.

--- a/lovagewalk/codec/_codec.py
+++ b/lovagewalk/codec/_codec.py
@@ -63,7 +63,8 @@
     buckets.TokenAnswer: ("next_owners",),
     buckets.TokenAsk: ("region",),
     buckets.TokenForward: ("wants_answer",),
-    control.FollowRequest: ("low_bandwidth",),
+    control.FollowReply: ("owners", "owners_revision"),
+    control.FollowRequest: ("low_bandwidth", "owners_revision"),
     control.ShareGrant: ("by_region", "others"),
 }
 
--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -18,6 +18,7 @@
     shrink,
 )
 
+from . import _owner_directory
 from ._catalogue_reads import answer_reads, confirm_reads
 from ._messages import CatalogueUpdate, FollowReply, ShareGrant, ShareRecall
 from ._peer_messages import on_message
@@ -71,6 +72,7 @@
             follow = replace(follow, is_report_urgent=True)
         shares = shares.set(grant.customer, share)
     state = replace(state, shares=shares, follow=follow)
+    state = _owner_directory.learn_owners(state, reply, now)
     if state.catalogue.revision >= reply.revision:
         state = _record_held_shares(state)
     step = Step(state, step.effects + records)
--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -13,7 +13,7 @@
 from lovagewalk.core import Effect, Step, replace
 from lovagewalk.node import NodeState
 
-from . import _ledger, _proposals, _token_queue
+from . import _ledger, _owner_directory, _proposals, _token_queue
 from ._messages import (
     CatalogueUpdate,
     FollowReply,
@@ -230,6 +230,8 @@
         grants=granted.grants,
         entry_daemons=_ledger.count_entry_daemons(state, control, now),
         samples=_collect_samples(state, now),
+        owners=_owner_directory.name_owners(state, follower.request),
+        owners_revision=_owner_directory.current_revision(state),
     )
     follower = replace(
         follower, revision=max(follower.revision, state.catalogue.revision)
--- a/lovagewalk/control/_messages.py
+++ b/lovagewalk/control/_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from lovagewalk.buckets import PartOwner
+from lovagewalk.buckets import BucketOwner, PartOwner
 from lovagewalk.catalogue import CatalogueDelta, ChangeResult, Proposal
 from lovagewalk.groups import Position
 
@@ -100,6 +100,8 @@
         Whether other daemons can reach it, so that it may own buckets.
     low_bandwidth : bool
         Whether its network link is narrow.
+    owners_revision : int
+        Revision of the owners of buckets that it was last told; 0 for none.
     """
 
     boot: str
@@ -114,6 +116,7 @@
     region: str = ""
     may_own: bool = False
     low_bandwidth: bool = False
+    owners_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +160,10 @@
         Daemons that serve callers at present.
     samples : tuple of GroupSample
         The latest position of each primary that a provider promotes.
+    owners : tuple of BucketOwner
+        Owners of buckets that have changed since those that the daemon knows.
+    owners_revision : int
+        Revision of the owners with these changes.
     """
 
     seq: int
@@ -167,6 +174,8 @@
     grants: tuple[ShareGrant, ...]
     entry_daemons: int = 0
     samples: tuple[GroupSample, ...] = ()
+    owners: tuple[BucketOwner, ...] = ()
+    owners_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/control/_reducer.py
+++ b/lovagewalk/control/_reducer.py
@@ -20,6 +20,7 @@
     _heartbeats,
     _membership,
     _owned_buckets,
+    _owner_directory,
     _proposals,
     _provider,
     _raft_steps,
@@ -112,6 +113,7 @@
         step = step.then(_failover.tick(step.state, event.at))
         step = step.then(_provider.tick(step.state, event.at))
         step = step.then(_token_queue.tick(step.state, event.at))
+        step = step.then(_owner_directory.tick(step.state, event.at))
     if step.state.draining and not _has_unfinished_work(step.state):
         step = step.then(Step(step.state, (StopDaemon(),)))
     return step
--- a/lovagewalk/control/_reports.py
+++ b/lovagewalk/control/_reports.py
@@ -148,6 +148,7 @@
         region=state.identity.region,
         may_own=state.identity.may_own,
         low_bandwidth=state.identity.low_bandwidth,
+        owners_revision=follow.owners_revision,
     )
     shares = state.shares if target == follow.target else forget_requested(state.shares)
     for share in reported_shares:
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -94,6 +94,8 @@
         since it has missed an answer.
     reads : tuple of PendingRead
         Requests for the latest catalogue, by their arrival.
+    owners_revision : int
+        Revision of the owners of buckets that the leader last named; 0 for none.
     access_batch : Proposal or None
         Access counts that the leader has not yet confirmed.
     access_batch_number : int
@@ -118,6 +120,7 @@
     answer_timeout_s: float = FOLLOW_PERIOD_S
     known_leader: str = ""
     reads: tuple[PendingRead, ...] = ()
+    owners_revision: int = 0
     access_batch: Proposal | None = None
     access_batch_number: int = 0
     access_batch_sent_at: float = 0.0
@@ -343,6 +346,28 @@
     term: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class OwnerList:
+    """The owners of buckets that the leader names to daemons.
+
+    Attributes
+    ----------
+    revision : int
+        Number of changes so far.
+    listed_at : float
+        When it was last brought up to date, in monotonic seconds.
+    owners : Map of str to tuple of PartOwner
+        The owners of each customer's bucket.
+    revisions : Map of str to int
+        Revision of the latest change of each customer's owners.
+    """
+
+    revision: int = 0
+    listed_at: float = 0.0
+    owners: Map = field(default_factory=Map)
+    revisions: Map = field(default_factory=Map)
+
+
 @dataclass(frozen=True, slots=True)
 class ControlState:
     """State of a control VM while it is the leader.
@@ -373,6 +398,8 @@
         Customers that are proposed to the log as divided among daemons.
     owners : Map of str to tuple of Ownership
         Owners of undivided buckets, by customer: one, or one for each region.
+    owner_list : OwnerList
+        Those of them that hold a bucket, as they are named to daemons.
     """
 
     led_term: int = 0
@@ -391,3 +418,4 @@
     proposed_holders: Map = field(default_factory=Map)
     proposed_divided: frozenset[str] = frozenset()
     owners: Map = field(default_factory=Map)
+    owner_list: OwnerList = OwnerList()
