--- a/lovagewalk/buckets/__init__.py
+++ b/lovagewalk/buckets/__init__.py
@@ -9,14 +9,18 @@
 from ._messages import (
     BucketOffer,
     BucketOwner,
+    ForwardedAsk,
+    PartOwner,
     TokenAdmission,
     TokenAnswer,
     TokenAsk,
     TokenDenial,
+    TokenForward,
     TokenNeed,
 )
 from ._queue import (
     MAX_RETRY_AFTER_S,
+    QUEUE_WAIT_FRACTION,
     DeniedNeed,
     QueuedNeed,
     admit_needs,
@@ -26,14 +30,18 @@
 
 __all__ = [
     "MAX_RETRY_AFTER_S",
+    "QUEUE_WAIT_FRACTION",
     "BucketOffer",
     "BucketOwner",
     "DeniedNeed",
+    "ForwardedAsk",
+    "PartOwner",
     "QueuedNeed",
     "TokenAdmission",
     "TokenAnswer",
     "TokenAsk",
     "TokenDenial",
+    "TokenForward",
     "TokenNeed",
     "admit_needs",
     "choose_owner",
--- a/lovagewalk/control/_leader.py
+++ b/lovagewalk/control/_leader.py
@@ -13,7 +13,7 @@
 from lovagewalk.core import Effect, Step, replace
 from lovagewalk.node import NodeState
 
-from . import _ledger, _proposals, _token_queue
+from . import _ledger, _owner_directory, _proposals, _token_queue
 from ._messages import (
     CatalogueUpdate,
     FollowReply,
@@ -21,6 +21,7 @@
     GroupSample,
     SuspectNotice,
 )
+from ._ownership import is_lent_to
 from ._peer_messages import on_message
 from ._state import ControlState, Follower, PendingReply
 
@@ -110,7 +111,7 @@
         entry.name
         for entry in entries
         if entry and entry.name not in divided
-        if _is_lent_to(control, entry.name, peer)
+        if is_lent_to(control, entry.name, peer)
         or not _ledger.is_on_demand(entry, entry_daemons)
     )
     if not new_customers:
@@ -124,11 +125,6 @@
     )
 
 
-def _is_lent_to(control: ControlState, customer: str, peer: str) -> bool:
-    ownership = control.owners.get(customer)
-    return ownership is not None and ownership.owner == peer
-
-
 @on_message(SuspectNotice)
 def on_suspect_notice(
     state: NodeState, peer: str, message: SuspectNotice, now: float
@@ -234,6 +230,8 @@
         grants=granted.grants,
         entry_daemons=_ledger.count_entry_daemons(state, control, now),
         samples=_collect_samples(state, now),
+        owners=_owner_directory.name_owners(state, follower.request),
+        owners_revision=_owner_directory.current_revision(state),
     )
     follower = replace(
         follower, revision=max(follower.revision, state.catalogue.revision)
--- a/lovagewalk/control/_messages.py
+++ b/lovagewalk/control/_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from lovagewalk.buckets import BucketOwner, PartOwner
 from lovagewalk.catalogue import CatalogueDelta, ChangeResult, Proposal
 from lovagewalk.groups import Position
 
@@ -46,6 +47,10 @@
     lease_s : float
         Length of the lease, counted from when the answered report was sent, in
         seconds; 0 for that of all other shares.
+    by_region : bool
+        Whether the share is the part of an undivided bucket for one region.
+    others : tuple of PartOwner
+        Owners of the other parts, the largest part first.
     """
 
     customer: str
@@ -54,6 +59,8 @@
     tokens: float
     on_demand: bool = False
     lease_s: float = 0.0
+    by_region: bool = False
+    others: tuple[PartOwner, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +98,10 @@
         Its region.
     may_own : bool
         Whether other daemons can reach it, so that it may own buckets.
+    low_bandwidth : bool
+        Whether its network link is narrow.
+    owners_revision : int
+        Revision of the owners of buckets that it was last told; 0 for none.
     """
 
     boot: str
@@ -104,6 +115,8 @@
     has_log: bool = False
     region: str = ""
     may_own: bool = False
+    low_bandwidth: bool = False
+    owners_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,6 +160,10 @@
         Daemons that serve callers at present.
     samples : tuple of GroupSample
         The latest position of each primary that a provider promotes.
+    owners : tuple of BucketOwner
+        Owners of buckets that have changed since those that the daemon knows.
+    owners_revision : int
+        Revision of the owners with these changes.
     """
 
     seq: int
@@ -157,6 +174,8 @@
     grants: tuple[ShareGrant, ...]
     entry_daemons: int = 0
     samples: tuple[GroupSample, ...] = ()
+    owners: tuple[BucketOwner, ...] = ()
+    owners_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -11,6 +11,15 @@
 
 from lovagewalk.catalogue import Catalogue
 
+# A link of at most this bandwidth, in Mbit/s, is narrow. Links of VMs have 2 to 5.3 or
+# 1,000 Mbit/s.
+NARROW_LINK_MBPS = 100.0
+
+
+def is_narrow_link(bandwidth_mbps: float) -> bool:
+    """Whether a link of this bandwidth is narrow; 0 states no bandwidth."""
+    return 0 < bandwidth_mbps <= NARROW_LINK_MBPS
+
 
 @dataclass(frozen=True, slots=True)
 class DrainLimits:
@@ -48,6 +57,9 @@
         Whether it serves callers.
     may_own : bool
         Whether other daemons can open links to it, so that it may own buckets.
+    low_bandwidth : bool
+        Whether its network link is narrow, so that buckets are lent by region and
+        queues for tokens are short.
     drain_limits : DrainLimits
         How long callers may continue while it drains.
     paces_endpoints : bool
@@ -67,6 +79,7 @@
     may_own: bool = False
     paces_endpoints: bool = False
     zones: frozenset[str] = frozenset()
+    low_bandwidth: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -7,7 +7,7 @@
 from lovagewalk.control import ConsensusTick, ControlTick, FollowState, RepairTick
 from lovagewalk.core import Event, Shell, TimerService
 from lovagewalk.daemon import SweepTick
-from lovagewalk.node import Identity, NodeState
+from lovagewalk.node import Identity, NodeState, is_narrow_link
 from lovagewalk.routing import plan_drain
 from lovagewalk.runtime import (
     CallerServer,
@@ -57,7 +57,13 @@
         self.ports.operators = HttpHandlers(self.ports, cfg)
         self.ports.provider = ProviderClient(self.ports, cfg.provider)
         secret = cfg.secret.encode()
-        self.ports.peers = Peers(self.ports, name, secret, Address.try_parse)
+        self.ports.peers = Peers(
+            self.ports,
+            name,
+            secret,
+            Address.try_parse,
+            compact=is_narrow_link(cfg.link_mbps),
+        )
 
     async def start(self) -> None:
         """Load the data folder, open the listeners and start the timers.
@@ -93,12 +99,12 @@
             may_own=True,
             paces_endpoints=cfg.paces_endpoints,
             zones=frozenset((cfg.zone, *cfg.regions)),
+            low_bandwidth=is_narrow_link(cfg.link_mbps),
         )
         seeds = cfg.control_names
         target = self.name if self.is_control else seeds[0]
-        state = NodeState(
-            identity, follow=FollowState(seeds, target, secrets.token_hex(8))
-        )
+        follow = FollowState(seeds, target, secrets.token_hex(8))
+        state = NodeState(identity, follow=follow)
         if not self.is_control:
             return state
         bootstrap_members = seeds if cfg.bootstrap else ()
--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -30,8 +30,6 @@
 
     Attributes
     ----------
-    name : str
-        Name of the VM.
     callers, health, operators : Address or None
         Addresses of the listeners for callers, for the load balancer's checks,
         and for operators and endpoints; None for a listener that is not opened.
@@ -51,6 +49,8 @@
         Time between a request to stop and a forced stop, in seconds.
     paces_endpoints : bool
         Whether the deployment's rules name all of `PACING_INVARIANTS`.
+    link_mbps : float
+        Bandwidth of the VM's network link; 0 if it is not stated.
     """
 
     name: str
@@ -67,6 +67,7 @@
     regions: Mapping[str, str]
     provider: Address | None
     grace_s: float
+    link_mbps: float
     secret: str = field(repr=False)
     paces_endpoints: bool = False
 
@@ -130,6 +131,7 @@
         regions=reader.get("zones", dict, {}),
         provider=reader.table("providerApi").address("addr"),
         grace_s=reader.table("bounds").get("graceS", float, 6.0),
+        link_mbps=reader.table("limits").get("linkMbps", float, 0.0),
         secret=secret,
         paces_endpoints=all(name in invariants for name in PACING_INVARIANTS),
     )
--- a/lovagewalk/platform/tests/test_settings.py
+++ b/lovagewalk/platform/tests/test_settings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from lovagewalk.core import Code, LovageError
+from lovagewalk.node import is_narrow_link
 from lovagewalk.platform._settings import (
     SECRET_VARIABLE,
     SETTINGS_VARIABLE,
@@ -55,6 +56,26 @@
     assert cfg.paces_endpoints is expected
 
 
+@pytest.mark.parametrize(
+    ("limits", "low_bandwidth"),
+    [
+        ({"linkMbps": 2}, True),
+        ({"linkMbps": 5.3}, True),
+        ({"linkMbps": 100}, True),
+        ({"linkMbps": 1000}, False),
+        ({"linkMbps": 0}, False),
+        ({"memoryMb": 200}, False),
+    ],
+)
+def test_the_bandwidth_of_the_link_decides_whether_it_is_narrow(limits, low_bandwidth):
+    cfg = decode_settings({**RAW, "limits": limits}, "long-enough")
+    assert is_narrow_link(cfg.link_mbps) is low_bandwidth
+
+
+def test_a_link_of_unstated_bandwidth_is_not_narrow():
+    assert not is_narrow_link(decode_settings(RAW, "long-enough").link_mbps)
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -66,6 +87,7 @@
         {"bootstrap": "yes"},
         {"listenAddrs": {"controlPlane": "10.1.0.29"}},
         {"bounds": {"graceS": "six"}},
+        {"limits": {"linkMbps": "2"}},
     ],
 )
 def test_the_error_names_a_wrong_setting(change):
--- a/lovagewalk/records/__init__.py
+++ b/lovagewalk/records/__init__.py
@@ -2,6 +2,7 @@
 
 from ._records import (
     BucketOffered,
+    BucketPartChanged,
     CallerClosed,
     CatalogueRead,
     ConfigurationInstalled,
@@ -20,6 +21,7 @@
     LeadershipLost,
     LeaseGained,
     LeaseLost,
+    NeedsForwarded,
     OwnerSilent,
     PrimaryInstalled,
     PromotionOrdered,
@@ -42,6 +44,7 @@
 
 __all__ = [
     "BucketOffered",
+    "BucketPartChanged",
     "CallerClosed",
     "CatalogueRead",
     "ConfigurationInstalled",
@@ -60,6 +63,7 @@
     "LeadershipLost",
     "LeaseGained",
     "LeaseLost",
+    "NeedsForwarded",
     "LogRecord",
     "OwnerSilent",
     "PrimaryInstalled",
