--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -51,9 +51,10 @@
 # A share shrinks only if its target is less than this fraction of it, so that a
 # difference of less than a twentieth moves nothing.
 SHRINK_THRESHOLD = 0.95
-# The part of a region shrinks only below this fraction. Until then needs are forwarded,
-# which costs less than the tokens that are not gained while a part moves.
-PART_SHRINK_THRESHOLD = 0.8
+# The part of a region shrinks only if its target is less than this fraction of it. At a
+# few needs a second, smoothed demand varies by half; each move keeps tokens from both
+# regions until the next report. Up to there, needs are forwarded.
+PART_SHRINK_THRESHOLD = 0.5
 # The time between two removals of expired holdings is short against a lease of 3 s, and
 # keeps the cost of a report constant.
 SWEEP_PERIOD_S = 0.25
