--- a/lovagewalk/runtime/_metrics.py
+++ b/lovagewalk/runtime/_metrics.py
@@ -116,6 +116,11 @@
             "Statements refused in a row by an endpoint that is full.",
             registry=self.registry,
         )
+        self.owned_rate = Gauge(
+            "lovagewalk_owned_bucket_rate",
+            "Tokens per second of the bucket, or part, that this daemon owns.",
+            registry=self.registry,
+        )
         self.sample_age = Gauge(
             "lovagewalk_group_sample_age_seconds",
             "Age of the last proof of a primary by group.",
@@ -265,6 +270,11 @@
                 age_s = now - view.samples[-1].sent_at
                 self.sample_age.set({"group": name}, age_s)
             self._collect_lags(view)
+        for name, share in state.shares.items():
+            if share.on_demand:
+                is_owned = share.is_whole_bucket and now < share.lease_until
+                rate = share.rate if is_owned else 0.0
+                self.owned_rate.set({"customer": name}, rate)
         for name, pool in state.pools.items():
             self.pool_connections.set({"endpoint": name}, len(pool.connections))
             self.pool_waiting.set({"endpoint": name}, pool.waiting)
--- a/lovagewalk/runtime/tests/test_metrics.py
+++ b/lovagewalk/runtime/tests/test_metrics.py
@@ -18,6 +18,7 @@
 from lovagewalk.records import PromotionOrdered
 from lovagewalk.routing import AnswerCaller, Phase, RequestTrace, StatementKind
 from lovagewalk.runtime._metrics import Metrics, customer_class_label
+from lovagewalk.shares import Share
 
 
 def _build_answer(refusal=None):
@@ -94,6 +95,15 @@
     assert "configuration_version 0" in text and "lines_dropped_total 0" in text
 
 
+def test_the_owned_rate_is_zero_once_the_lease_has_ended():
+    metrics = Metrics()
+    share = Share("kiosk", 6.0, 3.0, lease_until=2.0, on_demand=True)
+    state = NodeState(Identity("e", "z", "r", b"secret"), shares=Map(kiosk=share))
+    for now, rate in ((1.0, "6"), (2.0, "0")):
+        metrics.collect_state(state, now, 0)
+        assert f'owned_bucket_rate{{customer="kiosk"}} {rate}' in _render(metrics)
+
+
 def test_a_customers_class_is_its_weight():
     entry = CustomerEntry("kiosk", "op", 1.0, 1.0, weight=3.0)
     proposal = Proposal("", "test", 0.0, PutCustomer(entry, 0))
