--- a/lovagewalk/control/tests/simulated_site.py
+++ b/lovagewalk/control/tests/simulated_site.py
@@ -133,7 +133,7 @@
         """Start an entry daemon, or start it again with empty state."""
         self.boots += 1
         self.states[name] = NodeState(
-            Identity(name, "z", "r", b"secret"),
+            self.identify_entry(name),
             follow=FollowState(self.seeds, self.seeds[0], str(self.boots)),
         )
         self.requests = {
@@ -142,6 +142,10 @@
             if request.entry != name
         }
 
+    def identify_entry(self, name):
+        """Return the settings of an entry daemon."""
+        return Identity(name, "z", "r", b"secret")
+
     # Time and faults
 
     def run(self, seconds):
