Count a delay of the own loop as no silence of the primary

Cause: silence is measured from the last answer. While the daemon's own loop is delayed it receives no answer, so its delay added to the stall; a daemon that was suspended for 0.4 s or more suspected every primary at its next tick, before it read the answers.

Change: polls more than two periods apart show a delay of the loop. The time between them counts neither as silence nor as a lost link; smaller delays count as before, so a busy daemon still suspects a primary in time.

A silent primary is still suspected within 0.4 s, two polls and the delay.

--- a/lovagewalk/groups/_policy.py
+++ b/lovagewalk/groups/_policy.py
@@ -3,10 +3,12 @@
 from lovagewalk.catalogue import GroupConfig, Management, Voter
 from lovagewalk.core import replace
 
+from ._events import POLL_PERIOD_S
 from ._state import (
     GroupView,
     InstanceStatus,
     InstanceView,
+    LoopDelay,
     Position,
     PositionSample,
     Role,
@@ -21,6 +23,11 @@
 # Time without a link to the primary after which a voter counts as unlinked. It is
 # 0.1 s more than `SUSPECT_AFTER_S`, so that at least one more poll is answered.
 UNLINKED_AFTER_S = 0.5
+# Polls that are this far apart show that this daemon's own loop was delayed. Smaller
+# delays count as silence, so that a busy daemon still suspects a primary in time.
+LATE_POLL_S = 2 * POLL_PERIOD_S
+# Longer than the time limits above; a delay that ended before has no effect on them.
+DELAYS_KEPT_S = 1.0
 
 
 def is_confirmed(view: GroupView, config: GroupConfig, position: Position) -> bool:
@@ -156,10 +163,35 @@
     return None
 
 
+def record_poll(view: GroupView, now: float) -> GroupView:
+    """Record that this daemon polls a group, and the delay of its loop before that."""
+    if view.polled_at == now:
+        return view
+    delays = tuple(d for d in _find_delays(view, now) if now - d.end < DELAYS_KEPT_S)
+    return replace(view, polled_at=now, delays=delays)
+
+
+def _find_delays(view: GroupView, now: float) -> tuple[LoopDelay, ...]:
+    """Return the delays of this daemon's loop, with one that lasts until now."""
+    if not view.polled_at or now - view.polled_at < LATE_POLL_S:
+        return view.delays
+    return view.delays + (LoopDelay(view.polled_at + POLL_PERIOD_S, now),)
+
+
+def _running_time(view: GroupView, since: float, now: float) -> float:
+    """Return the time since `since` in which this loop was not delayed, in seconds."""
+    delayed_s = sum(
+        max(min(delay.end, now) - max(delay.start, since), 0.0)
+        for delay in _find_delays(view, now)
+    )
+    return now - since - delayed_s
+
+
 def is_primary_suspect(view: GroupView, config: GroupConfig, now: float) -> bool:
     """Whether this daemon suspects the primary to have failed.
 
-    A primary is suspect when it has not answered for `SUSPECT_AFTER_S`, when it
+    A primary is suspect when it has not answered for `SUSPECT_AFTER_S`, not counting
+    the time in which this daemon could not receive its answer; when it
     answers but is no longer the installed primary, or when so few voters are
     linked to it that no write can be confirmed. A primary that a provider manages
     is suspect when a statement failed at it.
@@ -168,10 +200,10 @@
         return view.failed_at > 0 and view.term in (0, config.term)
     if not config.primary or view.term != config.term:
         return False
-    if now - view.term_installed_at < SUSPECT_AFTER_S:
+    if _running_time(view, view.term_installed_at, now) < SUSPECT_AFTER_S:
         return False
     primary = view.instances.get(config.primary)
-    if primary is None or now - primary.seen_at >= SUSPECT_AFTER_S:
+    if primary is None or _running_time(view, primary.seen_at, now) >= SUSPECT_AFTER_S:
         return True
     if not _is_installed_primary(primary, config):
         return True
@@ -195,7 +227,8 @@
         instance = view.instances.get(voter.name)
         if voter.name == config.primary or instance is None:
             continue
-        is_answering = now - instance.seen_at < SUSPECT_AFTER_S
-        if is_answering and now - instance.linked_at >= UNLINKED_AFTER_S:
+        is_answering = _running_time(view, instance.seen_at, now) < SUSPECT_AFTER_S
+        unlinked_s = _running_time(view, instance.linked_at, now)
+        if is_answering and unlinked_s >= UNLINKED_AFTER_S:
             unlinked += 1
     return unlinked < config.fence_quorum
--- a/lovagewalk/groups/_reducer.py
+++ b/lovagewalk/groups/_reducer.py
@@ -11,7 +11,7 @@
 from ._effects import CloseStatusConnections, PollInstance
 from ._events import InstanceFailed, InstanceSeen, PollTick
 from ._observations import get_view
-from ._policy import add_proof, add_sample, verify_samples
+from ._policy import add_proof, add_sample, record_poll, verify_samples
 from ._state import GroupView, InstanceView, Position, PositionSample, Role
 
 
@@ -27,6 +27,7 @@
         if not instance.polling:
             effects += (PollInstance(endpoint.name, endpoint.host, endpoint.port),)
             instance = replace(instance, polling=True)
+        view = record_poll(view, event.at)
         view = replace(view, instances=view.instances.set(endpoint.name, instance))
         groups = groups.set(endpoint.group, view)
     step = Step(replace(state, groups=groups), effects)
--- a/lovagewalk/groups/_state.py
+++ b/lovagewalk/groups/_state.py
@@ -122,6 +122,14 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class LoopDelay:
+    """A time in which this daemon's own loop handled nothing, in monotonic seconds."""
+
+    start: float
+    end: float
+
+
 @dataclass(frozen=True, slots=True)
 class GroupView:
     """A daemon's view of one group.
@@ -142,6 +150,10 @@
     failed_at, failing_since : float
         Times of the latest and the first statement that failed at the primary
         since it last answered; 0 if none has failed.
+    polled_at : float
+        When this daemon last polled the instances that are not polled already.
+    delays : tuple of LoopDelay
+        Late polls within the last `DELAYS_KEPT_S`.
     """
 
     name: str
@@ -154,3 +166,5 @@
     missing_positions: Map = field(default_factory=Map)
     failed_at: float = 0.0
     failing_since: float = 0.0
+    polled_at: float = 0.0
+    delays: tuple[LoopDelay, ...] = ()
