Endpoint machine: owners, short rates, prepared statements, stops, suspensions

New rules: a control leader and an owner that lend a customer's tokens amply, briefly, as a whole to this daemon or to another one, or keep them; variables and prepared statements of sessions; planned stops and restarts of the daemon; a VM that is suspended for up to 4 s. New checks: no statement is sent after the lease, what runs sees the values and the prepared statements of its own session, a planned stop leaves no request unanswered, and ROLLBACK runs for no other customer either.

--- a/lovagewalk/routing/tests/endpoint_model.py
+++ b/lovagewalk/routing/tests/endpoint_model.py
@@ -8,10 +8,13 @@
 from dataclasses import dataclass, field
 
 from lovagewalk import catalogue as cat
+from lovagewalk.consensus import SendToPeer
+from lovagewalk.control import ControlTick, DrainRequested
+from lovagewalk.control._state import LEASE_S
 from lovagewalk.core import Code, Outcome, reduce, replace
 from lovagewalk.daemon import SweepTick, install_catalogue
 from lovagewalk.groups import Position
-from lovagewalk.node import Identity, NodeState
+from lovagewalk.node import DrainLimits, Identity, NodeState
 from lovagewalk.pools import (
     CloseConnection,
     ConnectionBroken,
@@ -25,16 +28,24 @@
     CallerConnected,
     CallerDisconnected,
     CloseCaller,
+    DiscardSettings,
     Failure,
     Marks,
+    NamedStatement,
+    PrepareShape,
+    PrepareStatement,
     RunStatement,
+    SetVariable,
     StatementArrived,
     StatementDone,
     StatementFailed,
     StatementKind,
 )
+from lovagewalk.sessions import PreparedShape
 from lovagewalk.shares import Share
 
+from .control_model import DAEMON, ControlModel, is_own_message
+
 GROUPS = ("ledger", "stock")
 CUSTOMERS = ("kiosk", "royalties")
 KEYS = ("key-a", "key-b")
@@ -49,6 +60,23 @@
 BEGINS = (StatementKind.BEGIN, StatementKind.BEGIN_READ)
 ENDS = (StatementKind.COMMIT, StatementKind.ROLLBACK)
 KINDS = (StatementKind.READ, StatementKind.WRITE, *BEGINS, *ENDS)
+SESSION_KINDS = (
+    StatementKind.SET_VARIABLE,
+    StatementKind.PREPARE,
+    StatementKind.PREPARE,
+    StatementKind.EXECUTE,
+    StatementKind.EXECUTE,
+    StatementKind.EXECUTE,
+    StatementKind.DEALLOCATE,
+)
+# Names that callers give to variables and prepared statements.
+NAMES = ("n1", "n2")
+DRAIN_LIMITS = DrainLimits(operations_s=2.0, transactions_s=3.5, answers_s=5.0)
+# By this time after its limit, a sweep has enforced a deadline.
+SWEEP_SLACK_S = 0.05
+# An endpoint drops a connection whose other end is unreachable for this time.
+UNREACHABLE_S = 3.0
+NEVER = 1e9
 
 
 @dataclass
@@ -91,6 +119,8 @@
     instance: Instance
     customer: str
     transaction: Transaction | None = None
+    variables: dict = field(default_factory=dict)
+    prepared: set = field(default_factory=set)
 
 
 @dataclass
@@ -104,6 +134,8 @@
     transaction_number: int = 0
     writes: list = field(default_factory=list)
     busy: bool = False
+    variables: dict = field(default_factory=dict)
+    prepared: dict = field(default_factory=dict)
 
 
 @dataclass
@@ -114,7 +146,10 @@
     kind: StatementKind
     sent_at: float
     transaction_number: int
+    key: str
     group: str = ""
+    variables: dict = field(default_factory=dict)
+    session_statement: SetVariable | PrepareStatement | NamedStatement | None = None
 
 
 class World:
@@ -127,6 +162,8 @@
         self.revision = self.version = 0
         self.sequence = 1
         self.pending = []
+        self.deferred = None
+        self.control = ControlModel(self, CUSTOMERS)
         self.conns = {}
         self.callers = {}
         self.sent = {}
@@ -145,15 +182,7 @@
         self.route_groups = dict.fromkeys(CONSISTENCIES, GROUPS[0])
         self.consistencies = dict(CONSISTENCIES)
         self.holders = dict(zip(KEYS, CUSTOMERS, strict=True))
-        self.state = NodeState(
-            Identity("edge", "zone-a", "west", b"secret"),
-            fresh_until=1e9,
-            entry_daemons=1,
-        )
-        for customer in CUSTOMERS:
-            share = Share(customer, 1e6, 1e6, 1e6, 0.0, 1e9)
-            shares = self.state.shares.set(customer, share)
-            self.state = replace(self.state, shares=shares)
+        self.state = _start_daemon()
         self.configure()
         for name in self.instances:
             self.announce(name)
@@ -263,7 +292,57 @@
 
     def tick(self, elapsed_s):
         self.now += elapsed_s
+        if self.control.is_active:
+            self.feed(ControlTick(self.now))
         self.feed(SweepTick(self.now))
+        if self.state.draining:
+            self._end_drain()
+
+    def drain(self):
+        """Stop the daemon as planned; it starts again after the last limit."""
+        if not self.state.draining:
+            self.feed(DrainRequested(self.now))
+
+    def _end_drain(self):
+        stopped_s = self.now - self.state.draining_since
+        if stopped_s >= DRAIN_LIMITS.answers_s + SWEEP_SLACK_S:
+            assert not self.state.requests, "unanswered at the end of a planned stop"
+            self.restart()
+
+    def restart(self):
+        """End the daemon's process, and start it with the catalogue alone.
+
+        Endpoints may have run what it had sent.
+        """
+        for number in list(self.conns):
+            self._close(number)
+        self.pending.clear()
+        self.callers.clear()
+        catalogue = self.state.catalogue
+        self.state = _start_daemon()
+        self.control.restart_daemon()
+        self.apply(install_catalogue(self.state, catalogue, self.now))
+
+    def suspend(self, seconds, deliveries, ticks_first):
+        """Suspend the daemon's VM; what arrives meanwhile is handled afterwards.
+
+        Control does not hear from it, so its lease may end.
+        """
+        self.state = replace(self.state, fresh_until=self.now + LEASE_S)
+        self.deferred = []
+        for number in range(deliveries):
+            self.deliver(7 * number, "ok")
+        if seconds >= UNREACHABLE_S:
+            for number, conn in list(self.conns.items()):
+                self._break(number, conn.instance)
+        self.now += seconds
+        events, self.deferred = self.deferred, None
+        if ticks_first:
+            self.tick(0.0)
+        for event in events:
+            self.feed(replace(event, at=self.now))
+        self.tick(0.0)
+        self.state = replace(self.state, fresh_until=NEVER)
 
     # Callers.
 
@@ -297,23 +376,58 @@
         if kind in BEGINS:
             caller.transaction_number += 1
             caller.writes = []
+        self._submit(number, caller, kind, kind)
+
+    def send_session_statement(self, number, kind, index):
+        """Send a statement on the variables or prepared statements of a session."""
+        caller = self.callers[number]
+        if caller.failed:
+            self.send(number, StatementKind.ROLLBACK)
+            return
+        name = NAMES[index % 2]
+        if caller.prepared and index % 8:
+            name = min(caller.prepared)
+        statement = NamedStatement(name)
+        effective_kind = kind
+        if kind is StatementKind.SET_VARIABLE:
+            statement = SetVariable(name, str(index % 3))
+        elif kind is StatementKind.PREPARE:
+            shape = PreparedShape(index % 4 == 3, f"content {index % 5}")
+            statement = PrepareStatement(name, shape)
+        elif kind is StatementKind.EXECUTE and name in caller.prepared:
+            writes = caller.prepared[name].writes
+            effective_kind = StatementKind.WRITE if writes else StatementKind.READ
+        self._submit(number, caller, kind, effective_kind, statement)
+
+    def _submit(self, number, caller, kind, effective_kind, session_statement=None):
         self.numbers += 1
         req = self.numbers
-        in_transaction = caller.in_transaction
         self.sent[req] = Sent(
             number,
-            kind,
+            effective_kind,
             self.now,
-            caller.transaction_number if in_transaction else 0,
+            caller.transaction_number if caller.in_transaction else 0,
+            caller.key,
+            variables=dict(caller.variables),
+            session_statement=session_statement,
         )
         caller.busy = True
         marks = Marks(request_id=f"r{req}")
-        self.feed(StatementArrived(self.now, req, number, kind, "x", marks))
+        event = StatementArrived(
+            self.now, req, number, kind, "x", marks, session_statement
+        )
+        self.feed(event)
 
     # The daemon.
 
     def feed(self, event):
+        if self.deferred is not None:
+            self.deferred.append(event)
+            return
         self.apply(reduce(self.state, event))
+        while own_messages := [e for e in self.pending if is_own_message(e)]:
+            self.pending.remove(own_messages[0])
+            self.control.deliver(own_messages[0], "ok")
 
     def apply(self, step):
         self.state = step.state
@@ -324,7 +438,7 @@
                 self.pending.append(effect)
             elif isinstance(effect, CloseConnection):
                 self._close(effect.conn)
-            elif isinstance(effect, OpenConnection):
+            elif isinstance(effect, OpenConnection | SendToPeer):
                 self.pending.append(effect)
             elif isinstance(effect, RunStatement):
                 self._check_sent(effect)
@@ -336,10 +450,10 @@
         assert request is not None, "sent after its answer"
         runs = [e.req for e in self.pending if isinstance(e, RunStatement)]
         assert run.req not in runs, "sent while it runs"
-        holder = self.holders.get(self.callers[sent.caller].key)
+        holder = self.holders.get(sent.key)
         conn = self.conns[run.conn]
-        if sent.kind is not StatementKind.ROLLBACK:
-            assert conn.customer == holder, "runs for another customer"
+        assert conn.customer == holder, "runs for another customer"
+        assert self.now < self.state.fresh_until, "runs after the lease"
         sent.group = conn.instance.group
 
     def _close(self, number):
@@ -379,6 +493,16 @@
         elif sent.kind is StatementKind.COMMIT:
             self._acknowledge(sent.caller, caller.writes)
             caller.writes = []
+        elif sent.kind is StatementKind.SET_VARIABLE:
+            variable = sent.session_statement
+            caller.variables[variable.name] = variable.value
+        elif sent.kind is StatementKind.PREPARE:
+            statement = sent.session_statement
+            caller.prepared[statement.name] = statement.shape
+        elif sent.kind is StatementKind.DEALLOCATE:
+            del caller.prepared[sent.session_statement.name]
+        else:
+            assert sent.kind is not StatementKind.EXECUTE, "executes an unknown name"
 
     def _record_refusal(self, req, sent, caller, refusal):
         is_promise = refusal.code.outcome is Outcome.NOT_RUN
@@ -415,6 +539,8 @@
             self.disconnect(effect.caller)
         elif isinstance(effect, OpenConnection):
             self._open(effect, outcome)
+        elif isinstance(effect, SendToPeer):
+            self.control.deliver(effect, outcome)
         else:
             self._run(effect, outcome)
 
@@ -433,6 +559,7 @@
         if conn is None:
             return
         if outcome == "busy":
+            _apply_setup(conn, run)
             opened = conn.transaction is not None
             self._fail(run, Failure.BUSY, usable=True, in_transaction=opened)
             return
@@ -466,6 +593,10 @@
         leads = self.leaders[instance.group] == instance.name
         if not instance.is_up:
             return Failure.LOST
+        _apply_setup(conn, run)
+        assert conn.variables == sent.variables, "runs with values of another session"
+        if run.prepared is not None and run.prepared.name not in conn.prepared:
+            return Failure.UNKNOWN_NAME
         if run.min_position is not None and not instance.holds(run.min_position):
             return Failure.BEHIND
         if (run.require_proof or (run.begin and not run.read_only)) and not leads:
@@ -569,6 +700,7 @@
             instance.is_up = True
         for group in GROUPS:
             self.install(group)
+        self.control.lend_amply()
         for _ in range(200):
             self.tick(0.05)
             for name in self.instances:
@@ -582,6 +714,30 @@
         assert unanswered <= set(self.answered), "a statement without an answer"
 
 
+def _start_daemon():
+    """Return the state of a daemon that knows no catalogue yet."""
+    state = NodeState(
+        Identity(DAEMON, "zone-a", "west", b"secret", drain_limits=DRAIN_LIMITS),
+        fresh_until=NEVER,
+        entry_daemons=1,
+    )
+    for customer in CUSTOMERS:
+        share = Share(customer, 1e6, 1e6, 1e6, 0.0, NEVER)
+        state = replace(state, shares=state.shares.set(customer, share))
+    return state
+
+
+def _apply_setup(conn, run):
+    """Perform the steps that an endpoint runs before a statement."""
+    for step in run.setup:
+        if isinstance(step, DiscardSettings):
+            conn.variables, conn.prepared = {}, set()
+        elif isinstance(step, SetVariable):
+            conn.variables[step.name] = step.value
+        elif isinstance(step, PrepareShape):
+            conn.prepared.add(step.shape.name)
+
+
 def _common_length(first, second):
     length = 0
     while length < min(len(first), len(second)) and first[length] == second[length]:
--- a/lovagewalk/routing/tests/test_endpoint_machine.py
+++ b/lovagewalk/routing/tests/test_endpoint_machine.py
@@ -16,12 +16,14 @@
 
 from lovagewalk import catalogue as cat
 
+from .control_model import LENDINGS
 from .endpoint_model import (
     CONSISTENCIES,
     CUSTOMERS,
     GROUPS,
     KEYS,
     KINDS,
+    SESSION_KINDS,
     World,
 )
 
@@ -29,6 +31,7 @@
 OUTCOMES = ("ok", "ok", "ok", "busy", "busy", "lost")
 ELAPSED_S = (0.001, 0.02, 0.02, 0.1, 0.4)
 NAMES = tuple(f"{group}-{n}" for group in GROUPS for n in range(3))
+SUSPENSIONS_S = (0.5, 2.0, 4.0)
 KIND_CHANGES = (
     cat.Consistency.PRIMARY,
     cat.Consistency.BOUNDED,
@@ -36,13 +39,25 @@
 )
 
 
-def _send(world, index, kind, route, max_callers=12):
+def _choose_caller(world, index, route, max_callers=12):
+    """Return an idle caller, or None; connect one if there are few."""
     idle = world.idle_callers()
     if len(world.callers) < max_callers or not idle:
         world.connect(KEYS[index % 2], route)
         idle = world.idle_callers()
-    if idle:
-        world.send(idle[index % len(idle)], kind)
+    return idle[index % len(idle)] if idle else None
+
+
+def _send(world, index, kind, route, max_callers=12):
+    caller = _choose_caller(world, index, route, max_callers)
+    if caller is not None:
+        world.send(caller, kind)
+
+
+def _send_session_statement(world, index, kind, route, max_callers=12):
+    caller = _choose_caller(world, index, route, max_callers)
+    if caller is not None:
+        world.send_session_statement(caller, kind, index)
 
 
 class EndpointMachine(RuleBasedStateMachine):
@@ -58,6 +73,34 @@
     def send(self, index, kind, route):
         _send(self.world, index, kind, route)
 
+    @rule(
+        index=st.integers(0, 99),
+        kind=st.sampled_from(SESSION_KINDS),
+        route=st.sampled_from(ROUTES),
+    )
+    def send_session_statement(self, index, kind, route):
+        _send_session_statement(self.world, index, kind, route)
+
+    @rule(customer=st.sampled_from(CUSTOMERS), lending=st.sampled_from(LENDINGS))
+    def lend(self, customer, lending):
+        self.world.control.lend(customer, lending)
+
+    @rule()
+    def drain(self):
+        self.world.drain()
+
+    @rule()
+    def restart(self):
+        self.world.restart()
+
+    @rule(
+        seconds=st.sampled_from(SUSPENSIONS_S),
+        deliveries=st.integers(0, 5),
+        ticks_first=st.booleans(),
+    )
+    def suspend(self, seconds, deliveries, ticks_first):
+        self.world.suspend(seconds, deliveries, ticks_first)
+
     @rule(index=st.integers(0, 99), outcome=st.sampled_from(OUTCOMES))
     def deliver(self, index, outcome):
         self.world.deliver(index, outcome)
@@ -139,6 +182,11 @@
     "break_connection": 2,
     "stop_or_start": 1,
     "disconnect": 1,
+    "send_session_statement": 10,
+    "lend": 1,
+    "drain": 0.2,
+    "restart": 0.2,
+    "suspend": 1,
 }
 # A seed plays some kinds of steps more often and others less, which finds faults that
 # an even mix of steps rarely reaches.
@@ -182,6 +230,18 @@
             _send(world, rng.randrange(99), kind, route, mix.max_callers)
         case "deliver":
             world.deliver(rng.randrange(99), rng.choice(mix.outcomes))
+        case "send_session_statement":
+            kind, index = rng.choice(SESSION_KINDS), rng.randrange(99)
+            _send_session_statement(world, index, kind, route, mix.max_callers)
+        case "lend":
+            world.control.lend(rng.choice(CUSTOMERS), rng.choice(LENDINGS))
+        case "drain":
+            world.drain()
+        case "restart":
+            world.restart()
+        case "suspend":
+            seconds = rng.choice(SUSPENSIONS_S)
+            world.suspend(seconds, rng.randrange(6), rng.random() < 0.5)
         case "tick":
             world.tick(rng.choice(ELAPSED_S))
         case "pass_time":
