Soak: routes that move and return, crowds of clients, stops with open transactions

Seeds from 4000 on move a second route of the group to one without endpoints and back, let 10 to 60 clients misbehave at a daemon's port (garbage, half a message, silent, slow, vanishing, oversized), stop daemons as planned more often, and have callers that hold transactions open for up to 3 s. The rows of all callers are read back as before.

Not begun: endpoints that answer BUSY (the line protocol's answer; the soak plays the MySQL front end), replicas that are replaced, and keys that move (no command of operators gives a key to another customer).

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -11,6 +11,7 @@
 from lovagewalk.demo import run
 from lovagewalk.operators import OperatorError
 
+from ._faults import MOVING_ROUTE
 from ._promises import (
     ChangeEnded,
     ChangeRead,
@@ -31,6 +32,12 @@
 MEAN_THINK_S = 0.05
 SWITCH_FRACTION = 0.1
 TRANSACTION_FRACTION = 0.3
+LEDGER_ROUTE = "ledger"
+# Longer than most of the stops, which last up to 2 s.
+MAX_HOLD_S = 3.0
+# The lock that other writers wait for is free for most of the time.
+MAX_LOCK_S = 0.1
+READING_FRACTION = 0.6
 # Pause of a caller after an error.
 RETRY_PAUSE_S = 0.2
 CHANGE_PAUSE_S = 0.5
@@ -60,8 +67,19 @@
     ----------
     feed : callable
         Receives the observations of the caller as events.
+
+    Attributes
+    ----------
+    route : str
+        The route to which it connects.
+    writes : bool
+        Whether it writes rows, which are read back after the run.
     """
 
+    route = LEDGER_ROUTE
+    writes = True
+    transaction_fraction = TRANSACTION_FRACTION
+
     def __init__(self, fleet, number, key, seed, feed, now):
         self.fleet = fleet
         self.number = number
@@ -82,7 +100,7 @@
                 port=ports[0],
                 user=self.key,
                 password="secret",
-                db="ledger",
+                db=self.route,
                 autocommit=True,
             )
 
@@ -122,7 +140,7 @@
 
     async def write(self):
         """Insert a row, or two in a transaction, and record the outcome."""
-        count = 2 if self.rng.random() < TRANSACTION_FRACTION else 1
+        count = 2 if self.rng.random() < self.transaction_fraction else 1
         rows = tuple(self.next_row + n for n in range(count))
         self.next_row += count
         try:
@@ -131,6 +149,7 @@
             for row in rows:
                 text = f"INSERT INTO {TABLE} VALUES ({row}, {self.number})"
                 await self.execute(text)
+                await self.think()
             if count > 1:
                 await self.execute("COMMIT")
             outcome = WriteOutcome.ACKNOWLEDGED
@@ -142,6 +161,9 @@
                 await self.roll_back()
         self.feed(WriteEnded(self.now(), self.number, rows, outcome))
 
+    async def think(self):
+        """Pause after each row; subclasses hold their transactions open here."""
+
     async def roll_back(self):
         """Roll back a transaction whose statement was refused."""
         try:
@@ -174,6 +196,7 @@
     """
 
     served_event: type
+    writes = False
 
     async def run_operation(self):
         """Read, and record that the request was admitted."""
@@ -182,6 +205,35 @@
         self.feed(self.served_event(self.now(), sent_at))
 
 
+class MovingSession(Session):
+    """A caller of the route that moves to another group and returns."""
+
+    route = MOVING_ROUTE
+
+
+class HoldingSession(Session):
+    """A caller that holds each transaction open for a while, also during a stop.
+
+    A transaction that has written holds the write lock of the stand-in's database, so
+    only those that read are held open for long.
+    """
+
+    transaction_fraction = 1.0
+
+    async def run_operation(self):
+        if self.rng.random() < READING_FRACTION:
+            await self.execute("BEGIN")
+            await self.read()
+            await asyncio.sleep(self.rng.uniform(0.0, MAX_HOLD_S))
+            await self.read()
+            await self.execute("COMMIT")
+        else:
+            await super().run_operation()
+
+    async def think(self):
+        await asyncio.sleep(self.rng.uniform(0.0, MAX_LOCK_S))
+
+
 class LimitedSession(ReaderSession):
     """A caller of a customer that exceeds its rate by far."""
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -103,6 +103,27 @@
     mode: LinkMode
 
 
+@dataclass(frozen=True, slots=True)
+class MoveRoute(Fault):
+    """Move a route to a group that has no endpoints, and back later."""
+
+
+@dataclass(frozen=True, slots=True)
+class Crowd(Fault):
+    """Let many clients misbehave at the callers' port of a daemon.
+
+    Attributes
+    ----------
+    behaviour : str
+        What all of them do, by its name in `soak/_crowd.py`.
+    size : int
+        Number of connections that are open at a time.
+    """
+
+    behaviour: str
+    size: int
+
+
 @dataclass(frozen=True, slots=True)
 class TimedFault:
     """A fault and its start, in seconds from the start of the run."""
@@ -116,14 +137,19 @@
 # Seeds below have the schedules under which some of them failed, without faults of
 # disks that refuse or tear writes.
 FIRST_DISK_SEED = 2000
+# Seeds below have no routes that move, no crowds and no callers that hold transactions
+# open.
+FIRST_TRAFFIC_SEED = 4000
+MOVING_ROUTE = "moving"
+BEHAVIOURS = ("garbage", "half a message", "silent", "slow", "vanishing", "oversized")
+MAX_CROWD = 60
 
 FaultGenerator = Callable[[random.Random], Fault]
-_generators: list[tuple[float, FaultGenerator]] = []
-_disk_generators: list[tuple[float, FaultGenerator]] = []
+_generators: list[tuple[float, int, FaultGenerator]] = []
 
 
 def fault_generator(
-    weight: float, of_disks: bool = False
+    weight: float, first_seed: int = 0
 ) -> Callable[[FaultGenerator], FaultGenerator]:
     """Register the decorated function as a generator of faults.
 
@@ -131,12 +157,12 @@
     ----------
     weight : float
         Relative frequency of these faults.
-    of_disks : bool
-        Whether only seeds from `FIRST_DISK_SEED` on have these faults.
+    first_seed : int
+        Only seeds from this one on have these faults.
     """
 
     def register(generate: FaultGenerator) -> FaultGenerator:
-        (_disk_generators if of_disks else _generators).append((weight, generate))
+        _generators.append((weight, first_seed, generate))
         return generate
 
     return register
@@ -177,12 +203,12 @@
     return Pause(rng.choice(INSTANCES), rng.uniform(0.2, 3.0))
 
 
-@fault_generator(4.0, of_disks=True)
+@fault_generator(4.0, first_seed=FIRST_DISK_SEED)
 def _fill_disk(rng: random.Random) -> Fault:
     return FillDisk(rng.choice(DAEMONS), rng.uniform(0.2, 4.0), rng.randrange(200))
 
 
-@fault_generator(2.0, of_disks=True)
+@fault_generator(2.0, first_seed=FIRST_DISK_SEED)
 def _lose_power(rng: random.Random) -> Fault:
     return LosePower(ALL_DAEMONS, rng.uniform(0.1, 1.0), rng.randrange(2**32))
 
@@ -194,17 +220,34 @@
     return HarmLink(f"{source}>{target}", rng.uniform(0.2, 5.0), mode)
 
 
+@fault_generator(4.0, first_seed=FIRST_TRAFFIC_SEED)
+def _stop_daemon_often(rng: random.Random) -> Fault:
+    return _stop_daemon(rng)
+
+
+@fault_generator(4.0, first_seed=FIRST_TRAFFIC_SEED)
+def _move_route(rng: random.Random) -> Fault:
+    return MoveRoute(MOVING_ROUTE, rng.uniform(0.1, 3.0))
+
+
+@fault_generator(4.0, first_seed=FIRST_TRAFFIC_SEED)
+def _gather_crowd(rng: random.Random) -> Fault:
+    target = f"callers of {rng.choice(DAEMONS)}"
+    behaviour = rng.choice(BEHAVIOURS)
+    return Crowd(target, rng.uniform(0.5, 4.0), behaviour, rng.randint(10, MAX_CROWD))
+
+
 def plan_faults(seed: int, seconds: float) -> tuple[TimedFault, ...]:
     """Return the faults of a run, which depend on the arguments alone."""
     rng = random.Random(seed)
-    generators = _generators
-    if seed >= FIRST_DISK_SEED:
-        generators = _generators + _disk_generators
-    weights = [weight for weight, _ in generators]
+    generators = [item for item in _generators if item[1] <= seed]
+    # Seeds keep their schedules if generators of later seeds are added.
+    generators.sort(key=lambda item: item[1])
+    weights = [weight for weight, _, _ in generators]
     planned: list[TimedFault] = []
     at_s = rng.expovariate(1 / MEAN_GAP_S)
     while at_s < seconds:
-        _, generate = rng.choices(generators, weights)[0]
+        _, _, generate = rng.choices(generators, weights)[0]
         fault = generate(rng)
         if not _exceeds_tolerance(planned, fault, at_s):
             planned.append(TimedFault(at_s, fault))
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -29,15 +29,19 @@
 from lovagewalk.tests.disk_faults import TEARS, tear
 
 from ._callers import REQUEST_ERRORS
+from ._crowd import gather_crowd
 from ._faults import (
     DAEMONS,
     INSTANCES,
+    MOVING_ROUTE,
+    Crowd,
     Fault,
     FillDisk,
     HarmLink,
     Kill,
     LoseDisk,
     LosePower,
+    MoveRoute,
     Pause,
     Stop,
     TearLog,
@@ -49,6 +53,9 @@
 # Far longer than a response takes on the loopback address.
 STATUS_LIMIT_S = 0.5
 _VOTING_ROLES = (Role.PRIMARY.value, Role.REPLICA.value)
+# The group of the route that moves, and one that has no endpoints.
+GROUP, EMPTY_GROUP = "kiosk-ledger", "elsewhere"
+CHANGE_RETRY_S = 0.2
 # The beginning of a journal record whose end was never written.
 LOST_RECORD = build_frame(b"torn" * 300)
 TORN_RECORD = LOST_RECORD[:60]
@@ -160,6 +167,34 @@
             log.debug("soak: %s does not respond: %r", name, exc)
             return None
 
+    async def add_moving_route(self):
+        """Add a second route to the group, which faults move away and back."""
+        command = {"_type": "PutRoute", "entry": _moving_route(GROUP), "expected": 0}
+        await self.change("vm2", command)
+
+    async def move_route(self, group):
+        """Let the moving route lead to a group, however long that takes."""
+        while not await self._try_move_route(group):
+            await asyncio.sleep(CHANGE_RETRY_S)
+
+    async def _try_move_route(self, group):
+        """Return whether a daemon has confirmed that the route leads to a group."""
+        name = random.choice(DAEMONS)
+        try:
+            async with self.operator_client(name) as client:
+                routes = (await client.get("/catalogue"))["routes"]
+                found = [r for r in routes if r["entry"]["name"] == MOVING_ROUTE][0]
+                if found["entry"]["group"] == group:
+                    return True
+                entry, expected = _moving_route(group), found["revision"]
+                await client.change(
+                    {"_type": "PutRoute", "entry": entry, "expected": expected}
+                )
+        except (*REQUEST_ERRORS, OperatorError) as exc:
+            log.debug("soak: %s did not move the route: %r", name, exc)
+            return False
+        return True
+
     async def launch(self, name):
         """Start the process of a daemon or an instance."""
         program = "daemon" if name in DAEMONS else "standin"
@@ -217,6 +252,16 @@
         self.fault_tasks.clear()
 
 
+def _moving_route(group):
+    return {
+        "name": MOVING_ROUTE,
+        "owner": "o",
+        "group": group,
+        "route_class": "KEYED",
+        "customers": [],
+    }
+
+
 async def _restart_after(
     fleet: SoakFleet,
     fault: Fault,
@@ -377,3 +422,21 @@
     proxy.inject(fault.mode)
     await asyncio.sleep(fault.for_s)
     proxy.heal()
+
+
+@performs(MoveRoute)
+def _move_route(fleet: SoakFleet, fault: MoveRoute) -> None:
+    fleet.start_fault(fault, _move_away_and_back(fleet, fault))
+
+
+async def _move_away_and_back(fleet: SoakFleet, fault: MoveRoute) -> None:
+    await fleet.move_route(EMPTY_GROUP)
+    await asyncio.sleep(fault.for_s)
+    await fleet.move_route(GROUP)
+
+
+@performs(Crowd)
+def _gather_crowd(fleet: SoakFleet, fault: Crowd) -> None:
+    port = fleet.ports[fault.target.rpartition(" ")[2]][0]
+    crowd = gather_crowd(port, fault.behaviour, fault.size, fault.size, fault.for_s)
+    fleet.start_fault(fault, crowd)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -18,12 +18,14 @@
     TABLE,
     WITHDRAWN,
     WRITER,
+    HoldingSession,
     LimitedSession,
+    MovingSession,
     Operator,
     Session,
     WithdrawnSession,
 )
-from ._faults import plan_faults
+from ._faults import FIRST_TRAFFIC_SEED, plan_faults
 from ._promises import (
     CheckerState,
     NotRecovered,
@@ -36,6 +38,12 @@
 WRITERS = 6
 LIMITED_CALLERS = 3
 WITHDRAWN_CALLERS = 2
+# The same for seeds with the last two kinds. A write that waits for the lock of a
+# stand-in's database occupies one of its three slots; with 13 writers the one that
+# holds the lock waited for a slot most of the time, and few rows were written.
+WRITERS_BESIDE_OTHERS = 3
+MOVING_CALLERS = 2
+HOLDING_CALLERS = 2
 LIMITED_RATE, LIMITED_BURST = 15.0, 12.0
 # Time after the last fault for a lease of shares to expire, an election and a
 # failover, twice each.
@@ -86,8 +94,10 @@
     async with _fleet.SoakFleet(folder) as fleet:
         operator = Operator(fleet, seed, shell.feed, timer.now)
         await _set_up(fleet, operator)
-        await _run_workload(fleet, operator, seed, seconds, faults, shell, timer)
-        await _check_recovery(fleet, operator, shell, timer)
+        writers = await _run_workload(
+            fleet, operator, seed, seconds, faults, shell, timer
+        )
+        await _check_recovery(fleet, operator, writers, shell, timer)
     timer.close()
     return _build_verdict(seed, faults, shell.state)
 
@@ -95,6 +105,7 @@
 async def _set_up(fleet, operator) -> None:
     await fleet.wait_for_status("vm1", lambda status: bool(status["groups"]))
     await fleet.set_up_catalogue([WRITER, WITHDRAWN], 5000.0, 1000.0)
+    await fleet.add_moving_route()
     await fleet.add_customers([LIMITED], LIMITED_RATE, LIMITED_BURST)
     for name in fleet.ports:
         await fleet.wait_for_status(name, is_serving)
@@ -104,15 +115,18 @@
     conn.close()
 
 
-async def _run_workload(fleet, operator, seed, seconds, faults, shell, timer) -> None:
-    """Run the callers and inject the faults concurrently."""
+async def _run_workload(fleet, operator, seed, seconds, faults, shell, timer):
+    """Run the callers and inject the faults; return the numbers of those that write."""
     started = timer.now()
     shell.state = replace(shell.state, started_at=started)
     end_at = started + seconds
+    has_traffic = seed >= FIRST_TRAFFIC_SEED
     session_types = (
-        (Session, WRITER, WRITERS),
+        (Session, WRITER, WRITERS_BESIDE_OTHERS if has_traffic else WRITERS),
         (LimitedSession, LIMITED, LIMITED_CALLERS),
         (WithdrawnSession, WITHDRAWN, WITHDRAWN_CALLERS),
+        (MovingSession, WRITER, MOVING_CALLERS if has_traffic else 0),
+        (HoldingSession, WRITER, HOLDING_CALLERS if has_traffic else 0),
     )
     sessions = []
     for session_type, key, count in session_types:
@@ -128,16 +142,17 @@
         await timer.sleep(max(started + timed_fault.at_s - timer.now(), 0.0))
         perform(fleet, timed_fault.fault)
     await asyncio.gather(*tasks)
+    return tuple(session.number for session in sessions if session.writes)
 
 
-async def _check_recovery(fleet, operator, shell, timer) -> None:
+async def _check_recovery(fleet, operator, writers, shell, timer) -> None:
     """Wait until all faults have ended, then read everything back."""
     await fleet.wait_for_faults()
     for name, status in fleet.find_ended().items():
         shell.feed(ProcessEnded(timer.now(), name, status))
     try:
         async with asyncio.timeout(RECOVERY_LIMIT_S):
-            while not await _try_read_back(fleet, operator, shell, timer):
+            while not await _try_read_back(fleet, operator, writers, shell, timer):
                 await timer.sleep(READ_BACK_RETRY_S)
     except TimeoutError:
         shell.feed(NotRecovered(timer.now(), RECOVERY_LIMIT_S))
@@ -145,9 +160,9 @@
         shell.feed(ReducersFailed(timer.now(), name, tuple(events)))
 
 
-async def _try_read_back(fleet, operator, shell, timer) -> bool:
+async def _try_read_back(fleet, operator, writers, shell, timer) -> bool:
     try:
-        await _read_all(fleet, shell, timer)
+        await _read_all(fleet, writers, shell, timer)
         await operator.read_back()
     except TimeoutError:
         raise
@@ -156,9 +171,9 @@
     return True
 
 
-async def _read_all(fleet, shell, timer) -> None:
+async def _read_all(fleet, writers, shell, timer) -> None:
     conn = await fleet.connect("vm2", WRITER, "secret")
-    for number in range(1, WRITERS + 1):
+    for number in writers:
         rows = await run(conn, f"SELECT id FROM {TABLE} WHERE s = {number}")
         seen = tuple(row[0] for row in rows)
         shell.feed(RowsRead(timer.now(), number, seen, final=True))
--- a/soak/tests/test_faults.py
+++ b/soak/tests/test_faults.py
@@ -2,7 +2,16 @@
 
 import pytest
 
-from soak._faults import FIRST_DISK_SEED, INSTANCES, Kill, LoseDisk, plan_faults
+from soak._crowd import _behaviours
+from soak._faults import (
+    BEHAVIOURS,
+    FIRST_DISK_SEED,
+    FIRST_TRAFFIC_SEED,
+    INSTANCES,
+    Kill,
+    LoseDisk,
+    plan_faults,
+)
 
 
 def test_a_seed_always_generates_the_same_faults():
@@ -29,4 +38,11 @@
 
     earlier = {"Kill", "Stop", "Pause", "LoseDisk", "TearLog", "HarmLink"}
     assert kinds(0) == earlier, "regressions keep their schedules"
-    assert kinds(FIRST_DISK_SEED) == earlier | {"FillDisk", "LosePower"}
+    of_disks = {"FillDisk", "LosePower"}
+    assert kinds(FIRST_DISK_SEED) == earlier | of_disks
+    of_traffic = {"MoveRoute", "Crowd"}
+    assert kinds(FIRST_TRAFFIC_SEED) == earlier | of_disks | of_traffic
+
+
+def test_every_planned_behaviour_of_a_crowd_exists():
+    assert all(behaviour in _behaviours for behaviour in BEHAVIOURS)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""Short soak runs, one of them with a seed that failed in the past, one of disks."""
+"""Short soak runs: one seed that failed in the past, one of disks, one of traffic."""
 
 import pytest
 
@@ -6,7 +6,7 @@
 
 # Each run is long enough for an election, a failover and a restart. `python -m soak
 # regress` runs all seeds that failed in the past at full length.
-RUNS = [(1, 8.0), (6, 12.0), (2000, 10.0)]
+RUNS = [(1, 8.0), (6, 12.0), (2000, 10.0), (4217, 10.0)]
 
 
 @pytest.mark.parametrize(("seed", "seconds"), RUNS)
