--- a/lovagewalk/routing/tests/endpoint_model.py
+++ b/lovagewalk/routing/tests/endpoint_model.py
@@ -322,7 +322,7 @@
         self.pending.clear()
         self.callers.clear()
         catalogue = self.state.catalogue
-        self.state = _start_daemon()
+        self.state = _start_daemon(self.state.identity.paces_endpoints)
         self.control.restart_daemon()
         self.apply(install_catalogue(self.state, catalogue, self.now))
 
