Parts of buckets: a region without its part gets it from the others

Cause: with the threshold of one half, an owner of the whole bucket kept all of it when the other region returned after a partition: its target was exactly one half. test_a_partition_leaves_each_region_within_the_bucket failed.

Change: an owner's part also shrinks where another owner holds less than half of its own. BucketPartChanged names the leader that lends the part, since each record has to name its subject (test_records.py).

--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -65,7 +65,7 @@
         before = shares.get(grant.customer) or Share(grant.customer, updated_at=now)
         lease_until = follow.sent_at + (grant.lease_s or LEASE_S)
         share = _apply_grant(before, grant, lease_until, now)
-        records += _record_part_change(before, share)
+        records += _record_part_change(peer, before, share)
         if grant.by_region and _shrinks(before, share):
             # The leader lends what this report gives up to the other regions.
             follow = replace(follow, is_report_urgent=True)
@@ -202,7 +202,9 @@
     return after.rate < before.rate or after.burst < before.burst
 
 
-def _record_part_change(before: Share, after: Share) -> tuple[BucketPartChanged, ...]:
+def _record_part_change(
+    leader: str, before: Share, after: Share
+) -> tuple[BucketPartChanged, ...]:
     """Return the record of a part that begins or ends, or whose other owners change."""
     if not before.by_region and not after.by_region:
         return ()
@@ -212,6 +214,7 @@
     others = ", ".join(f"{part.owner} ({part.region})" for part in after.other_parts)
     record = BucketPartChanged(
         customer=after.customer,
+        target=leader,
         rate=round(after.rate, 2),
         burst=round(after.burst, 2),
         others=others,
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -24,6 +24,7 @@
 from ._ownership import (
     UNREPORTED_KEY,
     adopt_owners,
+    burst_held_by,
     find_owners,
     holding_key,
     is_lent_to,
@@ -462,9 +463,14 @@
         return ShareGrant(name, 0.0, 0.0, 0.0, on_demand=True)
     parts = compute_parts(control, ledger, entry, now, by_region=True)
     target = parts.get(peer, Target(0.0, 0.0))
-    grant = _decide_grant(
-        ledger, entry, report, target, may_hold, PART_SHRINK_THRESHOLD
+    # An owner that has far less than its part gets it from the others without delay.
+    is_other_short = any(
+        burst_held_by(control, ledger, owner, now) < part.burst * PART_SHRINK_THRESHOLD
+        for owner, part in parts.items()
+        if owner != peer
     )
+    threshold = SHRINK_THRESHOLD if is_other_short else PART_SHRINK_THRESHOLD
+    grant = _decide_grant(ledger, entry, report, target, may_hold, threshold)
     is_released = target.burst == 0 and report.burst == 0
     others = tuple(
         PartOwner(ownership.owner, ownership.region)
--- a/lovagewalk/control/_ownership.py
+++ b/lovagewalk/control/_ownership.py
@@ -31,7 +31,7 @@
                 owners += (ownership,)
     if not by_region:
         owners = owners[:1]
-    return tuple(o for o in owners if held_burst(control, ledger, o.owner, now) > 0)
+    return tuple(o for o in owners if burst_held_by(control, ledger, o.owner, now) > 0)
 
 
 def recorded_owners(
@@ -42,7 +42,7 @@
     if len(owners) < 2:
         return owners
     return tuple(
-        sorted(owners, key=lambda o: -held_burst(control, ledger, o.owner, now))
+        sorted(owners, key=lambda o: -burst_held_by(control, ledger, o.owner, now))
     )
 
 
@@ -54,7 +54,7 @@
     return tuple(
         Ownership(name, now, control.followers[name].request.region)
         for name in names
-        if held_burst(control, ledger, name, now) > 0
+        if burst_held_by(control, ledger, name, now) > 0
     )
 
 
@@ -82,7 +82,9 @@
     return any(o.owner == peer for o in control.owners.get(customer, ()))
 
 
-def held_burst(control: ControlState, ledger: Ledger, name: str, now: float) -> float:
+def burst_held_by(
+    control: ControlState, ledger: Ledger, name: str, now: float
+) -> float:
     """Return the burst that a daemon holds, if it may own buckets."""
     follower = control.followers.get(name)
     if follower is None or not follower.request.may_own:
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -382,6 +382,8 @@
 
     Attributes
     ----------
+    target : str
+        The control leader that lends it.
     rate, burst : float
         The part owned here; 0 if it was given up.
     others : str
@@ -389,6 +391,7 @@
     """
 
     customer: str
+    target: str
     rate: float
     burst: float
     others: str
