Clients: decisions on the memory, connections and time of clients

Cause: nothing bounds what clients make a process hold.

Change: package lovagewalk/clients with one budget for a process, its events, effects and reducers, without a network: limits derived from the VM's memory and descriptors; pausing, refusing and closing as pressure rises; time limits for STARTUP, for a message and for unread answers; closures as code LW1105, in log records once a tick, so that a flood does not crowd out other lines. No adapter reports to it yet.

--- a/lovagewalk/core/_errors.py
+++ b/lovagewalk/core/_errors.py
@@ -29,6 +29,7 @@
     OVERLOADED = (1102, Outcome.NOT_RUN, 1040, "no connection before the deadline")
     NO_ENDPOINT = (1103, Outcome.NOT_RUN, 1053, "no endpoint available")
     DRAINING = (1104, Outcome.NOT_RUN, 1053, "daemon is shutting down")
+    CLIENT_LIMIT = (1105, Outcome.NOT_RUN, 1040, "limit for clients reached")
     TOKEN_INVALID = (1201, Outcome.NOT_RUN, 1227, "session token invalid")
     ALREADY_RUN = (1202, Outcome.RUN_BEFORE, 1062, "request id already run")
     STATEMENT_BAD = (1301, Outcome.NOT_RUN, 1064, "statement not accepted")
--- a/lovagewalk/daemon/__init__.py
+++ b/lovagewalk/daemon/__init__.py
@@ -1,5 +1,6 @@
 """Imports the reducers of all packages, which registers them."""
 
+from lovagewalk.clients import _reducer as _clients
 from lovagewalk.control import _reducer as _control
 from lovagewalk.groups import _reducer as _groups
 from lovagewalk.pools import _reducer as _pools
@@ -10,4 +11,4 @@
 
 __all__ = ["SweepTick", "install_catalogue"]
 
-_REDUCERS = (_control, _arrival, _callers, _groups, _outcome, _pools, _sweep)
+_REDUCERS = (_clients, _control, _arrival, _callers, _groups, _outcome, _pools, _sweep)
--- a/lovagewalk/node/_state.py
+++ b/lovagewalk/node/_state.py
@@ -10,6 +10,7 @@
 from immutables import Map
 
 from lovagewalk.catalogue import Catalogue
+from lovagewalk.clients import ClientBudget
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +106,8 @@
         which came from the leader meanwhile; None otherwise.
     draining_since : float
         When draining began, in monotonic seconds.
+    client_budget : ClientBudget
+        What this process's clients hold, and may hold.
     consensus, control, follow
         `RaftState`, `ControlState` and `FollowState`, set by the control package;
         None where a daemon has no such role.
@@ -129,6 +132,7 @@
     next_conn: int = 1
     draining: bool = False
     draining_since: float = 0.0
+    client_budget: ClientBudget = ClientBudget()
     consensus: object = None
     control: object = None
     follow: object = None
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -388,3 +388,70 @@
     customer: str
     target: str
     waiting: int
+
+
+@logged_as("clients", "connections refused")
+@dataclass(frozen=True, slots=True)
+class ClientsRefused(LogRecord):
+    """New connections of clients were refused, since the last such record.
+
+    Attributes
+    ----------
+    caller : int
+        Number of the first of these connections.
+    kind : str
+        Kind of client: caller, operator, readiness or peer.
+    reason : str
+    connections : int
+    held_kib : int
+        What they held, in KiB.
+    """
+
+    caller: int
+    kind: str
+    reason: str
+    connections: int
+    held_kib: int
+
+
+@logged_as("clients", "connections closed")
+@dataclass(frozen=True, slots=True)
+class ClientsClosed(LogRecord):
+    """Connections of clients were closed; the fields are those of `ClientsRefused`."""
+
+    caller: int
+    kind: str
+    reason: str
+    connections: int
+    held_kib: int
+
+
+@logged_as("clients", "connections paused")
+@dataclass(frozen=True, slots=True)
+class ClientsPaused(LogRecord):
+    """Memory pressure began: this daemon does not read from some clients for now.
+
+    Attributes
+    ----------
+    caller : int
+        Number of one of these connections.
+    """
+
+    caller: int
+    connections: int
+    held_kib: int
+
+
+@logged_as("clients", "connections resumed")
+@dataclass(frozen=True, slots=True)
+class ClientsResumed(LogRecord):
+    """Memory pressure is over.
+
+    Attributes
+    ----------
+    caller : int
+        Number of one of the connections that are read again.
+    """
+
+    caller: int
+    held_kib: int
