Clients: adapters report to the budget and perform its effects

Cause: 15 of the tests of hostile clients failed: whole messages were queued ahead of answers, incomplete messages and bodies were kept without a limit, and connections were neither counted nor timed.

Change: the line protocol keeps what is sent ahead as received bytes and stops reading beyond a limit; no message is processed while answers are unread. The HTTP server, the MySQL listener and the port for daemons count their connections and report buffers, bodies and incomplete packets. An ordinary statement, which arrives whole, feeds no event. Packets of a MySQL login are at most 64 KiB. Settings limits.* and [limits] state the VM and each limit.

The test double of test_caller_close got a state, a feed and a buffer size, which sessions use.

--- a/lovagewalk/cli/tests/process_fleet.py
+++ b/lovagewalk/cli/tests/process_fleet.py
@@ -18,7 +18,9 @@
 ENDPOINT_PASSWORD = "endpoint-secret"
 
 
-def daemon_ini(folder, name, ports, control_ports, fleet_size=3, peers_port=0):
+def daemon_ini(
+    folder, name, ports, control_ports, fleet_size=3, peers_port=0, limits=""
+):
     """Return the text of a daemon's settings file.
 
     `control_ports` maps each control VM to the port at which this daemon reaches it.
@@ -54,6 +56,7 @@
 folder = {folder / name if name in control_ports else ''}
 [log]
 level = WARNING
+{limits}
 """
 
 
@@ -86,7 +89,8 @@
         Ports of each daemon, for callers and for operators.
     """
 
-    def __init__(self, folder, daemon_count=3, service_ms=0.0):
+    def __init__(self, folder, daemon_count=3, service_ms=0.0, limits=""):
+        self.limits = limits
         self.folder = folder
         self.service_ms = service_ms
         self.instance_ports = {f"db{n}": free_port() for n in (1, 2, 3)}
@@ -106,7 +110,10 @@
         control_ports = {name: free_port() for name in list(self.ports)[:3]}
         operator_addresses = [f"{HOST}:{ports[1]}" for ports in self.ports.values()]
         for name, ports in self.ports.items():
-            text = daemon_ini(self.folder, name, ports, control_ports, len(self.ports))
+            size = len(self.ports)
+            text = daemon_ini(
+                self.folder, name, ports, control_ports, size, limits=self.limits
+            )
             (self.folder / f"{name}.ini").write_text(text)
             self.processes[name] = await self.start_process("daemon", name)
         for name in self.instance_ports:
--- a/lovagewalk/cli/tests/test_hostile_clients.py
+++ b/lovagewalk/cli/tests/test_hostile_clients.py
@@ -86,7 +86,8 @@
 @pytest.mark.parametrize("load", list(_loads), ids=lambda load: load.replace(" ", "_"))
 async def test_daemon_survives(load, tmp_path):
     """Guards against a daemon that ends, hangs or grows beyond its VM."""
-    async with ProcessFleet(tmp_path) as fleet:
+    limits = f"[limits]\nmemory_mb = {MEMORY_MB}\nmax_fds = {MAX_FDS}"
+    async with ProcessFleet(tmp_path, limits=limits) as fleet:
         await fleet.wait_for_status("vm1", lambda status: status["control"]["leader"])
         await fleet.set_up_catalogue(["kiosk-1"], 1000.0, 1000.0)
         await fleet.wait_for_status("vm1", is_serving)
--- a/lovagewalk/edge/_callers.py
+++ b/lovagewalk/edge/_callers.py
@@ -15,6 +15,7 @@
     User,
 )
 
+from lovagewalk.clients import ClientKind
 from lovagewalk.core import Code, LovageError, Refusal
 from lovagewalk.routing import (
     AnswerCaller,
@@ -25,7 +26,12 @@
     StatementArrived,
     StatementRejected,
 )
-from lovagewalk.runtime import Ports, customer_class_label
+from lovagewalk.runtime import (
+    ClientPort,
+    Ports,
+    StreamConnection,
+    customer_class_label,
+)
 from lovagewalk.statements import classify, split_marks
 
 from ._endpoints import StatementResult
@@ -58,6 +64,18 @@
         self.admission_future: asyncio.Future | None = None
         self.answer_future: asyncio.Future | None = None
         self.connected = False
+        self.client: ClientPort | None = None
+
+    def open_client(self, connection: StreamConnection) -> ClientPort:
+        """Return the session's connection as a client of the budget."""
+        self.client = ClientPort(
+            self.ports, ClientKind.CALLER, connection, number=self.caller
+        )
+        return self.client
+
+    def report_answer(self) -> None:
+        """Report the rows that the client has not read."""
+        self.client.connection.measure()
 
     async def admit(self, key_id: str) -> Refusal | None:
         """Request admission of this caller.
@@ -70,6 +88,7 @@
         self.admission_future = asyncio.get_running_loop().create_future()
         self.ports.callers.sessions[self.caller] = self
         self.connected = True
+        self.client.set_waiting(False)
         now = self.ports.now()
         self.ports.feed(CallerConnected(now, self.caller, key_id, self.database or ""))
         return await self.admission_future
@@ -207,7 +226,11 @@
 
     def __init__(self, ports: Ports) -> None:
         self.sessions: dict[int, CallerSession] = {}
-        self.listener = MysqlListener(lambda: CallerSession(ports), KeyIdentityProvider)
+        self.listener = MysqlListener(
+            lambda: CallerSession(ports),
+            KeyIdentityProvider,
+            lambda session, connection: session.open_client(connection),
+        )
 
     def accept(self, caller: int) -> None:
         """Complete the authentication of an admitted caller."""
--- a/lovagewalk/edge/_daemon.py
+++ b/lovagewalk/edge/_daemon.py
@@ -5,12 +5,19 @@
 import secrets
 from pathlib import Path
 
+from lovagewalk.clients import ClientsTick, LimitSettings, create_budget
 from lovagewalk.control import ConsensusTick, ControlTick, FollowState, RepairTick
 from lovagewalk.core import Shell, TimerService
 from lovagewalk.daemon import SweepTick
 from lovagewalk.groups import PollTick
 from lovagewalk.node import DrainLimits, Identity, NodeState
-from lovagewalk.runtime import DaemonProcess, Network, Peers, Ports
+from lovagewalk.runtime import (
+    DaemonProcess,
+    Network,
+    Peers,
+    Ports,
+    derive_process_limits,
+)
 from lovagewalk.settings import Address, DaemonSettings, parse_address
 
 from ._callers import MysqlCallerServer
@@ -26,7 +33,9 @@
 DRAIN_LIMITS = DrainLimits(
     transactions_s=DRAIN_TIMEOUT_S - 2.0, answers_s=DRAIN_TIMEOUT_S - 0.5
 )
-TICKS = (PollTick, SweepTick, ConsensusTick, ControlTick, RepairTick)
+MIB = 1024 * 1024
+MS_PER_S = 1000.0
+TICKS = (PollTick, SweepTick, ConsensusTick, ControlTick, RepairTick, ClientsTick)
 
 log = logging.getLogger("lovagewalk.daemon")
 
@@ -128,12 +137,29 @@
         control_names = tuple(self.cfg.control)
         target = daemon.name if identity.control else control_names[0]
         boot = secrets.token_hex(8)
-        state = NodeState(identity, follow=FollowState(control_names, target, boot))
+        state = NodeState(
+            identity,
+            follow=FollowState(control_names, target, boot),
+            client_budget=create_budget(derive_process_limits(self._limits())),
+        )
         if not identity.control:
             return state
         folder = Path(self.cfg.data.folder)
         return self.load_control_state(state, folder, control_names, control_names)
 
+    def _limits(self) -> LimitSettings:
+        cfg = self.cfg.limits
+        return LimitSettings(
+            memory_bytes=cfg.memory_mb * MIB,
+            descriptors=cfg.max_fds,
+            client_bytes=cfg.client_memory_mb * MIB,
+            callers=cfg.max_clients,
+            callers_per_source=cfg.max_clients_per_source,
+            startup_timeout_s=cfg.client_startup_ms / MS_PER_S,
+            message_timeout_s=cfg.client_message_ms / MS_PER_S,
+            unread_timeout_s=cfg.client_unread_ms / MS_PER_S,
+        )
+
     async def stop(self) -> None:
         """Drain the daemon, wait until it has stopped, and close it."""
         self.drain()
--- a/lovagewalk/edge/_mysql_server.py
+++ b/lovagewalk/edge/_mysql_server.py
@@ -23,10 +23,21 @@
 from mysql_mimic.types import ColumnType, ServerStatus, uint_len
 from mysql_mimic.variables import GlobalVariables, SessionVariables
 
+from lovagewalk.clients import HOLDING_STEP_BYTES, STATEMENT_COPIES
 from lovagewalk.core import Code, LovageError, Refusal
+from lovagewalk.runtime import (
+    Client,
+    CountedReader,
+    StreamConnection,
+    UncountedClient,
+    find_source,
+    start_counted_server,
+)
 
 # Limits the size of a statement, and so the memory that a connection uses.
 MAX_PACKET_BYTES = 4 * 1024 * 1024
+# A packet of the login holds a few names and attributes.
+MAX_LOGIN_PACKET_BYTES = 64 * 1024
 # Rows written before the server waits for the write buffer to drain.
 STREAM_BATCH_ROWS = 500
 # The usual handshake timeout of MySQL servers.
@@ -90,18 +101,18 @@
     """Reader that refuses oversized packets and detects a closed connection.
 
     It wraps the stream reader, since the library's `MysqlStream` is compiled and
-    cannot be extended.
+    cannot be extended. It reports what an incomplete packet holds.
     """
 
-    def __init__(self, reader: asyncio.StreamReader) -> None:
-        self._reader = reader
+    def __init__(self, connection: "MysqlConnection") -> None:
+        self._connection = connection
 
     async def read(self, count: int) -> bytes:
         """Read a whole packet header; return no bytes at the end of the stream."""
-        try:
-            return await self._reader.readexactly(count)
-        except asyncio.IncompleteReadError:
-            return b""
+        # The previous packet has been processed.
+        self._connection.ahead_bytes = 0
+        self._connection.report()
+        return await self._read_all(count) or b""
 
     async def readexactly(self, count: int) -> bytes:
         """Read a packet body of `count` bytes.
@@ -109,14 +120,36 @@
         Raises
         ------
         LovageError
-            ``STATEMENT_LARGE`` if `count` exceeds `MAX_PACKET_BYTES`.
+            ``STATEMENT_LARGE`` if `count` exceeds `MAX_PACKET_BYTES`, or before the end
+            of the login `MAX_LOGIN_PACKET_BYTES`.
         """
-        if count > MAX_PACKET_BYTES:
+        is_open = self._connection.is_logged_in
+        if count > (MAX_PACKET_BYTES if is_open else MAX_LOGIN_PACKET_BYTES):
             raise LovageError(Code.STATEMENT_LARGE)
-        try:
-            return await self._reader.readexactly(count)
-        except asyncio.IncompleteReadError as exc:
-            raise ConnectionClosed() from exc
+        data = await self._read_all(count)
+        if data is None:
+            raise ConnectionClosed()
+        if count >= HOLDING_STEP_BYTES:
+            self._connection.ahead_bytes = count * STATEMENT_COPIES
+            self._connection.report()
+        return data
+
+    async def _read_all(self, count: int) -> bytes | None:
+        """Return the next bytes; None if the stream ends before."""
+        connection = self._connection
+        if not count:
+            return b""
+        data = await connection.read(count)
+        if len(data) == count:
+            return data
+        packet = bytearray(data)
+        while data and len(packet) < count:
+            connection.message_bytes = len(packet)
+            connection.report()
+            data = await connection.read(count - len(packet))
+            packet += data
+        connection.message_bytes = 0
+        return bytes(packet) if len(packet) == count else None
 
 
 class ServerSession(BaseSession):
@@ -148,12 +181,23 @@
             refusal = Refusal(Code.STATEMENT_BAD, "connect again to change the route")
             raise refusal_error(refusal)
 
+    def report_answer(self) -> None:
+        """Handle rows that were written and may not be read yet."""
+
     def connection_lost(self) -> None:
         """Handle the end of the connection."""
 
 
 class ServerConnection(Connection):
-    """Connection of one client."""
+    """Connection of one client.
+
+    Attributes
+    ----------
+    counted : MysqlConnection
+        Its connection in the client budget.
+    """
+
+    counted: "MysqlConnection"
 
     async def _start(self) -> None:
         context.connection_id.set(self.connection_id)
@@ -163,6 +207,7 @@
                 await self.connection_phase()
             if self.session.username is None:
                 return
+            self.counted.is_logged_in = True
             await self.session.init(self)
             await self.command_phase()
         except (ConnectionClosed, ConnectionError, TimeoutError):
@@ -273,6 +318,7 @@
             encode = packets.make_binary_resultrow
         if isinstance(reply.rows, (list, tuple)):
             self.stream.write_many([encode(row, columns) for row in reply.rows])
+            self.session.report_answer()
         else:
             await self._write_row_stream(reply, encode)
         await self.stream.write(self.ok_or_eof())
@@ -286,6 +332,7 @@
                 batch.append(encode(row, reply.columns))
                 if len(batch) >= STREAM_BATCH_ROWS:
                     self.stream.write_many(batch)
+                    self.session.report_answer()
                     await self.stream.drain()
                     batch = []
             self.stream.write_many(batch)
@@ -295,6 +342,30 @@
             await reply.rows.aclose()
 
 
+class MysqlConnection(StreamConnection):
+    """The connection of one client, on which the budget's effects are performed.
+
+    Attributes
+    ----------
+    has_begun, is_logged_in : bool
+        Whether the server has sent its greeting, and the login is complete.
+    """
+
+    has_begun = False
+    is_logged_in = False
+
+    def shut(self, refusal: Refusal) -> None:
+        """Close the connection; a new client gets the reason."""
+        if self.message_bytes or self.ahead_bytes or self.has_begun:
+            super().shut(refusal)
+            return
+        text = str(refusal).encode()
+        payload = b"\xff" + struct.pack("<H", refusal.code.errno) + b"#HY000" + text
+        self.writer.write(len(payload).to_bytes(3, "little") + b"\x00" + payload)
+        self.resume()
+        self.writer.close()
+
+
 class MysqlListener:
     """Accepts client connections on one address.
 
@@ -304,13 +375,18 @@
         Returns the session for a new connection.
     provider_factory : callable
         Returns the identity provider for a session.
+    open_client : callable, optional
+        Returns the client of a session's connection for the client budget; connections
+        are not limited by default.
     """
 
     def __init__(
         self,
         session_factory: Callable[[], ServerSession],
         provider_factory: Callable[[ServerSession], IdentityProvider],
+        open_client: Callable[[ServerSession, StreamConnection], Client] | None = None,
     ) -> None:
+        self._open_client = open_client or (lambda session, conn: UncountedClient())
         self._session_factory = session_factory
         self._provider_factory = provider_factory
         self._control = LocalControl(server_id=1)
@@ -319,21 +395,35 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Listen on an address and return the port."""
-        self._server = await asyncio.start_server(self._serve, host, port, backlog=1024)
+        self._server = await start_counted_server(self._serve, host, port)
         return self._server.sockets[0].getsockname()[1]
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def _serve(self, reader: CountedReader, writer: asyncio.StreamWriter) -> None:
+        session = self._session_factory()
+        counted = MysqlConnection(reader, writer)
+        counted.client = client = self._open_client(session, counted)
+        try:
+            if client.open(find_source(writer.transport)):
+                counted.has_begun = True
+                await self._serve_session(session, counted, writer)
+        finally:
+            client.close()
+
+    async def _serve_session(
+        self,
+        session: ServerSession,
+        counted: MysqlConnection,
+        writer: asyncio.StreamWriter,
     ) -> None:
         self._writers.add(writer)
-        session = self._session_factory()
         connection = ServerConnection(
-            stream=MysqlStream(PacketReader(reader), writer),
+            stream=MysqlStream(PacketReader(counted), writer),
             session=session,
             control=self._control,
             server_capabilities=packets.DEFAULT_SERVER_CAPABILITIES,
             identity_provider=self._provider_factory(session),
         )
+        connection.counted = counted
         connection.connection_id = await self._control.add(connection)
         try:
             await connection.start()
--- a/lovagewalk/platform/_callers.py
+++ b/lovagewalk/platform/_callers.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import logging
-from collections import deque
 
 from lovagewalk.catalogue import hash_key
+from lovagewalk.clients import ClientKind
 from lovagewalk.core import Code, LovageError, Refusal
 from lovagewalk.routing import (
     AnswerCaller,
@@ -14,7 +14,7 @@
     StatementArrived,
     StatementRejected,
 )
-from lovagewalk.runtime import CallerServer, LineSplitter, Ports, set_tcp_options
+from lovagewalk.runtime import CallerServer, LineClient, Ports
 
 from ._endpoints import StatementResult
 from ._lines import (
@@ -31,59 +31,36 @@
 
 # A caller's failed VM is detected before the idle limit may end its transaction.
 CALLER_TCP_TIMEOUT_S = 3.0
-# Maximum number of lines that a caller may send ahead of its answers.
-MAX_PENDING_LINES = 64
-# Maximum bytes of answers that a caller has not read; more ends its connection.
-MAX_UNSENT_BYTES = 4 * 1024 * 1024
 IDLE, IN_TRANSACTION, FAILED = "I", "T", "E"
 EMPTY_RESULT = StatementResult()
 
 log = logging.getLogger("lovagewalk.callers")
 
 
-class CallerSession(asyncio.Protocol):
-    """One caller's connection; it processes one message at a time."""
+class CallerSession(LineClient):
+    """One caller's connection."""
 
     def __init__(self, ports: Ports) -> None:
-        self._ports = ports
+        super().__init__(ports, ClientKind.CALLER, MAX_LINE_BYTES, CALLER_TCP_TIMEOUT_S)
         self._server: CallerServer = ports.callers
-        self._splitter = LineSplitter(MAX_LINE_BYTES)
-        self._pending_lines: deque[str] = deque()
-        self._transport: asyncio.Transport | None = None
-        self._accepted = False
-        self._awaiting_answer = False
         self.caller = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the connection."""
-        self._transport = transport
         self._server.open_connections.add(self)
-        set_tcp_options(transport.get_extra_info("socket"), CALLER_TCP_TIMEOUT_S)
-
-    def data_received(self, data: bytes) -> None:
-        """Process the messages that are complete with these bytes."""
-        try:
-            self._pending_lines.extend(self._splitter.feed(data))
-            if len(self._pending_lines) > MAX_PENDING_LINES:
-                raise LovageError(Code.PACKET_BAD, "too many messages ahead")
-            self._process_pending()
-        except LovageError as exc:
-            log.warning("callers: closing a connection: %s", exc)
-            self._send_error(exc.refusal)
-            self._transport.close()
+        super().connection_made(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the caller has left."""
+        super().connection_lost(exc)
         self._server.open_connections.discard(self)
         if self.caller:
             self._server.sessions.pop(self.caller, None)
             self._ports.feed(CallerDisconnected(self._ports.now(), self.caller))
 
-    def _process_pending(self) -> None:
-        while self._pending_lines and not self._awaiting_answer:
-            if self._transport.is_closing():
-                return
-            self._handle(parse_caller_message(self._pending_lines.popleft()))
+    def handle_line(self, line: str) -> None:
+        """Process one message."""
+        self._handle(parse_caller_message(line))
 
     def _handle(self, message: Startup | Query | Terminate) -> None:
         if isinstance(message, Terminate):
@@ -97,7 +74,8 @@
 
     def _open_session(self, message: Startup) -> None:
         self._awaiting_answer = True
-        self.caller = next(self._ports.id_sequence)
+        self.caller = self._client.number
+        self._client.set_waiting(False)
         self._server.sessions[self.caller] = self
         key_id = hash_key(message.key)
         now = self._ports.now()
@@ -109,10 +87,11 @@
         except LovageError as exc:
             now = self._ports.now()
             self._ports.feed(StatementRejected(now, self.caller, exc.code))
-            self._send_error(exc.refusal)
+            self.send_refusal(exc.refusal)
             self._send_ready(self._transaction_state())
             return
         self._awaiting_answer = True
+        self._statement_bytes = len(message.text)
         marks = Marks(request_id=message.request_id)
         self._ports.feed(
             StatementArrived(
@@ -138,39 +117,43 @@
         self._send_ready(IDLE)
         self._schedule_pending()
 
-    def _schedule_pending(self) -> None:
-        if self._pending_lines:
-            asyncio.get_running_loop().call_soon(self.data_received, b"")
-
     def answer(self, effect: AnswerCaller, result: StatementResult | None) -> None:
         """Send the answer to a statement."""
         self._awaiting_answer = False
+        self._statement_bytes = 0
         state = IN_TRANSACTION if effect.in_transaction else IDLE
         if effect.failed_transaction:
             state = FAILED
         if effect.refusal is not None:
-            self._send_error(effect.refusal)
+            self.send_refusal(effect.refusal)
         else:
             result = result or EMPTY_RESULT
             for row in result.rows:
                 self._send("DATAROW", row)
             self._send("COMPLETE", result.signature)
         self._send_ready(state)
-        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
-            log.warning("callers: caller %d reads too slowly; aborting", self.caller)
-            self._transport.abort()
         self._schedule_pending()
+        self._report()
 
     def close(self, refusal: Refusal) -> None:
         """Close the connection; a caller that has no answer yet receives the reason."""
         if not self._accepted:
-            self._send_error(refusal)
-        while self._accepted and self._pending_lines:
-            if self._pending_lines.popleft().startswith("QUERY "):
-                self._send_error(refusal)
-                self._send_ready(FAILED)
+            self.send_refusal(refusal)
+        elif not self._transport.is_closing():
+            self._refuse_pending(refusal)
+        self._splitter.clear()
         self._transport.close()
 
+    def _refuse_pending(self, refusal: Refusal) -> None:
+        """Refuse the statements that were sent ahead, which are not run."""
+        try:
+            while (line := self._splitter.next_line()) is not None:
+                if line.startswith("QUERY "):
+                    self.send_refusal(refusal)
+                    self._send_ready(FAILED)
+        except LovageError as exc:
+            log.warning("callers: cannot refuse what was sent ahead: %s", exc)
+
     def abort(self) -> None:
         """Abort the connection without sending what is buffered."""
         self._transport.abort()
@@ -179,7 +162,8 @@
         if not self._transport.is_closing():
             self._transport.write(encode_message(*fields))
 
-    def _send_error(self, refusal: Refusal) -> None:
+    def send_refusal(self, refusal: Refusal) -> None:
+        """Send an error."""
         self._send("ERROR", error_word(refusal.code), str(refusal))
 
     def _send_ready(self, state: str) -> None:
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -4,6 +4,7 @@
 import secrets
 from pathlib import Path
 
+from lovagewalk.clients import ClientKind, ClientsTick, create_budget
 from lovagewalk.control import ConsensusTick, ControlTick, FollowState, RepairTick
 from lovagewalk.core import Event, Shell, TimerService
 from lovagewalk.daemon import SweepTick
@@ -16,6 +17,7 @@
     Peers,
     Ports,
     SettingsReloader,
+    derive_process_limits,
     load_when_accepted,
     on_reload_signal,
     on_stop_signals,
@@ -37,8 +39,9 @@
 OUT_OF_ROTATION_S = 2.2
 # Reserved for the exit of the process on a busy VM.
 STOP_MARGIN_S = 0.8
-ENTRY_TICKS: tuple[type[Event], ...] = (SweepTick, ControlTick)
-CONTROL_TICKS: tuple[type[Event], ...] = (ConsensusTick, RepairTick, ControlTick)
+COMMON_TICKS: tuple[type[Event], ...] = (ControlTick, ClientsTick)
+ENTRY_TICKS = (*COMMON_TICKS, SweepTick)
+CONTROL_TICKS = (*COMMON_TICKS, ConsensusTick, RepairTick)
 
 log = logging.getLogger("lovagewalk.daemon")
 
@@ -73,7 +76,9 @@
         # The daemon serves without its metrics as well.
         ports.spawn(self.serve(Address(cfg.host, METRICS_PORT), metrics.handle))
         await self.listen("peers", ports.peers, Address(cfg.host, cfg.peers_port))
-        await self.serve(cfg.operators, ports.operators.handle_control)
+        await self.serve(
+            cfg.operators, ports.operators.handle_control, ClientKind.OPERATOR
+        )
         await self.listen("callers", ports.callers, cfg.callers)
         await self.serve(cfg.health, ports.operators.handle_health)
         for event_type in CONTROL_TICKS if self.is_control else ENTRY_TICKS:
@@ -95,7 +100,9 @@
         seeds = cfg.control_names
         target = self.name if self.is_control else seeds[0]
         state = NodeState(
-            identity, follow=FollowState(seeds, target, secrets.token_hex(8))
+            identity,
+            follow=FollowState(seeds, target, secrets.token_hex(8)),
+            client_budget=create_budget(derive_process_limits(cfg.limits)),
         )
         if not self.is_control:
             return state
--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -7,11 +7,13 @@
 from pathlib import Path
 from typing import Any
 
+from lovagewalk.clients import LimitSettings
 from lovagewalk.core import Code, LovageError
 from lovagewalk.settings import (
     MIN_SECRET_LENGTH,
     Address,
     TableReader,
+    decode_limits,
     is_port,
     parse_address,
     require_variable,
@@ -48,6 +50,8 @@
         Address of the provider, which promotes instances.
     grace_s : float
         Time between a request to stop and a forced stop, in seconds.
+    limits : LimitSettings
+        Limits of the VM and for clients.
     """
 
     name: str
@@ -65,6 +69,7 @@
     provider: Address | None
     grace_s: float
     secret: str = field(repr=False)
+    limits: LimitSettings = LimitSettings()
 
     @property
     def control_names(self) -> tuple[str, ...]:
@@ -129,6 +134,7 @@
         provider=reader.table("providerApi").address("addr"),
         grace_s=reader.table("bounds").get("graceS", float, 6.0),
         secret=secret,
+        limits=decode_limits(reader.table("limits")),
     )
 
 
--- a/lovagewalk/platform/tests/test_caller_close.py
+++ b/lovagewalk/platform/tests/test_caller_close.py
@@ -3,8 +3,11 @@
 from types import SimpleNamespace
 
 from lovagewalk.core import Code, Refusal, TimerService
+from lovagewalk.node import Identity, NodeState
 from lovagewalk.platform._callers import CallerSession
-from lovagewalk.runtime import CallerServer, Ports
+from lovagewalk.runtime import CallerServer, Ports, _line_client
+
+IDENTITY = Identity("vm1", "z", "r", b"fleet-secret")
 
 
 class Transport:
@@ -26,9 +29,12 @@
     def get_extra_info(self, name):
         return None
 
+    def get_write_buffer_size(self):
+        return 0
+
 
 def _connect(ports, monkeypatch):
-    monkeypatch.setattr("lovagewalk.platform._callers.set_tcp_options", lambda *_: None)
+    monkeypatch.setattr(_line_client, "set_tcp_options", lambda *_: None)
     session = CallerSession(ports)
     transport = Transport()
     session.connection_made(transport)
@@ -40,7 +46,7 @@
 def _ports():
     ports = Ports(TimerService())
     ports.callers = CallerServer(ports, lambda: CallerSession(ports))
-    ports.shell = SimpleNamespace(state=None)
+    ports.shell = SimpleNamespace(state=NodeState(IDENTITY), feed=lambda event: None)
     return ports
 
 
--- a/lovagewalk/runtime/__init__.py
+++ b/lovagewalk/runtime/__init__.py
@@ -6,6 +6,15 @@
 
 from . import _performers, _storage
 from ._caller_server import CallerServer
+from ._clients import (
+    Client,
+    ClientPort,
+    CountedReader,
+    StreamConnection,
+    UncountedClient,
+    find_source,
+    start_counted_server,
+)
 from ._decision_log import DecisionLog
 from ._futures import set_result_if_pending
 from ._http import (
@@ -18,6 +27,7 @@
     send_request,
 )
 from ._instance_poller import InstancePoller, NoStatusError
+from ._line_client import LineClient
 from ._lines import LINE_END, LineSplitter
 from ._listening import listen_when_free
 from ._logs import BoundedHandler, JsonFormatter, set_up_structured_logs
@@ -29,6 +39,7 @@
 from ._pool_client import OpenRefusedError, PoolClient
 from ._ports import Ports
 from ._process import DaemonProcess
+from ._process_limits import derive_process_limits
 from ._program import load_when_accepted, run_program
 from ._reload import SettingsReloader
 from ._signals import on_reload_signal, on_stop_signals
@@ -41,6 +52,9 @@
     "UNDECIDED_CHANGE_CODES",
     "BoundedHandler",
     "CallerServer",
+    "Client",
+    "ClientPort",
+    "CountedReader",
     "DaemonProcess",
     "DecisionLog",
     "HttpHandler",
@@ -50,6 +64,7 @@
     "InstancePoller",
     "JsonFormatter",
     "LINE_END",
+    "LineClient",
     "LineSplitter",
     "Metrics",
     "MetricsPage",
@@ -61,7 +76,11 @@
     "PoolClient",
     "Ports",
     "SettingsReloader",
+    "StreamConnection",
+    "UncountedClient",
     "customer_class_label",
+    "derive_process_limits",
+    "find_source",
     "json_response",
     "listen_when_free",
     "load_when_accepted",
@@ -73,4 +92,5 @@
     "set_result_if_pending",
     "set_tcp_options",
     "set_up_structured_logs",
+    "start_counted_server",
 ]
--- a/lovagewalk/runtime/_metrics.py
+++ b/lovagewalk/runtime/_metrics.py
@@ -156,6 +156,27 @@
             registry=self.registry,
         )
         self._events = LabelledCounter(events, ("part", "event"))
+        closed_clients = aioprometheus.Counter(
+            "lovagewalk_clients_closed_total",
+            "Connections of clients refused or closed, by kind and reason.",
+            registry=self.registry,
+        )
+        self._closed_clients = LabelledCounter(closed_clients, ("kind", "reason"))
+        self.client_connections = Gauge(
+            "lovagewalk_client_connections",
+            "Connections of clients by kind.",
+            registry=self.registry,
+        )
+        self.client_bytes = Gauge(
+            "lovagewalk_client_held_bytes",
+            "Bytes that clients hold beyond the threshold of each connection.",
+            registry=self.registry,
+        )
+        self.clients_paused = Gauge(
+            "lovagewalk_clients_paused",
+            "Connections of clients that are not read from for now.",
+            registry=self.registry,
+        )
         self.failures = aioprometheus.Counter(
             "lovagewalk_failures_total",
             "Exceptions of reducers and performers by event or effect.",
@@ -228,6 +249,10 @@
         """Count a logged change of the state, or an order."""
         self._events.increment(part, event)
 
+    def count_closed_client(self, kind: str, reason: str) -> None:
+        """Count a connection that the client budget refused or closed."""
+        self._closed_clients.increment(kind, reason)
+
     def collect(self) -> None:
         """Copy the counters and histograms into the registry."""
         for counts in (
@@ -235,6 +260,7 @@
             self._statements,
             self._connections,
             self._events,
+            self._closed_clients,
         ):
             counts.collect()
         for times in (self._route_times, self._queue_times):
@@ -253,6 +279,11 @@
         self.version.set({}, state.catalogue.version)
         self.fresh_seconds.set({}, max(state.fresh_until - now, 0.0))
         self.peer_bytes.set({}, sent_bytes)
+        budget = state.client_budget
+        self.client_bytes.set({}, budget.held_bytes)
+        self.clients_paused.set({}, budget.paused)
+        for kind, count in budget.connections.items():
+            self.client_connections.set({"kind": kind.value}, count)
         raft = state.consensus
         self.is_control_leader.set({}, int(raft is not None and raft.is_leader))
         if raft is not None:
--- a/lovagewalk/runtime/_peers.py
+++ b/lovagewalk/runtime/_peers.py
@@ -15,12 +15,20 @@
 
 import msgpack
 
+from lovagewalk.clients import ClientKind
 from lovagewalk.codec import CODEC_VERSION, MAX_FRAME_BYTES, decode, encode
 from lovagewalk.consensus import SendToPeer, is_consensus_message
 from lovagewalk.control import PeerLost, PeerMessage
 from lovagewalk.core import Code, LovageError, performs
 from lovagewalk.settings import Address
 
+from ._clients import (
+    ClientPort,
+    CountedReader,
+    StreamConnection,
+    find_source,
+    start_counted_server,
+)
 from ._network import Network
 from ._ports import Ports
 from ._sockets import set_tcp_options
@@ -145,7 +153,7 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept links, and return the port."""
-        self._server = await asyncio.start_server(self._on_connection, host, port)
+        self._server = await start_counted_server(self._on_connection, host, port)
         return self._server.sockets[0].getsockname()[1]
 
     def send(self, peer: str, message: Any) -> None:
@@ -267,21 +275,37 @@
         return name
 
     def _on_connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: CountedReader, writer: asyncio.StreamWriter
     ) -> None:
         self._ports.spawn(self._accept(reader, writer))
 
     async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: CountedReader, writer: asyncio.StreamWriter
     ) -> None:
+        connection = StreamConnection(reader, writer)
+        client = ClientPort(self._ports, ClientKind.PEER, connection)
+        connection.client = client
+        try:
+            if client.open(find_source(writer.transport)):
+                name = await self._prove(reader, writer)
+            else:
+                return
+        finally:
+            # The connection has ended, or is a link, which the budget does not count.
+            reader.on_buffered = None
+            client.close()
+        if name:
+            await self._read_messages(self._add_link(name, writer), reader)
+
+    async def _prove(self, reader: CountedReader, writer: asyncio.StreamWriter) -> str:
+        """Return the name of the daemon that has connected; empty if it is none."""
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                name = await self._server_handshake(reader, writer)
+                return await self._server_handshake(reader, writer)
         except (OSError, TimeoutError, EOFError, LovageError, ValueError) as exc:
             log.warning("peers: refused an incoming connection: %r", exc)
             writer.close()
-            return
-        await self._read_messages(self._add_link(name, writer), reader)
+            return ""
 
     async def _server_handshake(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/lovagewalk/runtime/_ports.py
+++ b/lovagewalk/runtime/_ports.py
@@ -10,6 +10,7 @@
 from lovagewalk.core import Event, Shell, TimerService
 from lovagewalk.node import NodeState
 
+from ._clients import ClientPort
 from ._decision_log import DecisionLog
 from ._metrics import Metrics
 from ._pending_requests import PendingRequests
@@ -24,6 +25,8 @@
     ----------
     results : dict
         Results of statements by request number, until their caller is answered.
+    clients : dict of int to ClientPort
+        Connections of clients by number.
     endpoints, callers, peers, operators, journal, audit, orders, provider
         Adapters; set by the program that builds the daemon.
     decision_log : DecisionLog
@@ -40,6 +43,7 @@
         self.timer = timer
         self.shell: Shell[NodeState] | None = None
         self.results: dict[int, Any] = {}
+        self.clients: dict[int, ClientPort] = {}
         self.endpoints: Any = None
         self.callers: Any = None
         self.peers: Any = None
--- a/lovagewalk/runtime/_process.py
+++ b/lovagewalk/runtime/_process.py
@@ -5,6 +5,7 @@
 import secrets
 from pathlib import Path
 
+from lovagewalk.clients import ClientKind
 from lovagewalk.consensus import RaftRole, RaftState
 from lovagewalk.control import ControlState, DrainRequested
 from lovagewalk.core import Code, LovageError, replace
@@ -13,6 +14,7 @@
 from lovagewalk.node import NodeState
 from lovagewalk.settings import Address
 
+from ._clients import ClientPort
 from ._http import HttpHandler, HttpServer
 from ._listening import Listener, listen_when_free
 from ._ports import Ports
@@ -119,9 +121,24 @@
             self.ports, purpose, lambda: server.listen(address.host, address.port)
         )
 
-    async def serve(self, address: Address | None, handler: HttpHandler) -> None:
-        """Serve HTTP on an address once it is free; not at all without an address."""
-        server = HttpServer(handler, self.ports.decision_log.log_refused_request)
+    async def serve(
+        self,
+        address: Address | None,
+        handler: HttpHandler,
+        kind: ClientKind = ClientKind.READINESS,
+    ) -> None:
+        """Serve HTTP on an address once it is free; not at all without an address.
+
+        Parameters
+        ----------
+        kind : ClientKind
+            Whose connections the listener accepts.
+        """
+        server = HttpServer(
+            handler,
+            self.ports.decision_log.log_refused_request,
+            lambda connection: ClientPort(self.ports, kind, connection),
+        )
         self._http_servers.append(server)
         await self.listen("HTTP", server, address)
 
--- a/lovagewalk/settings/__init__.py
+++ b/lovagewalk/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from ._address import Address, is_port, parse_address
 from ._environment import require_variable
+from ._limits import decode_limits
 from ._load import MIN_SECRET_LENGTH, Problem, SettingsError, load_settings
 from ._reader import TableReader, parse_json
 from ._schema import (
@@ -11,6 +12,7 @@
     DataSection,
     EndpointsSection,
     InstanceSection,
+    LimitsSection,
     ListenSection,
     LogSection,
     SecretsSection,
@@ -26,6 +28,7 @@
     "DataSection",
     "EndpointsSection",
     "InstanceSection",
+    "LimitsSection",
     "ListenSection",
     "LogSection",
     "Problem",
@@ -33,6 +36,7 @@
     "SettingsError",
     "StandinFileSettings",
     "TableReader",
+    "decode_limits",
     "is_port",
     "load_settings",
     "parse_address",
--- a/lovagewalk/settings/_schema.py
+++ b/lovagewalk/settings/_schema.py
@@ -83,6 +83,33 @@
     form: str = "text"
 
 
+@dataclass(frozen=True, slots=True)
+class LimitsSection:
+    """``[limits]``: limits of the VM and for clients; 0 for derived ones.
+
+    Attributes
+    ----------
+    memory_mb, max_fds : int
+        Memory and descriptors of the VM.
+    client_memory_mb : int
+        Memory that clients may hold.
+    max_clients, max_clients_per_source : int
+        Connections of callers, in total and from one address.
+    client_startup_ms, client_message_ms, client_unread_ms : int
+        Time until a caller has logged in, for a message that has begun, and for answers
+        of which nothing is read.
+    """
+
+    memory_mb: int = 0
+    max_fds: int = 0
+    client_memory_mb: int = 0
+    max_clients: int = 0
+    max_clients_per_source: int = 0
+    client_startup_ms: int = 0
+    client_message_ms: int = 0
+    client_unread_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class DaemonSettings:
     """Settings of one daemon.
@@ -100,6 +127,7 @@
     control: dict[str, str]
     data: DataSection = DataSection()
     log: LogSection = LogSection()
+    limits: LimitsSection = LimitsSection()
 
 
 @dataclass(frozen=True, slots=True)
