Sessions: limit what a caller's variables and statements store

Cause: SET and PREPARE of large values grew a session, and each pool connection that ran them, without a limit.

Change: a session stores at most 2 MiB, twice the largest message; what is stored counts in the client budget from 32 KiB on. A pool connection keeps the size of a prepared statement instead of its text.

--- a/lovagewalk/pools/_state.py
+++ b/lovagewalk/pools/_state.py
@@ -25,8 +25,8 @@
         The customer that it was opened for; empty if it may serve any customer.
     variables : Map of str to str
         Session variables set on it.
-    prepared : Map of str to PreparedShape
-        Statements prepared on it.
+    prepared : Map of str to int
+        Bytes of each statement prepared on it, by the name of its shape.
     """
 
     conn: int
--- a/lovagewalk/routing/_callers.py
+++ b/lovagewalk/routing/_callers.py
@@ -3,6 +3,8 @@
 from immutables import Map
 
 from lovagewalk.catalogue import RouteClass
+from lovagewalk.clients import HOLDING_STEP_BYTES
+from lovagewalk.clients._reducer import record_stored
 from lovagewalk.core import Code, Effect, Refusal, Step, reduces, replace
 from lovagewalk.node import NodeState
 from lovagewalk.pools import remove_waiting
@@ -123,9 +125,13 @@
         last_insert_id=0,
         variables=Map(),
         prepared=Map(),
+        stored_bytes=0,
     )
     sessions = step.state.sessions.set(event.caller, new_session)
-    return Step(replace(step.state, sessions=sessions), step.effects)
+    step = Step(replace(step.state, sessions=sessions), step.effects)
+    if session.stored_bytes < HOLDING_STEP_BYTES:
+        return step
+    return step.then(record_stored(step.state, event.caller, 0, event.at))
 
 
 def _cancel_work(state: NodeState, session: Session, now: float) -> Step[NodeState]:
--- a/lovagewalk/routing/_session_statements.py
+++ b/lovagewalk/routing/_session_statements.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from lovagewalk.clients import HOLDING_STEP_BYTES, MAX_STORED_BYTES
+from lovagewalk.clients._reducer import record_stored
 from lovagewalk.core import Code, Handlers, Refusal, Step, replace
 from lovagewalk.node import NodeState
 from lovagewalk.sessions import Session, TransactionState
@@ -37,14 +39,25 @@
 
 
 def _store_and_answer(
-    state: NodeState, request: Request, session: Session
+    state: NodeState, request: Request, session: Session, added_bytes: int
 ) -> Step[NodeState]:
     """Store the session and answer a statement that changed only the session."""
     if session.transaction is TransactionState.LOST:
         refusal = Refusal(Code.TRANSACTION_LOST, "end the transaction first")
         return answer(state, request, refusal)
+    stored_bytes = session.stored_bytes + added_bytes
+    if added_bytes > 0 and stored_bytes > MAX_STORED_BYTES:
+        refusal = Refusal(Code.STATEMENT_LARGE, "the session stores too much")
+        return answer(state, request, refusal)
+    before_bytes = session.stored_bytes
+    session = replace(session, stored_bytes=stored_bytes)
     state = replace(state, sessions=state.sessions.set(session.caller, session))
-    return answer(state, request)
+    step = answer(state, request)
+    if max(before_bytes, stored_bytes) < HOLDING_STEP_BYTES:
+        return step
+    return step.then(
+        record_stored(step.state, session.caller, stored_bytes, request.arrived_at)
+    )
 
 
 @handles(StatementKind.SET_VARIABLE)
@@ -53,7 +66,11 @@
 ) -> Step[NodeState]:
     session = state.sessions[request.caller]
     variables = session.variables.set(statement.name, statement.value)
-    return _store_and_answer(state, request, replace(session, variables=variables))
+    before = session.variables.get(statement.name)
+    added_bytes = len(statement.value)
+    added_bytes += len(statement.name) if before is None else -len(before)
+    session = replace(session, variables=variables)
+    return _store_and_answer(state, request, session, added_bytes)
 
 
 @handles(StatementKind.PREPARE)
@@ -62,7 +79,11 @@
 ) -> Step[NodeState]:
     session = state.sessions[request.caller]
     prepared = session.prepared.set(statement.name, statement.shape)
-    return _store_and_answer(state, request, replace(session, prepared=prepared))
+    before = session.prepared.get(statement.name)
+    added_bytes = len(statement.shape.content)
+    added_bytes += len(statement.name) if before is None else -len(before.content)
+    session = replace(session, prepared=prepared)
+    return _store_and_answer(state, request, session, added_bytes)
 
 
 @handles(StatementKind.DEALLOCATE)
@@ -70,10 +91,13 @@
     state: NodeState, request: Request, statement: NamedStatement
 ) -> Step[NodeState]:
     session = state.sessions[request.caller]
-    if statement.name not in session.prepared:
+    shape = session.prepared.get(statement.name)
+    if shape is None:
         return answer(state, request, Refusal(Code.STATEMENT_UNKNOWN))
+    removed_bytes = len(statement.name) + len(shape.content)
     prepared = session.prepared.delete(statement.name)
-    return _store_and_answer(state, request, replace(session, prepared=prepared))
+    session = replace(session, prepared=prepared)
+    return _store_and_answer(state, request, session, -removed_bytes)
 
 
 @handles(StatementKind.EXECUTE)
--- a/lovagewalk/routing/_settings.py
+++ b/lovagewalk/routing/_settings.py
@@ -62,5 +62,6 @@
 
 @_appliers.on(PrepareShape)
 def _prepare(connection: PoolConnection, step: PrepareShape) -> PoolConnection:
-    prepared = connection.prepared.set(step.shape.name, step.shape)
+    shape = step.shape
+    prepared = connection.prepared.set(shape.name, len(shape.content))
     return replace(connection, prepared=prepared)
--- a/lovagewalk/sessions/_state.py
+++ b/lovagewalk/sessions/_state.py
@@ -88,6 +88,8 @@
         Session variables that the caller has set.
     prepared : Map of str to PreparedShape
         Statements that the caller has prepared, by the caller's names.
+    stored_bytes : int
+        Bytes of `variables` and `prepared`.
     read_only : bool
         Whether the transaction is read-only.
     has_written : bool
@@ -111,6 +113,7 @@
     closing: bool = False
     variables: Map = field(default_factory=Map)
     prepared: Map = field(default_factory=Map)
+    stored_bytes: int = 0
     read_only: bool = False
     has_written: bool = False
     operation_started_at: float = 0.0
