Endpoints: bound the answer that a daemon keeps

Cause: the rows of an answer were kept until its end, without a limit, and each row copied all the previous ones.

Rows are appended in constant time.

--- a/lovagewalk/platform/_lines.py
+++ b/lovagewalk/platform/_lines.py
@@ -17,7 +17,7 @@
     SetVariable,
     StatementKind,
 )
-from lovagewalk.runtime import LINE_END, LineSplitter
+from lovagewalk.runtime import LINE_END, BoundedRows, LineSplitter
 from lovagewalk.sessions import PreparedShape
 
 # The protocol's limit for a message.
@@ -184,7 +184,7 @@
 
     def __init__(self) -> None:
         self._splitter = LineSplitter(MAX_LINE_BYTES)
-        self._rows: tuple[str, ...] = ()
+        self._rows = BoundedRows()
         self._signature = ""
         self._error = ""
         self._detail = ""
@@ -195,7 +195,8 @@
         Raises
         ------
         LovageError
-            ``PACKET_BAD`` if a line is malformed or not a message of an endpoint.
+            ``PACKET_BAD`` if a line is malformed or not a message of an endpoint;
+            ``STATEMENT_LARGE`` if a line or an answer is too long.
         """
         answers = []
         for line in self._splitter.feed(data):
@@ -207,7 +208,7 @@
     def _parse_line(self, line: str) -> Answer | None:
         word, _, rest = line.partition(" ")
         if word == "DATAROW":
-            self._rows += (rest,)
+            self._rows.append(rest)
         elif word == "COMPLETE":
             self._signature = rest
         elif word == "ERROR":
@@ -221,14 +222,14 @@
     def _complete_answer(self, rest: str) -> Answer:
         state, _, position = rest.partition(" ")
         answer = Answer(
-            self._rows,
+            self._rows.take(),
             self._signature,
             self._error,
             self._detail,
             _parse_state(state),
             parse_position(position),
         )
-        self._rows, self._signature, self._error, self._detail = (), "", "", ""
+        self._signature, self._error, self._detail = "", "", ""
         return answer
 
     @property
--- a/lovagewalk/runtime/__init__.py
+++ b/lovagewalk/runtime/__init__.py
@@ -42,6 +42,7 @@
 from ._process_limits import derive_process_limits
 from ._program import load_when_accepted, run_program
 from ._reload import SettingsReloader
+from ._rows import BoundedRows
 from ._signals import on_reload_signal, on_stop_signals
 from ._sockets import set_tcp_options
 
@@ -51,6 +52,7 @@
     "PERFORMERS",
     "UNDECIDED_CHANGE_CODES",
     "BoundedHandler",
+    "BoundedRows",
     "CallerServer",
     "Client",
     "ClientPort",
