Peers: bound what all links together have not sent

Cause: each link might hold 8 MiB, so that many daemons that stop reading at once exceed a control VM's memory.

Change: all links together hold 32 MiB; beyond it messages are dropped to peers that have more than 64 KiB unread. The sum is computed for those only.

--- a/lovagewalk/runtime/_peers.py
+++ b/lovagewalk/runtime/_peers.py
@@ -45,6 +45,10 @@
 MAX_NAME_LENGTH = 64
 # Half of the largest frame. Beyond it, messages to the peer are dropped.
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+# Limit for all links together, within the memory that control may use on a VM. Beyond
+# it, messages to peers that have not read for a while are dropped.
+MAX_TOTAL_BUFFERED_BYTES = 32 * 1024 * 1024
+SLOW_LINK_BYTES = 64 * 1024
 # Room for the heartbeats and reports of ten seconds.
 MAX_QUEUED_MESSAGES = 256
 # Two heartbeat intervals.
@@ -104,12 +108,16 @@
         self.name = name
         self._writer = writer
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that the peer has not read."""
+        return self._writer.transport.get_write_buffer_size()
+
     def send(self, payload: bytes) -> None:
         """Send a frame; it is dropped if the peer reads too slowly."""
-        transport = self._writer.transport
-        if transport.is_closing():
+        if self._writer.transport.is_closing():
             return
-        if transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
+        if self.buffered_bytes > MAX_BUFFERED_BYTES:
             log.warning("peers: %s reads too slowly; dropped a message", self.name)
             return
         write_frame(self._writer, payload)
@@ -184,7 +192,8 @@
     def _send_now(self, peer: str, payload: bytes) -> None:
         link = self._links.get(peer)
         if link is not None:
-            link.send(payload)
+            if self._may_buffer(link):
+                link.send(payload)
             return
         queue = self._dial_queues.get(peer)
         if queue is None and self._resolve(peer) is not None:
@@ -193,6 +202,19 @@
         if queue is not None and len(queue) < MAX_QUEUED_MESSAGES:
             queue.append(payload)
 
+    def _may_buffer(self, link: Link) -> bool:
+        """Whether a message may be added to what all peers have not read.
+
+        The sum is computed only for a peer that is slow itself.
+        """
+        if link.buffered_bytes <= SLOW_LINK_BYTES:
+            return True
+        total = sum(other.buffered_bytes for other in self._links.values())
+        if total <= MAX_TOTAL_BUFFERED_BYTES:
+            return True
+        log.warning("peers: dropped a message to %s; links are slow", link.name)
+        return False
+
     async def _dial(self, peer: str) -> None:
         address = self._resolve(peer)
         try:
