--- a/lovagewalk/platform/tests/test_hostile_clients.py
+++ b/lovagewalk/platform/tests/test_hostile_clients.py
@@ -21,6 +21,7 @@
     OPERATORS_PORT,
     PEERS_PORT,
     READY_PORT,
+    WAIT_LIMIT_S,
     HostileClients,
     Site,
 )
@@ -233,3 +234,17 @@
         print(f"{load[1]}: {peak_mb:.0f} MB, {descriptors} descriptors")
         assert peak_mb <= MEMORY_MB
         assert descriptors <= MAX_FDS
+
+
+async def test_a_single_large_message_is_served(tmp_path):
+    """Guards against limits that refuse one legal message at an idle daemon."""
+    async with Site(tmp_path, MEMORY_MB, MAX_FDS) as site:
+        reader, writer = await asyncio.open_connection(site.entry.host, CALLERS_PORT)
+        for message in (STARTUP, _large_write(), _query("SET v " + "x" * 900_000)):
+            writer.write(message)
+            async with asyncio.timeout(WAIT_LIMIT_S):
+                assert not (await reader.readline()).startswith(b"ERROR")
+                if message != STARTUP:
+                    assert (await reader.readline()).startswith(b"READY")
+        writer.close()
+        assert site.entry.read_peak_mb() <= MEMORY_MB
