--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,10 +4,10 @@
 import logging
 import sys
 
-from benchmarks import control, failover, fairness, latency, reducer
+from benchmarks import clients, control, failover, fairness, latency, reducer
 from benchmarks._rows import BENCHMARKS
 
-MODULES = (control, failover, fairness, latency, reducer)
+MODULES = (clients, control, failover, fairness, latency, reducer)
 HEADER = f"{'measure':52} {'figure':>10} {'unit':6} {'':8} {'target':>8} {'bound':>8}"
 
 
--- a/lovagewalk/runtime/_clients.py
+++ b/lovagewalk/runtime/_clients.py
@@ -170,12 +170,15 @@
     ----------
     on_buffered : callable or None
         Called with the number of buffered bytes once they exceed the threshold.
+    on_end : callable or None
+        Called when the stream has ended.
     """
 
     def __init__(self) -> None:
         loop = asyncio.get_running_loop()
         super().__init__(limit=STREAM_LIMIT_BYTES, loop=loop)
         self.on_buffered: Callable[[int], None] | None = None
+        self.on_end: Callable[[], None] | None = None
 
     def feed_data(self, data: bytes) -> None:
         """Add received bytes."""
@@ -183,6 +186,18 @@
         if self.on_buffered is not None and len(self._buffer) >= HOLDING_STEP_BYTES:
             self.on_buffered(len(self._buffer))
 
+    def feed_eof(self) -> None:
+        """End the stream."""
+        super().feed_eof()
+        if self.on_end is not None:
+            self.on_end()
+
+    def set_exception(self, exc: Exception) -> None:
+        """End the stream because the connection was lost."""
+        super().set_exception(exc)
+        if self.on_end is not None:
+            self.on_end()
+
 
 async def start_counted_server(
     serve: Callable, host: str, port: int, backlog: int = 1024
@@ -218,6 +233,8 @@
         self.message_bytes = 0
         self.ahead_bytes = 0
         reader.on_buffered = self._on_buffered
+        # Whoever waits for the pause to end has to notice the end of the stream.
+        reader.on_end = self._may_read.set
 
     async def read(self, max_bytes: int) -> bytes:
         """Read what has arrived, once reading is not paused."""
