--- a/lovagewalk/control/tests/test_token_queue.py
+++ b/lovagewalk/control/tests/test_token_queue.py
@@ -211,3 +211,21 @@
     fleet.send_request(name)
     fleet.run(0.3)
     assert len(fleet.admitted) > before
+
+
+def test_the_queue_is_bounded_however_often_needs_are_sent(fleet):
+    """Guards against a leader whose memory grows with the requests for tokens.
+
+    A session has one need at a time, so that the sessions bound the queue, and each
+    need leaves it at its deadline.
+    """
+    leader = _leader(fleet)
+    longest = 0
+    for _ in range(5):
+        _request_tokens(fleet, leader, 500, wait_s=2.0)
+        longest = max(
+            longest, len(fleet.states[leader].control.ledgers[CUSTOMER].queue)
+        )
+    assert 0 < longest <= 500
+    fleet.run(4.0)
+    assert len(fleet.states[leader].control.ledgers[CUSTOMER].queue) == 0
