--- a/lovagewalk/platform/tests/test_settings.py
+++ b/lovagewalk/platform/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from lovagewalk.clients import LimitSettings
 from lovagewalk.core import Code, LovageError
 from lovagewalk.platform._settings import (
     SECRET_VARIABLE,
@@ -79,3 +80,46 @@
     for environ in ({}, {SETTINGS_VARIABLE: str(path)}):
         with pytest.raises(LovageError):
             load_platform_settings(environ)
+
+
+def test_limits_of_the_vm_and_for_clients_are_decoded():
+    limits = {
+        "memoryMb": 160,
+        "maxFds": 4000,
+        "clientMemoryMb": 20,
+        "maxClients": 100,
+        "maxClientsPerSource": 50,
+        "maxOperatorConns": 9,
+        "maxReadinessConns": 8,
+        "maxUnprovedPeerConns": 7,
+        "clientStartupMs": 1500,
+        "clientMessageMs": 2500,
+        "clientUnreadMs": 3500,
+        "clientReadAheadKb": 4,
+        "limitToCome": "a",
+    }
+    decoded = decode_settings({**RAW, "limits": limits}, "long-enough").limits
+    assert decoded == LimitSettings(
+        memory_bytes=160 * 1024 * 1024,
+        descriptors=4000,
+        client_bytes=20 * 1024 * 1024,
+        callers=100,
+        callers_per_source=50,
+        operators=9,
+        readiness=8,
+        peers=7,
+        startup_timeout_s=1.5,
+        message_timeout_s=2.5,
+        unread_timeout_s=3.5,
+        read_ahead_bytes=4096,
+    )
+    assert decode_settings(RAW, "long-enough").limits == LimitSettings()
+
+
+@pytest.mark.parametrize("value", ["many", -1, True, float("nan")])
+def test_a_limit_that_is_no_count_is_refused(value):
+    """Guards against a limit that lets nobody connect, or has no effect."""
+    with pytest.raises(LovageError) as caught:
+        decode_settings({**RAW, "limits": {"maxClients": value}}, "long-enough")
+    assert caught.value.code is Code.SETTINGS_BAD
+    assert "limits.maxClients" in str(caught.value)
