--- a/lovagewalk/runtime/_clients.py
+++ b/lovagewalk/runtime/_clients.py
@@ -93,10 +93,12 @@
         self.connection = connection
         self.number = number or next(ports.id_sequence)
         self.is_shut = False
+        self._is_open = False
 
     def open(self, source: str) -> bool:
         """Report a new connection; return whether it is admitted."""
         self._source = source
+        self._is_open = True
         self._ports.clients[self.number] = self
         now = self._ports.now()
         self._ports.feed(ClientConnected(now, self.number, self._kind, source))
@@ -104,7 +106,7 @@
 
     def set_waiting(self, waiting: bool) -> None:
         """Report whether the connection waits for its session or next request."""
-        if not self.is_shut:
+        if self._is_open:
             now = self._ports.now()
             self._ports.feed(ClientWaiting(now, self.number, self._kind, waiting))
 
@@ -126,7 +128,7 @@
         if unread < HOLDING_STEP_BYTES:
             unread = 0
         held = (message, ahead, unread)
-        if held == self._reported or self.is_shut:
+        if held == self._reported or not self._is_open:
             return
         if not exact and not _differ(held, self._reported):
             return
@@ -135,7 +137,8 @@
         self._ports.feed(ClientHeld(now, self.number, self._kind, *held))
 
     def close(self) -> None:
-        """Report that the connection has ended."""
+        """Report that the connection has ended; later reports are ignored."""
+        self._is_open = False
         if self._ports.clients.pop(self.number, None) is not None:
             now = self._ports.now()
             self._ports.feed(ClientGone(now, self.number, self._kind, self._source))
@@ -144,6 +147,7 @@
         """Close the connection for the budget."""
         if not self.is_shut:
             self.is_shut = True
+            self._is_open = False
             self.connection.shut(refusal)
 
 
--- a/lovagewalk/runtime/tests/test_line_client.py
+++ b/lovagewalk/runtime/tests/test_line_client.py
@@ -209,6 +209,20 @@
     assert ports.clients == {}
 
 
+async def test_reports_after_the_end_of_a_connection_are_ignored(ports):
+    """Guards against bytes that stay in the budget for ever.
+
+    Processing that was scheduled before the end of a connection runs after it.
+    """
+    client = _connect(ports)
+    client.data_received(b"x" * 100 * KIB + b"\r\n" + b"y" * 100 * KIB)
+    client.connection_lost(None)
+    client.data_received(b"")
+    client.measure()
+    assert _budget(ports).held_bytes == 0
+    assert len(_budget(ports).holdings) == 0
+
+
 async def test_paused_clients_are_read_again_after_the_pressure(ports):
     """Guards against a well-behaved client that stays paused for ever."""
     clients = [_connect(ports, f"10.0.0.{n}") for n in range(3)]
