Clients: the state machine of the budget reaches its limits

It passed with three faults put into the policy (never resumed, twice the close limit, paused connections not counted), since its sizes were too small and too few callers held them. It now fails with each of the three.

--- a/lovagewalk/clients/tests/test_budget_machine.py
+++ b/lovagewalk/clients/tests/test_budget_machine.py
@@ -19,7 +19,7 @@
 
 from .test_policy import KIB, LIMITS, MIB, Process
 
-SIZES = st.one_of(st.just(0), st.integers(1, 32 * KIB), st.integers(0, 3 * MIB))
+SIZES = st.sampled_from((0, 0, 1, 40 * KIB, 512 * KIB, MIB, 3 * MIB))
 PICKS = st.integers(0, 1000)
 
 
@@ -33,6 +33,9 @@
         self.shut = set()
         self.paused = set()
         self.last_client = 0
+        # Callers may hold before a rule connects any others.
+        for address in range(1, 5):
+            self.connect(ClientKind.CALLER, address)
 
     def _feed(self, event_type, *fields):
         self.process.feed(event_type, *fields)
@@ -52,13 +55,16 @@
         clients = sorted(clients)
         return clients[pick % len(clients)] if clients else None
 
-    @rule(kind=st.sampled_from(ClientKind), address=st.integers(1, 3))
     def connect(self, kind, address):
         self.last_client += 1
         source = f"10.0.0.{address}"
         self.open[self.last_client] = (kind, source)
         self._feed(ClientConnected, self.last_client, kind, source)
 
+    @rule(kind=st.sampled_from(ClientKind), address=st.integers(1, 3))
+    def connect_another(self, kind, address):
+        self.connect(kind, address)
+
     @rule(pick=PICKS, waiting=st.booleans())
     def change_waiting(self, pick, waiting):
         client = self._pick(pick, self.open.keys() - self.shut)
@@ -116,5 +122,5 @@
             assert not self.paused
 
 
-BudgetMachine.TestCase.settings = settings(max_examples=60, deadline=None)
+BudgetMachine.TestCase.settings = settings(max_examples=100, deadline=None)
 TestBudget = BudgetMachine.TestCase
