--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,10 +4,18 @@
 import logging
 import sys
 
-from benchmarks import contention, control, failover, fairness, latency, reducer
+from benchmarks import (
+    clients,
+    contention,
+    control,
+    failover,
+    fairness,
+    latency,
+    reducer,
+)
 from benchmarks._rows import BENCHMARKS
 
-MODULES = (contention, control, failover, fairness, latency, reducer)
+MODULES = (clients, contention, control, failover, fairness, latency, reducer)
 HEADER = f"{'measure':52} {'figure':>10} {'unit':6} {'':8} {'target':>8} {'bound':>8}"
 
 
--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -6,11 +6,13 @@
 from pathlib import Path
 from typing import Any
 
+from lovagewalk.clients import LimitSettings
 from lovagewalk.core import Code, LovageError
 from lovagewalk.settings import (
     MIN_SECRET_LENGTH,
     Address,
     TableReader,
+    decode_limits,
     is_port,
     read_toml,
     require_variable,
@@ -51,6 +53,8 @@
         Whether the deployment's rules name all of `PACING_INVARIANTS`.
     link_mbps : float
         Bandwidth of the VM's network link; 0 if it is not stated.
+    limits : LimitSettings
+        Limits of the VM and for clients.
     """
 
     name: str
@@ -70,6 +74,7 @@
     link_mbps: float
     secret: str = field(repr=False)
     paces_endpoints: bool = False
+    limits: LimitSettings = LimitSettings()
 
     @property
     def control_names(self) -> tuple[str, ...]:
@@ -134,6 +139,7 @@
         link_mbps=reader.table("limits").get("linkMbps", float, 0.0),
         secret=secret,
         paces_endpoints=all(name in invariants for name in PACING_INVARIANTS),
+        limits=decode_limits(reader.table("limits")),
     )
 
 
--- a/lovagewalk/runtime/_peers.py
+++ b/lovagewalk/runtime/_peers.py
@@ -15,6 +15,7 @@
 
 import msgpack
 
+from lovagewalk.clients import ClientKind
 from lovagewalk.codec import (
     CODEC_VERSION,
     MAX_FRAME_BYTES,
@@ -27,6 +28,13 @@
 from lovagewalk.core import Code, LovageError, performs
 from lovagewalk.settings import Address
 
+from ._clients import (
+    ClientPort,
+    CountedReader,
+    StreamConnection,
+    find_source,
+    start_counted_server,
+)
 from ._network import Network
 from ._ports import Ports
 from ._sockets import set_tcp_options
@@ -43,6 +51,10 @@
 MAX_NAME_LENGTH = 64
 # Half of the largest frame. Beyond it, messages to the peer are dropped.
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+# Limit for all links together, within the memory that control may use on a VM. Beyond
+# it, messages to peers that have not read for a while are dropped.
+MAX_TOTAL_BUFFERED_BYTES = 32 * 1024 * 1024
+SLOW_LINK_BYTES = 64 * 1024
 # Room for the heartbeats and reports of ten seconds.
 MAX_QUEUED_MESSAGES = 256
 # Two heartbeat intervals.
@@ -102,12 +114,16 @@
         self.name = name
         self._writer = writer
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that the peer has not read."""
+        return self._writer.transport.get_write_buffer_size()
+
     def send(self, payload: bytes) -> None:
         """Send a frame; it is dropped if the peer reads too slowly."""
-        transport = self._writer.transport
-        if transport.is_closing():
+        if self._writer.transport.is_closing():
             return
-        if transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
+        if self.buffered_bytes > MAX_BUFFERED_BYTES:
             log.warning("peers: %s reads too slowly; dropped a message", self.name)
             return
         write_frame(self._writer, payload)
@@ -158,7 +174,7 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Start to accept links, and return the port."""
-        self._server = await asyncio.start_server(self._on_connection, host, port)
+        self._server = await start_counted_server(self._on_connection, host, port)
         return self._server.sockets[0].getsockname()[1]
 
     def send(self, peer: str, message: Any) -> None:
@@ -189,7 +205,8 @@
     def _send_now(self, peer: str, payload: bytes) -> None:
         link = self._links.get(peer)
         if link is not None:
-            link.send(payload)
+            if self._may_buffer(link):
+                link.send(payload)
             return
         queue = self._dial_queues.get(peer)
         if queue is None and self._resolve(peer) is not None:
@@ -198,6 +215,19 @@
         if queue is not None and len(queue) < MAX_QUEUED_MESSAGES:
             queue.append(payload)
 
+    def _may_buffer(self, link: Link) -> bool:
+        """Whether a message may be added to what all peers have not read.
+
+        The sum is computed only for a peer that is slow itself.
+        """
+        if link.buffered_bytes <= SLOW_LINK_BYTES:
+            return True
+        total = sum(other.buffered_bytes for other in self._links.values())
+        if total <= MAX_TOTAL_BUFFERED_BYTES:
+            return True
+        log.warning("peers: dropped a message to %s; links are slow", link.name)
+        return False
+
     async def _dial(self, peer: str) -> None:
         address = self._resolve(peer)
         try:
@@ -280,21 +310,37 @@
         return name
 
     def _on_connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: CountedReader, writer: asyncio.StreamWriter
     ) -> None:
         self._ports.spawn(self._accept(reader, writer))
 
     async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: CountedReader, writer: asyncio.StreamWriter
     ) -> None:
+        connection = StreamConnection(reader, writer)
+        client = ClientPort(self._ports, ClientKind.PEER, connection)
+        connection.client = client
+        try:
+            if client.open(find_source(writer.transport)):
+                name = await self._prove(reader, writer)
+            else:
+                return
+        finally:
+            # The connection has ended, or is a link, which the budget does not count.
+            reader.on_buffered = None
+            client.close()
+        if name:
+            await self._read_messages(self._add_link(name, writer), reader)
+
+    async def _prove(self, reader: CountedReader, writer: asyncio.StreamWriter) -> str:
+        """Return the name of the daemon that has connected; empty if it is none."""
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                name = await self._server_handshake(reader, writer)
+                return await self._server_handshake(reader, writer)
         except (OSError, TimeoutError, EOFError, LovageError, ValueError) as exc:
             log.warning("peers: refused an incoming connection: %r", exc)
             writer.close()
-            return
-        await self._read_messages(self._add_link(name, writer), reader)
+            return ""
 
     async def _server_handshake(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
