--- a/lovagewalk/clients/_limits.py
+++ b/lovagewalk/clients/_limits.py
@@ -92,6 +92,7 @@
 
     memory_bytes: int = 0
     descriptors: int = 0
+    link_mbps: float = 0.0
     client_bytes: int = 0
     callers: int = 0
     callers_per_source: int = 0
--- a/lovagewalk/platform/_daemon.py
+++ b/lovagewalk/platform/_daemon.py
@@ -65,7 +65,7 @@
             name,
             secret,
             Address.try_parse,
-            compact=is_narrow_link(cfg.link_mbps),
+            compact=is_narrow_link(cfg.limits.link_mbps),
         )
 
     async def start(self) -> None:
@@ -104,7 +104,7 @@
             may_own=True,
             paces_endpoints=cfg.paces_endpoints,
             zones=frozenset((cfg.zone, *cfg.regions)),
-            low_bandwidth=is_narrow_link(cfg.link_mbps),
+            low_bandwidth=is_narrow_link(cfg.limits.link_mbps),
         )
         seeds = cfg.control_names
         target = self.name if self.is_control else seeds[0]
--- a/lovagewalk/platform/_settings.py
+++ b/lovagewalk/platform/_settings.py
@@ -13,7 +13,6 @@
     Address,
     TableReader,
     decode_limits,
-    is_port,
     read_toml,
     require_variable,
 )
@@ -51,8 +50,6 @@
         Time between a request to stop and a forced stop, in seconds.
     paces_endpoints : bool
         Whether the deployment's rules name all of `PACING_INVARIANTS`.
-    link_mbps : float
-        Bandwidth of the VM's network link; 0 if it is not stated.
     limits : LimitSettings
         Limits of the VM and for clients.
     """
@@ -71,7 +68,6 @@
     regions: Mapping[str, str]
     provider: Address | None
     grace_s: float
-    link_mbps: float
     secret: str = field(repr=False)
     paces_endpoints: bool = False
     limits: LimitSettings = LimitSettings()
@@ -129,23 +125,14 @@
         callers=listen.address("frontend"),
         health=listen.address("ready"),
         operators=listen.address("controlPlane"),
-        peers_port=_decode_peers_port(reader),
+        peers_port=reader.port_range("internalPorts")[0],
         seeds=seeds,
         bootstrap=reader.get("bootstrap", bool, False),
         data_folder=reader.get("dataDir", str, ""),
         regions=reader.get("zones", dict, {}),
         provider=reader.table("providerApi").address("addr"),
         grace_s=reader.table("bounds").get("graceS", float, 6.0),
-        link_mbps=reader.table("limits").get("linkMbps", float, 0.0),
         secret=secret,
         paces_endpoints=all(name in invariants for name in PACING_INVARIANTS),
         limits=decode_limits(reader.table("limits")),
     )
-
-
-def _decode_peers_port(reader: TableReader) -> int:
-    """Return the first of the two ports that are reserved for internal use."""
-    ports = reader.get("internalPorts", list)
-    if len(ports) != 2 or not all(map(is_port, ports)):
-        raise LovageError(Code.SETTINGS_BAD, "internalPorts: not two ports")
-    return ports[0]
--- a/lovagewalk/platform/tests/test_settings.py
+++ b/lovagewalk/platform/tests/test_settings.py
@@ -70,11 +70,11 @@
 )
 def test_the_bandwidth_of_the_link_decides_whether_it_is_narrow(limits, low_bandwidth):
     cfg = decode_settings({**RAW, "limits": limits}, "long-enough")
-    assert is_narrow_link(cfg.link_mbps) is low_bandwidth
+    assert is_narrow_link(cfg.limits.link_mbps) is low_bandwidth
 
 
 def test_a_link_of_unstated_bandwidth_is_not_narrow():
-    assert not is_narrow_link(decode_settings(RAW, "long-enough").link_mbps)
+    assert not is_narrow_link(decode_settings(RAW, "long-enough").limits.link_mbps)
 
 
 @pytest.mark.parametrize(
--- a/lovagewalk/settings/_limits.py
+++ b/lovagewalk/settings/_limits.py
@@ -21,6 +21,7 @@
     return LimitSettings(
         memory_bytes=_count(reader, "memoryMb") * MIB,
         descriptors=_count(reader, "maxFds"),
+        link_mbps=reader.get("linkMbps", float, 0.0),
         client_bytes=_count(reader, "clientMemoryMb") * MIB,
         callers=_count(reader, "maxClients"),
         callers_per_source=_count(reader, "maxClientsPerSource"),
--- a/lovagewalk/settings/_reader.py
+++ b/lovagewalk/settings/_reader.py
@@ -8,7 +8,7 @@
 
 from lovagewalk.core import Code, LovageError, find_value_problem
 
-from ._address import Address
+from ._address import Address, is_port
 
 
 def _refuse_constant(name: str) -> None:
@@ -128,6 +128,13 @@
             raise LovageError(self._code, f"{self._path}{key}: not IP:PORT")
         return addresses
 
+    def port_range(self, key: str) -> tuple[int, int]:
+        """Return the first and the last port of a range."""
+        ports = self.get(key, list)
+        if len(ports) != 2 or not all(map(is_port, ports)):
+            raise LovageError(self._code, f"{self._path}{key}: not two ports")
+        return (ports[0], ports[1])
+
     def string_list(self, key: str) -> list[str]:
         """Return a list of strings; the field is required."""
         values = self.get(key, list)
