Clients: the eviction of a stalled connection ends the pressure at once

Cause: found by the state machine of the budget in make test: a connection that made room for a new one released what it held, but the clients that were paused because of it were resumed only at the next report or tick.

Change: a new connection acts on the pressure like every other event. The sequence is a test of its own, which fails without the change.

--- a/lovagewalk/clients/_reducer.py
+++ b/lovagewalk/clients/_reducer.py
@@ -57,7 +57,8 @@
         effects = (effect,)
     waiting = WaitingClient(event.kind, event.at)
     budget = replace(budget, waiting=budget.waiting.set(event.client, waiting))
-    return _with_budget(state, budget, *effects)
+    step = _with_budget(state, budget, *effects)
+    return step.then(_enforce(step.state, budget, event.at))
 
 
 def _count_connection(
--- a/lovagewalk/clients/tests/test_policy.py
+++ b/lovagewalk/clients/tests/test_policy.py
@@ -267,6 +267,27 @@
     assert process.connect(3, kind) == [1]
 
 
+def test_a_connection_that_makes_room_ends_the_pressure():
+    """Guards against clients that stay paused although nothing is held any more.
+
+    Found by the state machine: the eviction of a stalled message did not resume others.
+    """
+    process = Process()
+    kind = ClientKind.READINESS
+    for client in (1, 2):
+        process.connect(client, kind)
+        process.hold(client, message=1 * MIB, kind=kind)
+    process.now += 3.0
+    process.hold(3, message=2 * MIB + KIB)
+    process.hold(1, message=2 * MIB, kind=kind)
+    assert process.budget.paused > 0
+    process.now += 3.0
+    process.hold(3, message=1)
+    paused_before = process.budget.paused
+    assert process.connect(4, kind, active=False) != []
+    assert paused_before > 0 and process.budget.paused == 0
+
+
 def test_a_caller_without_startup_is_closed_in_time():
     """Guards against connections that stay open without a session."""
     process = Process()
