--- a/lovagewalk/control/_bucket_owners.py
+++ b/lovagewalk/control/_bucket_owners.py
@@ -52,7 +52,7 @@
     candidates = tuple(
         follower.name
         for follower in find_entry_daemons(control, now)
-        if follower.request.region == region
+        if follower.request.region == region and follower.request.low_bandwidth
         if follower.request.may_own and not follower.request.draining
     )
     return _offer(control, ledger, candidates, replaced, now)
--- a/lovagewalk/control/_ledger.py
+++ b/lovagewalk/control/_ledger.py
@@ -31,6 +31,7 @@
 )
 from ._regions import (
     WAITING_DEMAND_PER_S,
+    EntryFleet,
     Target,
     compute_parts,
     demand_fraction,
@@ -307,7 +308,7 @@
     follower = control.followers[peer]
     request = follower.request
     entry_daemons = count_entry_daemons(state, control, now)
-    fleet = describe_entry_fleet(control, now)
+    fleet: EntryFleet | None = None
     ledgers = control.ledgers
     grants: tuple[ShareGrant, ...] = ()
     for report in request.shares:
@@ -330,6 +331,7 @@
             and is_recorded_holder(state, peer, request)
         )
         if is_on_demand(entry, entry_daemons):
+            fleet = fleet or describe_entry_fleet(control, now)
             by_region = is_lent_by_region(entry, fleet)
             control = adopt_owners(control, ledger, now, by_region=by_region)
             decide = _decide_part_grant if by_region else _decide_bucket_grant
--- a/lovagewalk/control/_owner_directory.py
+++ b/lovagewalk/control/_owner_directory.py
@@ -9,7 +9,7 @@
 
 from lovagewalk.buckets import BucketOwner, PartOwner
 from lovagewalk.catalogue import CustomerEntry
-from lovagewalk.consensus import holds_leader_lease
+from lovagewalk.consensus import SendToPeer, holds_leader_lease
 from lovagewalk.core import Effect, Step, replace
 from lovagewalk.node import NodeState
 from lovagewalk.shares import Share
@@ -18,8 +18,13 @@
 from ._bucket_owners import offer_part
 from ._messages import FollowReply, FollowRequest
 from ._owned_buckets import owns_bucket
-from ._ownership import adopt_owners, find_owners
-from ._regions import EntryFleet, describe_entry_fleet, is_lent_by_region
+from ._ownership import UNREPORTED_KEY, adopt_owners, find_owners
+from ._regions import (
+    EntryFleet,
+    describe_entry_fleet,
+    has_reported,
+    is_lent_by_region,
+)
 from ._state import ControlState, OwnerList
 
 # Owners of more customers are not named: a list of these takes 4 KB.
@@ -47,7 +52,7 @@
     for entry in _find_undivided(state, control, now):
         control, offers = _update_customer(state, control, entry, fleet, now)
         effects += offers
-        if len(effects) >= MAX_OFFERS:
+        if sum(isinstance(effect, SendToPeer) for effect in effects) >= MAX_OFFERS:
             break
     return Step(replace(state, control=control), effects)
 
@@ -73,13 +78,19 @@
     fleet: EntryFleet,
     now: float,
 ) -> tuple[ControlState, tuple[Effect, ...]]:
-    """Record a customer's owners; offer its bucket in each region if it has none."""
+    """Record a customer's owners, and offer what has none.
+
+    That is the whole bucket, in each region, or the part of a region whose owner was
+    lost. A part that its owner gave up for lack of demand is offered at the next need.
+    """
     if not is_lent_by_region(entry, fleet):
         return control, ()
     ledger = control.ledgers.get(entry.name)
     if ledger is None:
         ledger = _ledger.get_ledger(state, control, entry.name, now)
-        control = replace(control, ledgers=control.ledgers.set(entry.name, ledger))
+    # Otherwise only reports and needs refresh it, and lost holdings would stay.
+    ledger = _ledger.refresh_ledger(state, control, ledger, entry, now)
+    control = replace(control, ledgers=control.ledgers.set(entry.name, ledger))
     control = adopt_owners(control, ledger, now, by_region=True)
     owners = tuple(
         PartOwner(ownership.owner, ownership.region)
@@ -87,15 +98,30 @@
     )
     control = _record_owners(control, entry.name, owners)
     effects: tuple[Effect, ...] = ()
-    if owners:
+    if UNREPORTED_KEY in ledger.holdings:
         return control, effects
-    for region in sorted(fleet.regions):
+    regions = fleet.regions
+    if owners:
+        lost = _find_lost_regions(control, entry.name, now)
+        regions = (regions & lost).difference(part.region for part in owners)
+    for region in sorted(regions):
         offered = offer_part(control, ledger, region, now)
         control = offered.control
         effects += offered.effects
     return control, effects
 
 
+def _find_lost_regions(
+    control: ControlState, customer: str, now: float
+) -> frozenset[str]:
+    """Return the regions whose recorded owners do not report any more."""
+    return frozenset(
+        ownership.region
+        for ownership in control.owners.get(customer, ())
+        if not has_reported(control, ownership.owner, now)
+    )
+
+
 def _record_owners(
     control: ControlState, customer: str, owners: tuple[PartOwner, ...]
 ) -> ControlState:
@@ -144,18 +170,29 @@
 
 
 def learn_owners(state: NodeState, reply: FollowReply, now: float) -> NodeState:
-    """Store the owners that the leader names, for requests that come later."""
+    """Store the owners that the leader names, for requests that come later.
+
+    Where requests wait, their answers name the owner; the leader names it again later.
+    """
     shares = state.shares
+    is_complete = True
     for named in reply.owners:
         share = shares.get(named.customer) or Share(
             named.customer, updated_at=now, on_demand=True
         )
-        if share.waiting or owns_bucket(state, named.customer, now):
+        if owns_bucket(state, named.customer, now):
+            continue
+        if share.waiting:
+            is_complete = False
             continue
         owner, other = named.owner, named.other
         if owner == state.identity.name or share.is_silent(owner, now):
             owner, other = other, ""
-        share = replace(share, owner=owner, other_owner=other)
-        shares = shares.set(named.customer, share)
+        if owner != share.owner:
+            share = replace(share, owner=owner, asked_at=0.0)
+        shares = shares.set(named.customer, replace(share, other_owner=other))
+    state = replace(state, shares=shares)
+    if not is_complete:
+        return state
     follow = replace(state.follow, owners_revision=reply.owners_revision)
-    return replace(state, shares=shares, follow=follow)
+    return replace(state, follow=follow)
--- a/lovagewalk/control/_ownership.py
+++ b/lovagewalk/control/_ownership.py
@@ -5,6 +5,8 @@
 from ._messages import FollowRequest
 from ._state import ControlState, Ledger, Ownership
 
+# Sums of floats have rounding errors.
+EPSILON = 1e-9
 # The key of what daemons may hold that have not reported yet to a new leader.
 UNREPORTED_KEY = ""
 
@@ -49,7 +51,17 @@
 def _unrecorded_owners(
     control: ControlState, ledger: Ledger, now: float
 ) -> tuple[Ownership, ...]:
-    """Return the daemons to which a former leader has lent a bucket or a part of it."""
+    """Return the daemons to which a former leader has lent a bucket or a part of it.
+
+    The holdings, of which there may be one for each daemon, are searched only if the
+    recorded owners do not hold all that is held.
+    """
+    recorded = control.owners.get(ledger.customer, ())
+    known_burst = sum(
+        burst_held_by(control, ledger, ownership.owner, now) for ownership in recorded
+    )
+    if ledger.held_burst - known_burst <= EPSILON:
+        return ()
     names = dict.fromkeys(key.partition("/")[0] for key in ledger.holdings)
     return tuple(
         Ownership(name, now, control.followers[name].request.region)
--- a/lovagewalk/control/_regions.py
+++ b/lovagewalk/control/_regions.py
@@ -117,6 +117,12 @@
     return parts
 
 
+def has_reported(control: ControlState, name: str, now: float) -> bool:
+    """Whether a daemon has reported within `FOLLOWER_LOST_S`."""
+    follower = control.followers.get(name)
+    return follower is not None and now - follower.seen_at < FOLLOWER_LOST_S
+
+
 def find_region(control: ControlState, name: str) -> str:
     """Return the region that a daemon reports; empty if it has not reported."""
     follower = control.followers.get(name)
--- a/lovagewalk/control/_token_requests.py
+++ b/lovagewalk/control/_token_requests.py
@@ -192,7 +192,8 @@
     shares = state.shares
     for customer, share in shares.items():
         if share.asked_at and share.owner == peer:
-            shares = shares.set(customer, replace(share, asked_at=0.0))
+            share = replace(share, asked_at=0.0)
+            shares = shares.set(customer, share)
         if share.forward_sent_at and peer in (p.owner for p in share.other_parts):
             share = replace(share, forward_sent_at=0.0, forward_answered_at=now)
             shares = shares.set(customer, share)
--- a/lovagewalk/control/tests/test_owner_directory.py
+++ b/lovagewalk/control/tests/test_owner_directory.py
@@ -5,9 +5,12 @@
 an owner were refused everywhere.
 """
 
+from lovagewalk.buckets import BucketOwner
 from lovagewalk.control import ControlState
-from lovagewalk.control._owner_directory import MAX_OFFERS
+from lovagewalk.control._messages import FollowReply
+from lovagewalk.control._owner_directory import MAX_OFFERS, learn_owners
 from lovagewalk.control._state import LEASE_S
+from lovagewalk.core import replace
 
 from .regional_fleet import CONTROL, RegionalFleet
 
@@ -71,3 +74,29 @@
     """Guards against a change on deployments that do not ask for one."""
     fleet = _start(low_bandwidth=False)
     assert not fleet.states[fleet.leader()].control.owners
+
+
+def test_a_bucket_whose_owners_are_lost_is_offered_without_a_request():
+    """Guards against customers that nobody owns since nobody has asked for them.
+
+    A new leader kept counting what the lost daemons might hold.
+    """
+    fleet = _start()
+    lost = set(fleet.owners("c0").values())
+    fleet.suspended |= {fleet.leader(), *lost}
+    fleet.run(SETTLE_S + 2 * LEASE_S)
+    assert set(fleet.owners("c0").values()).isdisjoint(lost)
+    assert fleet.owners("c0")
+
+
+def test_owners_that_are_named_while_requests_wait_are_named_again():
+    """Guards against a daemon that is not told of an owner any more."""
+    fleet = _start()
+    name = fleet.entries[0]
+    state = fleet.states[name]
+    share = replace(state.shares["c0"], owner="", waiting=(1,))
+    follow = replace(state.follow, owners_revision=1)
+    state = replace(state, follow=follow, shares=state.shares.set("c0", share))
+    named = (BucketOwner("c0", "another"),)
+    reply = FollowReply(1, "", True, 1, None, (), owners=named, owners_revision=7)
+    assert learn_owners(state, reply, fleet.now).follow.owners_revision == 1
