Tokens: a need that stays queued at a former owner is not requested again

When a daemon turned to another owner, or got a part of its own, it requested all its waiting needs anew, also those that the former owner went on serving. Each of them got two tokens; the second one was dropped, and the customer got less than its rate.

Change: needs that stay queued at a daemon are remembered with its name, and requested again only once that daemon is lost.

--- a/lovagewalk/control/_follow.py
+++ b/lovagewalk/control/_follow.py
@@ -14,6 +14,7 @@
     expire,
     forget_requested,
     grow,
+    keep_queued,
     leave_owner,
     shrink,
 )
@@ -196,7 +197,10 @@
     if share.other_parts != grant.others:
         share = replace(share, other_parts=grant.others, forward_sent_at=0.0)
     if share.is_whole_bucket and not was_whole_bucket:
-        # The requests that wait for another daemon's answer are queued here instead.
+        # The requests that wait for another daemon's answer are queued here instead,
+        # unless that daemon goes on to own a part.
+        if grant.by_region and share.owner:
+            share = keep_queued(share, share.owner)
         share = replace(share, owner="", other_owner="", last_asked_req=0, asked_at=0.0)
     return share
 
--- a/lovagewalk/control/_token_requests.py
+++ b/lovagewalk/control/_token_requests.py
@@ -19,6 +19,7 @@
 from lovagewalk.shares import (
     Share,
     forget_requested,
+    keep_queued,
     level_at,
     remove_tokens,
     return_tokens,
@@ -118,6 +119,7 @@
         state.requests[req]
         for req in share.waiting
         if req > share.last_asked_req and req in state.requests
+        if req not in share.queued_there
     ]
     return sorted(requests, key=lambda request: request.req)
 
@@ -237,7 +239,11 @@
         return state
     if share.is_silent(bucket_owner.owner, now):
         return state
-    share = replace(share, owner=bucket_owner.owner, other_owner=bucket_owner.other)
+    share = replace(
+        keep_queued(share, peer),
+        owner=bucket_owner.owner,
+        other_owner=bucket_owner.other,
+    )
     return replace(state, shares=state.shares.set(share.customer, share))
 
 
--- a/lovagewalk/control/tests/test_regional_owners.py
+++ b/lovagewalk/control/tests/test_regional_owners.py
@@ -1,5 +1,8 @@
 """Buckets with an owner in each region: where tokens come from, loads and failures."""
 
+import random
+from collections import Counter
+
 import pytest
 
 from lovagewalk.buckets import TokenAnswer
@@ -232,3 +235,38 @@
     fleet.send_evenly(names, CUSTOMER, 3 * RATE, 3.0)
     after = len(fleet.waits) + fleet.sum_held(CUSTOMER, "level")
     assert after - before <= RATE * (fleet.now - started) + EPSILON
+
+
+class CountingFleet(RegionalFleet):
+    """A fleet that counts the tokens granted to each need."""
+
+    def __init__(self, counts, limits):
+        self.granted = Counter()
+        super().__init__(counts, limits)
+
+    def _send(self, name, effect):
+        if isinstance(effect.message, TokenAnswer):
+            for admission in effect.message.admitted:
+                self.granted[effect.peer, admission.req] += 1
+        super()._send(name, effect)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_need_gets_one_token_while_parts_begin(seed):
+    """Guards against tokens that are lost when daemons turn to another owner.
+
+    Needs that stayed queued at the former owner were requested again.
+    """
+    rng = random.Random(seed)
+    fleet = CountingFleet(COUNTS, {CUSTOMER: (10.0, 5.0)})
+    north, south = fleet.in_region("north"), fleet.in_region("south")
+    fleet.send_evenly(north, CUSTOMER, 9.0, 10.0)
+    fleet.granted.clear()
+    for number in range(80):
+        fleet.send(rng.choice(north), CUSTOMER)
+        if number > 10:
+            fleet.send(rng.choice(south), CUSTOMER)
+        fleet.run(rng.choice((0.01, 0.03, 0.1)))
+    fleet.run(2.0)
+    fleet.check_limits()
+    assert fleet.granted and max(fleet.granted.values()) == 1
--- a/lovagewalk/shares/_bucket.py
+++ b/lovagewalk/shares/_bucket.py
@@ -124,6 +124,16 @@
     return shares
 
 
+def keep_queued(share: Share, owner: str) -> Share:
+    """Leave the needs that were sent to an owner in its queue."""
+    queued = frozenset(req for req in share.waiting if req <= share.last_asked_req)
+    return replace(
+        share,
+        former_owner=owner,
+        queued_there=queued | share.queued_there.intersection(share.waiting),
+    )
+
+
 def turn_to_other_owner(share: Share) -> Share:
     """Request all tokens anew from the other owner, or the control leader."""
     return replace(
@@ -139,8 +149,14 @@
     """Return the shares so that another source is asked instead of an owner.
 
     That is the owner of another part if one is known, and the control leader otherwise.
+    Needs that it still queued are requested anew.
     """
     for customer, share in shares.items():
+        if share.former_owner and share.former_owner == owner:
+            share = replace(
+                share, former_owner="", queued_there=frozenset(), last_asked_req=0
+            )
+            shares = shares.set(customer, share)
         if share.owner and share.owner == owner:
             share = turn_to_other_owner(share)
             shares = shares.set(customer, share)
--- a/lovagewalk/shares/_state.py
+++ b/lovagewalk/shares/_state.py
@@ -58,6 +58,12 @@
         for none.
     forward_answered_at : float
         When such an answer last came, in monotonic seconds.
+    former_owner : str
+        The daemon that still queues needs of this one, which now asks another; empty
+        for none.
+    queued_there : frozenset of int
+        Requests whose needs `former_owner` queues. They are not requested again, since
+        each would get a second token.
     unanswered : Map of int to float
         When a token was last requested for a request whose answer is expected, by its
         number, in monotonic seconds; kept where links are narrow.
@@ -86,6 +92,8 @@
     other_parts: tuple[PartOwner, ...] = ()
     forward_sent_at: float = 0.0
     forward_answered_at: float = 0.0
+    former_owner: str = ""
+    queued_there: frozenset[int] = frozenset()
     unanswered: Map = field(default_factory=Map)
 
     @property
