--- a/lovagewalk/routing/_evacuation.py
+++ b/lovagewalk/routing/_evacuation.py
@@ -33,8 +33,6 @@
             since = since.set(zone, min(now, state.confirmed_at))
     return replace(state, evacuated_since=since)
 
-    return replace(state, evacuated_since=since)
-
 
 def is_evacuation_over(state: NodeState, name: str, now: float) -> bool:
     """Whether nothing at all is sent to an endpoint, since its zone is evacuated."""
