Review case 8: a new leader resumes replicas during its predecessor's failover

Cause: the leader has paused the replicas and ordered a promotion, and is killed; the next one orders the replicas to resume while the platform carries the order out; commits are acknowledged that the promoted replica lacks. The case: the primary is cut off from the core, with syncReplicas 1, and the leader is killed once its order has come; acknowledged commits are compared with the log of the promoted instance.

--- /dev/null
+++ b/review/8/case.py
@@ -0,0 +1,111 @@
+"""Writes with `syncReplicas` 1; the leader is killed in the middle of a failover.
+
+The primary is cut off from the core, and the leader is killed once the platform has its
+order to promote a replica. Compares the acknowledged commits with the log of the
+instance at the moment of its promotion.
+"""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "standins2"))
+
+from site2 import KEY, KEY_2, TENANT_2, CannotRun, Client, Site, run_case
+
+# The primary is cut off from control and from the callers of one daemon of three.
+TROUBLE = {"cutUsers": ["lovagewalk", TENANT_2]}
+CUT_S = 5.0
+# A killed process is started again after this time.
+DOWN_S = 1.0
+ROUNDS = 3
+BETWEEN_ROUNDS_S = 7.0
+SESSIONS = 12
+
+
+async def write_all(site, number, end):
+    """Write until `end`; the callers of the last daemon belong to another tenant."""
+    edge = number % len(site.edge_hosts)
+    key = KEY_2 if edge == len(site.edge_hosts) - 1 else KEY
+    client = None
+    count = 0
+    while time.time() < end:
+        if client is None or not client.is_open:
+            client = Client(site, site.edge_hosts[edge])
+            if not await client.open(key):
+                await asyncio.sleep(0.1)
+                continue
+        count += 1
+        await client.query(f"WRITE sale-{number}-{count} one")
+        await asyncio.sleep(0.05)
+    if client is not None:
+        client.close()
+
+
+async def cut_primary(site):
+    """Cut the primary off; kill the leader once its order to promote has come."""
+    site.set_trouble(True)
+    end = time.time() + CUT_S
+    order = await site.wait_for_event("order received", CUT_S)
+    if order is not None:
+        host = order["holder"].partition(":")[0]
+        name = f"control-{site.control_hosts.index(host)}"
+        await site.kill_and_restart(name, DOWN_S)
+    await asyncio.sleep(max(end - time.time(), 0))
+    site.set_trouble(False)
+
+
+async def check(with_trouble):
+    service = {
+        "trouble": TROUBLE,
+        "syncReplicas": 1,
+        "lagMs": 60,
+        "promoteMs": 1000,
+        "maxConns": 70,
+    }
+    async with Site(HERE, service, edges=3) as site:
+        start = time.time()
+        end = start + BETWEEN_ROUNDS_S + ROUNDS * (CUT_S + BETWEEN_ROUNDS_S)
+        sessions = [
+            asyncio.create_task(write_all(site, n, end)) for n in range(SESSIONS)
+        ]
+        await asyncio.sleep(BETWEEN_ROUNDS_S)
+        for _ in range(ROUNDS):
+            if with_trouble:
+                await cut_primary(site)
+            else:
+                await asyncio.sleep(CUT_S)
+            await asyncio.sleep(BETWEEN_ROUNDS_S)
+        await asyncio.gather(*sessions)
+        record = site.service_record()
+        promotions = [e for e in record if e["event"] == "promote" and e["at"] > start]
+        if with_trouble and not promotions:
+            raise CannotRun("no instance was promoted")
+        print(f"{len(promotions)} promotions")
+        return find_lost(site, record, promotions)
+
+
+def find_lost(site, record, promotions):
+    """Return the acknowledged commits that a promoted instance did not hold."""
+    acknowledged = {
+        e["id"] for e in site.record if e["event"] == "query" and e["outcome"] == "ok"
+    }
+    lost = {}
+    for promotion in promotions:
+        last = tuple(promotion["log"])
+        for entry in record:
+            if entry["event"] != "confirmed" or entry["at"] >= promotion["at"]:
+                continue
+            position = (entry["term"], entry["number"])
+            if entry["id"] in acknowledged and position > last:
+                lost.setdefault(entry["id"], (position, promotion, last))
+    return [
+        f"LOST: attempt {attempt} was acknowledged as commit {term}.{number}; "
+        f"{p['instance']} was promoted with the log up to {last[0]}.{last[1]}"
+        for attempt, ((term, number), p, last) in lost.items()
+    ]
+
+
+run_case(check)
--- a/review/standins2/database.py
+++ b/review/standins2/database.py
@@ -16,6 +16,8 @@
 import time
 
 LINE_END = b"\r\n"
+# As the site files state the lag of replicas: spread 0.6, at most six times the mean.
+LAG_SPREAD, MAX_LAG_FACTOR = 0.6, 6.0
 PROBED_WORDS = ("STATUS", "PAUSE", "RESUME", "DEMOTE")
 
 
@@ -24,6 +26,7 @@
 
     def __init__(self, term, number, writes):
         self.term, self.number, self.writes = term, number, writes
+        self.received = asyncio.Event()
 
     @property
     def position(self):
@@ -45,6 +48,11 @@
         self.connections = 0
         self.running = 0
         self.state = "ready"
+        # Term of the order to pause; 0 if the instance receives.
+        self.held = 0
+        self.paused_at = 0.0
+        # When an order to resume came that is left unanswered and carried out late.
+        self.late_since = 0.0
 
     def position(self):
         return self.log[-1].position if self.log else (self.term, 0)
@@ -97,42 +105,111 @@
         self.random = random.Random(cfg.get("seed", 1))
         self.numbers = iter(range(1, 1 << 60))
         self.fences = {}
+        self.announced = set()
+        self.promoting = {}
 
     @property
     def primary(self):
         return next(i for i in self.instances if i.is_primary)
 
     def replicate(self, primary, entry):
-        """Copy an entry to the replicas after their lag."""
-        lag_s = self.cfg.get("lagMs", 20) / 1000
+        """Copy an entry to the replicas, each after a lag of its own."""
         loop = asyncio.get_running_loop()
         for replica in self.instances:
             if replica is not primary:
-                loop.call_later(lag_s, self.receive, primary, replica)
+                loop.call_later(self.draw_lag(), self.receive, primary, replica, entry)
+
+    def draw_lag(self):
+        """Return the lag of one entry at one replica, in seconds."""
+        mean_s = self.cfg.get("lagMs", 20) / 1000
+        drawn = self.random.lognormvariate(0.0, LAG_SPREAD)
+        return min(mean_s * drawn, mean_s * MAX_LAG_FACTOR)
+
+    def resume(self, instance):
+        """Let a replica receive again; what it missed comes after its lag."""
+        instance.held = 0
+        asyncio.get_running_loop().call_later(
+            self.draw_lag(), self.receive, self.primary, instance
+        )
 
-    def receive(self, primary, replica):
-        if primary.is_primary and not replica.is_primary:
-            replica.log = list(primary.log)
-            replica.term = primary.term
+    def is_late(self, instance):
+        """Whether an order to resume is left unanswered and carried out late.
+
+        That is the first one to the named instance, which is carried out once the
+        instance has been paused, and those to an instance that is paused.
+        """
+        late = self.cfg.get("lateOrders")
+        if not late:
+            return False
+        loop = asyncio.get_running_loop()
+        if instance.held:
+            loop.call_later(late["minS"] + 2.0, self.resume_late, instance)
+            return True
+        if instance.name != late["instance"] or instance.late_since:
+            return False
+        instance.late_since = time.time()
+        loop.create_task(self.resume_after_pause(instance, late))
+        return True
+
+    async def resume_after_pause(self, instance, late):
+        while True:
+            elapsed = time.time() - instance.late_since
+            is_paused = instance.held and time.time() - instance.paused_at > 0.2
+            if elapsed >= late["minS"] and is_paused or elapsed >= late["maxS"]:
+                break
+            await asyncio.sleep(0.02)
+        self.resume_late(instance)
+
+    def resume_late(self, instance):
+        self.record({"event": "late resume", "instance": instance.name})
+        self.resume(instance)
+
+    def receive(self, primary, replica, last=None):
+        """Give a replica the log of the primary, up to an entry if one is named."""
+        if not primary.is_primary or replica.is_primary or replica.held:
+            return
+        log = primary.log
+        if last is not None and last in log:
+            log = log[: log.index(last) + 1]
+        is_known = replica.log and replica.log[-1] in log
+        if is_known and len(log) <= len(replica.log):
+            return
+        for entry in log:
+            entry.received.set()
+        replica.log = list(log)
+        replica.term = primary.term
 
     async def promote(self, name):
+        """Promote an instance; a repeated call joins the one in progress."""
         target = next((i for i in self.instances if i.name == name), None)
         if target is None:
             return 409
-        if not target.is_primary:
-            await asyncio.sleep(self.cfg.get("promoteMs", 300) / 1000)
-            term = max(i.term for i in self.instances) + 1
-            for other in self.instances:
-                other.is_primary = False
-            target.is_primary, target.term = True, term
-            self.record({"event": "promote", "instance": name, "term": term})
-            for other in self.instances:
-                if other is not target:
-                    asyncio.get_running_loop().call_later(
-                        self.cfg.get("lagMs", 20) / 1000, self.receive, target, other
-                    )
+        if target.is_primary:
+            return 200
+        task = self.promoting.get(name)
+        if task is None:
+            task = asyncio.create_task(self.lead_next_term(target))
+            self.promoting[name] = task
+            task.add_done_callback(lambda done: self.promoting.pop(name))
+        await asyncio.shield(task)
         return 200
 
+    async def lead_next_term(self, target):
+        await asyncio.sleep(self.cfg.get("promoteMs", 300) / 1000)
+        term = max(i.term for i in self.instances) + 1
+        for other in self.instances:
+            other.is_primary, other.held = False, 0
+        last = list(target.position())
+        target.is_primary, target.term = True, term
+        self.record(
+            {"event": "promote", "instance": target.name, "term": term, "log": last}
+        )
+        for other in self.instances:
+            if other is not target:
+                asyncio.get_running_loop().call_later(
+                    self.draw_lag(), self.receive, target, other
+                )
+
 
 class Connection(asyncio.Protocol):
     """Serves one connection to an instance; answers come in order."""
@@ -145,6 +222,7 @@
         self.queue = asyncio.Queue()
         self.task = None
         self.transport = None
+        self.is_answer_lost = False
 
     def connection_made(self, transport):
         self.transport = transport
@@ -192,7 +270,8 @@
             self.transport.close()
             return False
         self.session.user = fields[1] if len(fields) > 1 else "-"
-        self.send("READY I -")
+        if not self.is_cut_off():
+            self.send("READY I -")
         return True
 
     def send(self, *lines):
@@ -233,9 +312,26 @@
         word = text.split(" ", 1)[0]
         if word in PROBED_WORDS:
             return False
-        return self.service.random.random() < cfg["fraction"]
+        return self.service.random.random() < cfg.get("fraction", 0.0)
+
+    def is_cut_off(self):
+        """Whether the trouble partitions this instance from the connection's user."""
+        cfg = self.service.cfg.get("trouble", {})
+        is_hit = self.service.troubled is self.instance
+        return is_hit and self.session.user in cfg.get("cutUsers", ())
+
+    def loses_answer(self, text):
+        """Whether the trouble loses the answer to a statement that is run."""
+        cfg = self.service.cfg.get("trouble", {})
+        if not cfg or self.service.troubled is not self.instance:
+            return False
+        if text.split(" ", 1)[0] in PROBED_WORDS:
+            return False
+        return self.service.random.random() < cfg.get("lostAnswers", 0.0)
 
     async def handle(self, request, text):
+        if self.is_cut_off():
+            return
         position = None
         body = text
         if text.startswith("WAITLSN "):
@@ -245,6 +341,7 @@
             # Not run, so the state of the session stays as it is.
             self.refuse(request, text, "BUSY")
             return
+        self.is_answer_lost = self.loses_answer(body)
         session = self.session
         word, _, rest = body.partition(" ")
         if session.state == "E" and word not in ("ROLLBACK", "COMMIT"):
@@ -264,7 +361,10 @@
         if signed:
             source = f"{self.instance.name}/{request}/{next(self.service.numbers)}"
             signature = hashlib.sha256(source.encode()).hexdigest()[:24]
+        fields["lost"] = self.is_answer_lost
         self.note(request, text, "ok", rows=list(rows), signature=signature, **fields)
+        if self.is_answer_lost:
+            return
         lines = [f"DATAROW {row}" for row in rows]
         self.send(*lines, f"COMPLETE {signature}", self.ready())
 
@@ -283,10 +383,33 @@
         instance = self.instance
         role = "primary" if instance.is_primary else "replica"
         term, number = instance.position()
-        row = f"{role} {instance.term} {term}.{number} 0 0 0 {instance.connections}"
+        row = f"{role} {instance.term} {term}.{number} {instance.held} 0 0"
+        row += f" {instance.connections}"
         self.send(f"DATAROW {row}", "COMPLETE -", self.ready())
 
-    on_pause = on_resume = on_demote = on_status
+    def note_order(self, text, outcome):
+        self.service.record(
+            {"event": "instance order", "instance": self.instance.name, "text": text,
+             "outcome": outcome}
+        )
+
+    async def on_pause(self, request, text, rest):
+        instance = self.instance
+        if not instance.is_primary and int(rest) > instance.term:
+            instance.held = int(rest)
+            instance.paused_at = time.time()
+        self.note_order(text, "on time")
+        await self.on_status(request, text, rest)
+
+    async def on_resume(self, request, text, rest):
+        if self.service.is_late(self.instance):
+            self.note_order(text, "late")
+            return
+        self.note_order(text, "on time")
+        self.service.resume(self.instance)
+        await self.on_status(request, text, rest)
+
+    on_demote = on_status
 
     async def on_set(self, request, text, rest):
         name, _, value = rest.partition(" ")
@@ -329,12 +452,13 @@
         await self.work()
         writes, transaction = session.writes, session.transaction
         session.end()
-        self.commit(request, writes)
-        self.complete(request, text, signed=True, ended=transaction)
+        if await self.commit(request, writes):
+            self.complete(request, text, signed=True, ended=transaction)
 
-    def commit(self, request, writes):
+    async def commit(self, request, writes):
+        """Append writes to the log; whether they are to be acknowledged."""
         if not writes:
-            return
+            return True
         instance = self.instance
         number = instance.position()[1] + 1
         entry = Entry(instance.term, number, list(writes))
@@ -350,6 +474,15 @@
             }
         )
         self.service.replicate(instance, entry)
+        if self.service.cfg.get("syncReplicas"):
+            await entry.received.wait()
+            if not instance.is_primary:
+                return False
+            self.service.record(
+                {"event": "confirmed", "id": request, "term": entry.term,
+                 "number": number}
+            )
+        return True
 
     async def on_read(self, request, text, rest):
         if self.lost_lead():
@@ -375,8 +508,8 @@
         await self.work()
         if session.state == "T":
             session.writes.append((item, data))
-        else:
-            self.commit(request, [(item, data)])
+        elif not await self.commit(request, [(item, data)]):
+            return
         self.complete(request, text, signed=True)
 
     async def on_execute(self, request, text, rest):
@@ -430,6 +563,10 @@
             "seq": instance.seq,
             "born": instance.born,
         }
+        cut_users = service.cfg.get("trouble", {}).get("cutUsers", ())
+        if service.troubled is instance and "lovagewalk" in cut_users:
+            await asyncio.sleep(0.2)
+            continue
         host, port = controls[index]
         path = f"/lovagewalk/instances/{instance.name}"
         status, _ = await send_http(host, port, "PUT", path, json.dumps(body).encode())
@@ -437,6 +574,9 @@
             index = (index + 1) % len(controls)
             await asyncio.sleep(0.2)
         else:
+            if instance.name not in service.announced:
+                service.announced.add(instance.name)
+                service.record({"event": "announced", "instance": instance.name})
             await asyncio.sleep(service.cfg.get("heartbeatMs", 1200) / 1000)
 
 
@@ -453,6 +593,9 @@
         call = json.loads(body)
         fence = int(headers["lovagewalk-fencing-token"])
         holder = headers["lovagewalk-lease-holder"]
+        service.record(
+            {"event": "order received", "call": call, "fence": fence, "holder": holder}
+        )
         status = 409
         if fence >= service.fences.get(call["service"], 0):
             service.fences[call["service"]] = fence
--- a/review/standins2/site2.py
+++ b/review/standins2/site2.py
@@ -23,6 +23,8 @@
 SECRET = "a secret of the review, long enough"
 KEY = "keyofthereview0001"
 TENANT = "tenant1"
+KEY_2 = "keyofthereview0002"
+TENANT_2 = "tenant2"
 DATABASE = "ledgerdb"
 SERVICE = "svcledger"
 START_LIMIT_S = 30.0
@@ -179,12 +181,13 @@
                     "maxConns": self.service.get("maxConns", 20),
                     "protocol": "h1",
                     "tls": False,
-                    "syncReplicas": 0,
+                    "syncReplicas": self.service.get("syncReplicas", 0),
                 }
             ],
             "limits": {"txIdleMs": 3000},
             "tenants": [
-                {"name": TENANT, "apiKeys": [KEY], "priority": 1, **self.tenant}
+                {"name": TENANT, "apiKeys": [KEY], "priority": 1, **self.tenant},
+                {"name": TENANT_2, "apiKeys": [KEY_2], "priority": 1, **self.tenant},
             ],
             **changes,
         }
@@ -228,7 +231,7 @@
             "region": REGION,
             "internalPorts": [self.ports["peers"], self.ports["peers"] + 15],
             "seedNodes": seeds,
-            "bootstrap": True,
+            "bootstrap": name not in self.processes,
             "faultCounted": is_control,
             "discovery": "registry",
             "ingress": "vip",
@@ -279,6 +282,18 @@
                 stdin=asyncio.subprocess.DEVNULL, stdout=output, stderr=output,
             )
 
+    async def kill_and_restart(self, name, down_s):
+        """Kill a daemon, and start it again after a while."""
+        self.processes[name].kill()
+        self.note({"event": "kill", "name": name})
+        await self.processes[name].wait()
+        await asyncio.sleep(down_s)
+        kind, _, number = name.partition("-")
+        is_control = kind == "control"
+        hosts = self.control_hosts if is_control else self.edge_hosts
+        await self.start_daemon(name, hosts[int(number)], is_control)
+        self.note({"event": "start", "name": name})
+
     async def start_service(self):
         """Start the stand-in of the service and of the platform's API."""
         cfg = {
@@ -316,6 +331,7 @@
                 await self.start_daemon(f"control-{number}", host, True)
             for number, host in enumerate(self.edge_hosts):
                 await self.start_daemon(f"edge-{number}", host, False)
+            await self.wait_until_announced()
             if not await self.put(self.configuration()):
                 raise CannotRun("the first configuration was not acknowledged")
             await self.wait_until_served()
@@ -324,6 +340,15 @@
             raise
         return self
 
+    async def wait_until_announced(self):
+        """Wait until the control daemons know every instance."""
+        end = time.time() + START_LIMIT_S
+        wanted = len(self.instance_hosts)
+        while sum(e["event"] == "announced" for e in self.service_record()) < wanted:
+            if time.time() > end:
+                raise CannotRun("an instance's heartbeats are not acknowledged")
+            await asyncio.sleep(0.1)
+
     async def wait_until_served(self):
         """Wait until each entry daemon answers a write."""
         end = time.time() + START_LIMIT_S
@@ -355,6 +380,19 @@
             return []
         return [json.loads(line) for line in path.read_text().splitlines()]
 
+    async def wait_for_event(self, kind, limit_s):
+        """Return the next entry of a kind that the service's stand-in records."""
+        end = time.time() + limit_s
+        with (self.folder / "service.jsonl").open() as file:
+            file.seek(0, os.SEEK_END)
+            while time.time() < end:
+                line = file.readline()
+                if not line:
+                    await asyncio.sleep(0.005)
+                elif f'"event": "{kind}"' in line:
+                    return json.loads(line)
+        return None
+
     def write_record(self):
         """Write what was sent, answered and run, in the order of time."""
         entries = [{"from": "site", **entry} for entry in self.record]
