Review: the stand-in's replicas keep what they have received

A copy of the log that came late replaced a longer one of the same history, so that case 8 also failed without its disruption.

--- a/review/standins2/database.py
+++ b/review/standins2/database.py
@@ -171,8 +171,10 @@
         log = primary.log
         if last is not None and last in log:
             log = log[: log.index(last) + 1]
-        is_known = replica.log and replica.log[-1] in log
-        if is_known and len(log) <= len(replica.log):
+        # A replica that is ahead of the primary is rolled back; one that has more of the
+        # same history than this copy keeps it.
+        has_same_history = replica.log and replica.log[-1] in primary.log
+        if has_same_history and len(log) <= len(replica.log):
             return
         for entry in log:
             entry.received.set()
@@ -478,9 +480,10 @@
             await entry.received.wait()
             if not instance.is_primary:
                 return False
+            holders = [i.name for i in self.service.instances if entry in i.log]
             self.service.record(
                 {"event": "confirmed", "id": request, "term": entry.term,
-                 "number": number}
+                 "number": number, "held by": holders}
             )
         return True
 
