--- a/review/standins2/site2.py
+++ b/review/standins2/site2.py
@@ -327,6 +327,7 @@
             env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
         )
         self.processes["resetter"] = process
+        # It listens only once it is told to; until then the interpreter starts.
         await asyncio.sleep(0.3)
         return process
 
