--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,9 +9,9 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "standins2"))
+sys.path.insert(0, str(HERE.parent))
 
-from site2 import CannotRun, Client, Site, run_case
+from site_2 import CannotRun, Client, Site, run_case
 
 # The largest dose that the pages name for instances that fail part of their requests.
 TROUBLE = {"fraction": 0.4}
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -11,9 +11,9 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "standins2"))
+sys.path.insert(0, str(HERE.parent))
 
-from site2 import KEY, KEY_2, TENANT_2, CannotRun, Client, Site, run_case
+from site_2 import KEY, KEY_2, TENANT_2, CannotRun, Client, Site, run_case
 
 # The primary is cut off from control and from the callers of one daemon of three.
 TROUBLE = {"cutUsers": ["lovagewalk", TENANT_2]}
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,4 +8,4 @@
 for case in 6 7 8 9 10; do
     if [ -e "$case/case.py" ]; then set -- "$@" "$case/case.py"; fi
 done
-PYTHONPYCACHEPREFIX=$cache python3 -m py_compile standins2/*.py "$@"
+PYTHONPYCACHEPREFIX=$cache python3 -m py_compile *_2.py "$@"
--- a/review/standins2/site2.py
+++ b/review/site_2.py
@@ -18,9 +18,9 @@
 import traceback
 from pathlib import Path
 
-from database import send_http
+from database_2 import send_http
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HERE = Path(__file__).resolve().parent
 SECRET = "a secret of the review, long enough"
 KEY = "keyofthereview0001"
@@ -314,7 +314,7 @@
         path.write_text(json.dumps(cfg))
         with (self.folder / "service.log").open("ab") as output:
             self.processes["service"] = await asyncio.create_subprocess_exec(
-                sys.executable, str(HERE / "database.py"), str(path),
+                sys.executable, str(HERE / "database_2.py"), str(path),
                 stdin=asyncio.subprocess.DEVNULL, stdout=output, stderr=output,
                 env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
             )
@@ -322,7 +322,7 @@
     async def start_resetter(self, addresses):
         """Start a process that resets connections once it is told to."""
         process = await asyncio.create_subprocess_exec(
-            sys.executable, str(HERE / "resetter.py"), *addresses,
+            sys.executable, str(HERE / "resetter_2.py"), *addresses,
             stdin=asyncio.subprocess.PIPE,
             env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
         )
