Runtime: the run of a statement is independent of the line protocol

`StatementRun` decides what is sent on a pool connection and what an answer means for the request. It stood in the platform's adapter, which only translates. It is now in `runtime`, over a connection that sends steps (`BeginTransaction`, `EndTransaction` and the setup steps, as data) and statements; the adapter encodes them by a registry and says of an answer how it failed and whether a transaction is open. Nothing that is sent or fed to the reducer changes; the tests of the adapter pass unchanged.

--- a/lovagewalk/platform/_callers.py
+++ b/lovagewalk/platform/_callers.py
@@ -16,12 +16,12 @@
 )
 from lovagewalk.runtime import CallerServer, LineClient, Ports
 
-from ._endpoints import StatementResult
 from ._lines import (
     ABSENT,
     MAX_LINE_BYTES,
     Query,
     Startup,
+    StatementResult,
     Terminate,
     encode_message,
     error_word,
--- a/lovagewalk/platform/_endpoints.py
+++ b/lovagewalk/platform/_endpoints.py
@@ -4,38 +4,35 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from lovagewalk.core import Handlers, LovageError
 from lovagewalk.groups import InstanceStatus, PollInstance, ReplicationOrder
 from lovagewalk.pools import OpenConnection, OpenFailure
 from lovagewalk.routing import (
+    BeginTransaction,
     DiscardSettings,
-    Failure,
+    EndTransaction,
     PrepareShape,
     RunStatement,
+    SetupStep,
     SetVariable,
-    StatementDone,
-    StatementFailed,
-    may_send,
 )
 from lovagewalk.runtime import (
+    AnswerHandler,
     InstancePoller,
     NoStatusError,
     OpenRefusedError,
     PoolClient,
     Ports,
+    StatementRun,
     set_result_if_pending,
     set_tcp_options,
 )
 
 from ._lines import (
-    ABSENT,
-    FAILURES_BY_WORD,
     PROXY_ID,
     Answer,
     AnswerParser,
-    TxnState,
     encode_message,
     parse_status,
     prepare_text,
@@ -54,16 +51,6 @@
 
 log = logging.getLogger("lovagewalk.endpoints")
 
-AnswerHandler = Callable[[Answer], None]
-
-
-@dataclass(frozen=True, slots=True)
-class StatementResult:
-    """Result of a statement, kept until the caller is answered."""
-
-    rows: tuple[str, ...] = ()
-    signature: str = ABSENT
-
 
 class EndpointConnection(asyncio.Protocol):
     """One connection to an endpoint, which answers messages in their order."""
@@ -154,9 +141,22 @@
         if not self._transport.is_closing():
             self._transport.write(encode_message(*fields))
 
-    def query(self, handler: AnswerHandler, request_id: str, text: str) -> None:
-        """Send a statement."""
-        self.send(handler, "QUERY", request_id, text)
+    def send_step(
+        self, handler: AnswerHandler, step: SetupStep | EndTransaction
+    ) -> None:
+        """Send a step that belongs to no caller."""
+        self.send(handler, "QUERY", PROXY_ID, _step_texts[type(step)](step))
+
+    def send_statement(
+        self, handler: AnswerHandler, effect: RunStatement, wait: bool
+    ) -> None:
+        """Send the statement of an effect."""
+        text = effect.text
+        if effect.prepared is not None:
+            text = f"EXECUTE {effect.prepared.name} {text}"
+        if wait:
+            text = wait_prefix(effect.min_position) + text
+        self.send(handler, "QUERY", effect.request_id or PROXY_ID, text)
 
     @property
     def is_open(self) -> bool:
@@ -172,147 +172,35 @@
             self._transport.abort()
 
 
-class StatementRun:
-    """One statement on a pool connection, with the steps that precede it."""
+_step_texts: Handlers[type, Callable[..., str]] = Handlers()
 
-    def __init__(
-        self, ports: Ports, conn: EndpointConnection, effect: RunStatement
-    ) -> None:
-        self._ports = ports
-        self._conn = conn
-        self._effect = effect
-        self._finished = False
-        self._statement_sent = False
-        self._sent_at = 0.0
-
-    def start(self) -> None:
-        """Send the setup steps, then the statement or the start of a transaction."""
-        effect = self._effect
-        self._sent_at = self._ports.now()
-        if not self._may_send():
-            return
-        for step in effect.setup:
-            self._conn.query(self._on_setup, PROXY_ID, _setup_texts[type(step)](step))
-        if effect.require_proof:
-            self._send_with_proof()
-        elif effect.begin:
-            mode = "BEGIN READ" if effect.read_only else "BEGIN"
-            text = wait_prefix(effect.min_position) + mode
-            self._conn.query(self._on_begin, PROXY_ID, text)
-        else:
-            self._send_statement(wait_prefix(effect.min_position))
-
-    def _may_send(self) -> bool:
-        ports = self._ports
-        if self._conn.is_open and may_send(ports.state, self._effect, ports.now()):
-            return True
-        self._fail(Failure.NOT_SENT, usable=False)
-        return False
-
-    def _send_statement(self, prefix: str) -> None:
-        effect = self._effect
-        self._statement_sent = True
-        text = effect.text
-        if effect.prepared is not None:
-            text = f"EXECUTE {effect.prepared.name} {text}"
-        request_id = effect.request_id or PROXY_ID
-        self._conn.query(self._on_statement_answer, request_id, prefix + text)
-
-    def _send_with_proof(self) -> None:
-        """Send a read in a separate transaction, which only a primary opens."""
-        self._conn.query(self._on_proof_begin, PROXY_ID, "BEGIN")
-        self._send_statement("")
-        self._conn.query(self._on_proof_rollback, PROXY_ID, "ROLLBACK")
 
-    def _on_setup(self, answer: Answer) -> None:
-        if answer.error:
-            log.error("endpoints: a setup step was refused: %s", answer.error)
-            self._fail(Failure.NOT_SENT, usable=False)
-
-    def _on_proof_begin(self, answer: Answer) -> None:
-        if answer.error:
-            self._fail(_classify_failure(answer), usable=True, detail=answer.error)
-
-    def _on_proof_rollback(self, answer: Answer) -> None:
-        """Ignore the answer to the end of a read's separate transaction."""
-
-    def _on_begin(self, answer: Answer) -> None:
-        if answer.error:
-            usable = answer.state is TxnState.IDLE
-            self._fail(_classify_failure(answer), usable=usable, detail=answer.error)
-        elif not self._finished and self._may_send():
-            self._send_statement("")
-
-    def _on_statement_answer(self, answer: Answer) -> None:
-        if self._finished:
-            return
-        if answer.error:
-            self._on_statement_error(answer)
-            return
-        self._finished = True
-        effect = self._effect
-        self._ports.results[effect.req] = StatementResult(answer.rows, answer.signature)
-        self._ports.feed(
-            StatementDone(
-                self._ports.now(),
-                effect.req,
-                effect.conn,
-                position=answer.position,
-                in_transaction=self._has_open_transaction(answer),
-                sent_at=self._sent_at,
-            )
-        )
-
-    def _on_statement_error(self, answer: Answer) -> None:
-        usable = answer.state is not TxnState.FAILED or self._effect.require_proof
-        self._fail(
-            _classify_failure(answer),
-            usable=usable,
-            detail=answer.error,
-            in_transaction=self._has_open_transaction(answer),
-        )
-
-    def _has_open_transaction(self, answer: Answer) -> bool:
-        """Whether the caller's transaction is open on the connection."""
-        return answer.state is TxnState.ACTIVE and not self._effect.require_proof
-
-    def connection_lost(self) -> None:
-        """Report a failure, since the connection is lost."""
-        self._fail(Failure.LOST if self._statement_sent else Failure.NOT_SENT)
-
-    def _fail(self, failure: Failure, **fields: object) -> None:
-        if self._finished:
-            return
-        self._finished = True
-        effect = self._effect
-        now = self._ports.now()
-        self._ports.feed(
-            StatementFailed(now, effect.req, effect.conn, failure, **fields)
-        )
-
-
-def _classify_failure(answer: Answer) -> Failure:
-    return FAILURES_BY_WORD.get(answer.error, Failure.ERROR)
-
-
-_setup_texts: Handlers[type, Callable[..., str]] = Handlers()
-
-
-@_setup_texts.on(DiscardSettings)
+@_step_texts.on(DiscardSettings)
 def _discard_text(step: DiscardSettings) -> str:
     return "DISCARD"
 
 
-@_setup_texts.on(SetVariable)
+@_step_texts.on(SetVariable)
 def _set_text(step: SetVariable) -> str:
     return f"SET {step.name} {step.value}"
 
 
-@_setup_texts.on(PrepareShape)
+@_step_texts.on(PrepareShape)
 def _prepare_text(step: PrepareShape) -> str:
     return prepare_text(step.shape)
 
 
+@_step_texts.on(BeginTransaction)
+def _begin_text(step: BeginTransaction) -> str:
+    mode = "BEGIN READ" if step.read_only else "BEGIN"
+    return wait_prefix(step.min_position) + mode
+
+
+@_step_texts.on(EndTransaction)
+def _end_text(step: EndTransaction) -> str:
+    return "ROLLBACK"
+
+
 _STATUS_STATEMENTS = {
     ReplicationOrder.NO_CHANGE: "STATUS",
     ReplicationOrder.PAUSE: "PAUSE {}",
--- a/lovagewalk/platform/_lines.py
+++ b/lovagewalk/platform/_lines.py
@@ -144,6 +144,14 @@
     return f"PREPARE {shape.name} {mode} {shape.content}"
 
 
+@dataclass(frozen=True, slots=True)
+class StatementResult:
+    """Result of a statement, kept until the caller is answered."""
+
+    rows: tuple[str, ...] = ()
+    signature: str = ABSENT
+
+
 class TxnState(Enum):
     """Transaction state of a connection to an endpoint."""
 
@@ -173,6 +181,26 @@
     state: TxnState
     position: Position | None
 
+    @property
+    def failure(self) -> Failure | None:
+        """How the message failed; None on success."""
+        return _FAILURES_BY_WORD.get(self.error, Failure.ERROR) if self.error else None
+
+    @property
+    def result(self) -> StatementResult:
+        """The result of a statement that was run."""
+        return StatementResult(self.rows, self.signature)
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self.state is TxnState.ACTIVE
+
+    @property
+    def transaction_failed(self) -> bool:
+        """Whether a transaction has failed and waits for its end."""
+        return self.state is TxnState.FAILED
+
 
 def refused_startup(error: str) -> Answer:
     """Return the answer of an endpoint that refused a session and closed it."""
@@ -288,7 +316,7 @@
     return InstanceStatus(incarnation, role, term, position.index, position.term)
 
 
-FAILURES_BY_WORD = {
+_FAILURES_BY_WORD = {
     "BUSY": Failure.BUSY,
     "LAGGING": Failure.BEHIND,
     "READONLY": Failure.READ_ONLY,
--- a/lovagewalk/routing/_effects.py
+++ b/lovagewalk/routing/_effects.py
@@ -30,7 +30,26 @@
     shape: PreparedShape
 
 
-SetupStep = DiscardSettings | SetVariable | PrepareShape
+@dataclass(frozen=True, slots=True)
+class BeginTransaction:
+    """Open a transaction on a connection.
+
+    Attributes
+    ----------
+    min_position : Position or None
+        Position that the log must hold before the transaction begins.
+    """
+
+    read_only: bool = False
+    min_position: Position | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class EndTransaction:
+    """Roll back the transaction that is open on a connection."""
+
+
+SetupStep = DiscardSettings | SetVariable | PrepareShape | BeginTransaction
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/runtime/__init__.py
+++ b/lovagewalk/runtime/__init__.py
@@ -45,12 +45,14 @@
 from ._rows import BoundedRows
 from ._signals import on_reload_signal, on_stop_signals
 from ._sockets import set_tcp_options
+from ._statement_runs import AnswerHandler, StatementRun
 
 PERFORMERS = (_performers, _storage)
 
 __all__ = [
     "PERFORMERS",
     "UNDECIDED_CHANGE_CODES",
+    "AnswerHandler",
     "BoundedHandler",
     "BoundedRows",
     "CallerServer",
@@ -78,6 +80,7 @@
     "PoolClient",
     "Ports",
     "SettingsReloader",
+    "StatementRun",
     "StreamConnection",
     "UncountedClient",
     "customer_class_label",
--- /dev/null
+++ b/lovagewalk/runtime/_statement_runs.py
@@ -0,0 +1,190 @@
+"""Runs statements on pool connections, independent of their protocol.
+
+An endpoint answers the messages of a connection in their order.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from lovagewalk.groups import Position
+from lovagewalk.routing import (
+    BeginTransaction,
+    EndTransaction,
+    Failure,
+    RunStatement,
+    SetupStep,
+    StatementDone,
+    StatementFailed,
+    may_send,
+)
+
+from ._ports import Ports
+
+log = logging.getLogger("lovagewalk.endpoints")
+
+
+class Answer(Protocol):
+    """An endpoint's complete answer to one message.
+
+    Attributes
+    ----------
+    failure : Failure or None
+        None on success.
+    error : str
+        The endpoint's own name of the error; empty on success.
+    result : Any
+        Kept until the caller is answered.
+    in_transaction, transaction_failed : bool
+        Whether a transaction is open on the connection, and whether it has failed and
+        only waits for its end.
+    position : Position or None
+        The instance's position afterwards; None if it states none.
+    """
+
+    failure: Failure | None
+    error: str
+    result: Any
+    in_transaction: bool
+    transaction_failed: bool
+    position: Position | None
+
+
+AnswerHandler = Callable[[Answer], None]
+
+
+class StatementConnection(Protocol):
+    """A connection on which statements run."""
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a message can still be sent."""
+
+    def send_step(
+        self, handler: AnswerHandler, step: SetupStep | EndTransaction
+    ) -> None:
+        """Send a step that belongs to no caller, and pass its answer to `handler`."""
+
+    def send_statement(
+        self, handler: AnswerHandler, effect: RunStatement, wait: bool
+    ) -> None:
+        """Send the statement of an effect, and pass its answer to `handler`.
+
+        Parameters
+        ----------
+        wait : bool
+            Whether the endpoint has to hold the effect's minimum position.
+        """
+
+
+class StatementRun:
+    """One statement on a pool connection, with the steps that precede it."""
+
+    def __init__(
+        self, ports: Ports, conn: StatementConnection, effect: RunStatement
+    ) -> None:
+        self._ports = ports
+        self._conn = conn
+        self._effect = effect
+        self._finished = False
+        self._statement_sent = False
+        self._sent_at = 0.0
+
+    def start(self) -> None:
+        """Send the setup steps, then the statement or the start of a transaction."""
+        effect = self._effect
+        self._sent_at = self._ports.now()
+        if not self._may_send():
+            return
+        for step in effect.setup:
+            self._conn.send_step(self._on_setup, step)
+        if effect.require_proof:
+            self._send_with_proof()
+        elif effect.begin:
+            step = BeginTransaction(effect.read_only, effect.min_position)
+            self._conn.send_step(self._on_begin, step)
+        else:
+            self._send_statement(wait=True)
+
+    def _may_send(self) -> bool:
+        ports = self._ports
+        if self._conn.is_open and may_send(ports.state, self._effect, ports.now()):
+            return True
+        self._fail(Failure.NOT_SENT, usable=False)
+        return False
+
+    def _send_statement(self, wait: bool) -> None:
+        self._statement_sent = True
+        self._conn.send_statement(self._on_statement_answer, self._effect, wait)
+
+    def _send_with_proof(self) -> None:
+        """Send a read in a separate transaction, which only a primary opens."""
+        self._conn.send_step(self._on_proof_begin, BeginTransaction())
+        self._send_statement(wait=False)
+        self._conn.send_step(self._on_proof_end, EndTransaction())
+
+    def _on_setup(self, answer: Answer) -> None:
+        if answer.failure is not None:
+            log.error("endpoints: a setup step was refused: %s", answer.error)
+            self._fail(Failure.NOT_SENT, usable=False)
+
+    def _on_proof_begin(self, answer: Answer) -> None:
+        if answer.failure is not None:
+            self._fail(answer.failure, usable=True, detail=answer.error)
+
+    def _on_proof_end(self, answer: Answer) -> None:
+        """Ignore the answer to the end of a read's separate transaction."""
+
+    def _on_begin(self, answer: Answer) -> None:
+        if answer.failure is not None:
+            usable = not answer.in_transaction and not answer.transaction_failed
+            self._fail(answer.failure, usable=usable, detail=answer.error)
+        elif not self._finished and self._may_send():
+            self._send_statement(wait=False)
+
+    def _on_statement_answer(self, answer: Answer) -> None:
+        if self._finished:
+            return
+        if answer.failure is not None:
+            self._on_statement_error(answer)
+            return
+        self._finished = True
+        effect = self._effect
+        self._ports.results[effect.req] = answer.result
+        self._ports.feed(
+            StatementDone(
+                self._ports.now(),
+                effect.req,
+                effect.conn,
+                position=answer.position,
+                in_transaction=self._has_open_transaction(answer),
+                sent_at=self._sent_at,
+            )
+        )
+
+    def _on_statement_error(self, answer: Answer) -> None:
+        usable = not answer.transaction_failed or self._effect.require_proof
+        self._fail(
+            answer.failure,
+            usable=usable,
+            detail=answer.error,
+            in_transaction=self._has_open_transaction(answer),
+        )
+
+    def _has_open_transaction(self, answer: Answer) -> bool:
+        """Whether the caller's transaction is open on the connection."""
+        return answer.in_transaction and not self._effect.require_proof
+
+    def connection_lost(self) -> None:
+        """Report a failure, since the connection is lost."""
+        self._fail(Failure.LOST if self._statement_sent else Failure.NOT_SENT)
+
+    def _fail(self, failure: Failure, **fields: object) -> None:
+        if self._finished:
+            return
+        self._finished = True
+        effect = self._effect
+        now = self._ports.now()
+        self._ports.feed(
+            StatementFailed(now, effect.req, effect.conn, failure, **fields)
+        )
