Routing: a statement is sent once its connection is set up

A write was committed two or three times, and its caller got one success; the first run had another session's values.

Cause: a connection that lacks its session's settings was sent the steps (DISCARD, SET, PREPARE) and the statement in one piece. The answer to a refused step was reported as `not sent`, which is retried whatever the statement is, although it had left.

Change: the steps are an effect, `SetUpConnection`, answered by `SetupAnswered`, which says what the endpoint accepted. The reducer sends the statement after that, with the checks of key, lease and time limit, and records on the connection just what was accepted. A refusal counts like that of a statement: backoff, and the connection stays. BEGIN travels with the steps. A statement without steps is sent as before.

Tests that read the steps from `RunStatement` read them from the new effect, with the same expectations.

--- a/lovagewalk/platform/_endpoints.py
+++ b/lovagewalk/platform/_endpoints.py
@@ -14,6 +14,7 @@
     EndTransaction,
     PrepareShape,
     RunStatement,
+    SetUpConnection,
     SetupStep,
     SetVariable,
 )
@@ -24,6 +25,7 @@
     OpenRefusedError,
     PoolClient,
     Ports,
+    SetupRun,
     StatementRun,
     set_result_if_pending,
     set_tcp_options,
@@ -233,6 +235,14 @@
         run.start()
         return run
 
+    def start_setup(
+        self, conn: EndpointConnection, effect: SetUpConnection
+    ) -> SetupRun:
+        """Start the steps that set up a connection."""
+        run = SetupRun(self._ports, conn, effect)
+        run.start()
+        return run
+
     def close_all(self) -> None:
         """Close every connection."""
         super().close_all()
--- a/lovagewalk/pools/_reducer.py
+++ b/lovagewalk/pools/_reducer.py
@@ -3,8 +3,9 @@
 from lovagewalk.core import Effect, Step, reduces, replace
 from lovagewalk.groups import record_primary_failure
 from lovagewalk.node import NodeState
-from lovagewalk.routing import Phase, _callers, _dispatch, _place, _recovery, _sweep
+from lovagewalk.routing import _callers, _dispatch, _place, _recovery, _sweep
 from lovagewalk.routing._pacing import log_pace_change
+from lovagewalk.routing._state import SENT_PHASES
 from lovagewalk.routing._transactions import end_transaction
 from lovagewalk.sessions import TransactionState
 
@@ -13,9 +14,6 @@
 from ._policy import add_connection, lower_limit, record_open_failure
 from ._saturation import record_connected, record_loss
 
-# The end of a running statement or of a stream is an event of its own.
-_ANSWERED_ELSEWHERE = frozenset((Phase.RUNNING, Phase.STREAMING, Phase.CONFIRMING))
-
 
 @reduces(ConnectionOpened)
 def _connection_opened(state: NodeState, event: ConnectionOpened) -> Step[NodeState]:
@@ -76,7 +74,7 @@
         ended = end_transaction(step.state, session, TransactionState.LOST)
         step = Step(ended, step.effects)
         request = ended.requests.get(session.req)
-        if request is not None and request.phase not in _ANSWERED_ELSEWHERE:
+        if request is not None and request.phase not in SENT_PHASES:
             dequeued = _callers.remove_from_queue(ended, request)
             step = Step(dequeued, step.effects)
             step = step.then(_recovery.answer_lost_transaction(dequeued, request))
--- a/lovagewalk/routing/__init__.py
+++ b/lovagewalk/routing/__init__.py
@@ -15,6 +15,7 @@
     PrepareShape,
     RequestTrace,
     RunStatement,
+    SetUpConnection,
     SetupStep,
 )
 from ._events import (
@@ -22,6 +23,7 @@
     CallerDisconnected,
     CallerReset,
     Failure,
+    SetupAnswered,
     StatementArrived,
     StatementDone,
     StatementFailed,
@@ -63,7 +65,9 @@
     "RequestTrace",
     "RunStatement",
     "SessionStatement",
+    "SetUpConnection",
     "SetVariable",
+    "SetupAnswered",
     "SetupStep",
     "StatementArrived",
     "StatementDone",
--- a/lovagewalk/routing/_callers.py
+++ b/lovagewalk/routing/_callers.py
@@ -17,7 +17,7 @@
 from ._draining import refuses_operations, refuses_statements
 from ._effects import AcceptCaller, CloseCaller, DiscardResult
 from ._events import CallerConnected, CallerDisconnected, CallerReset
-from ._state import Phase, Request
+from ._state import SENT_PHASES, Phase, Request
 from ._transactions import abort_transaction
 from ._walks import walk_sessions
 
@@ -154,7 +154,7 @@
     state = replace(state, requests=state.requests.delete(request.req))
     effects: tuple[Effect, ...] = (DiscardResult(request.req),)
     step = Step(state, effects)
-    if request.phase not in (Phase.RUNNING, Phase.STREAMING):
+    if request.phase not in (Phase.SETUP, Phase.RUNNING, Phase.STREAMING):
         return step
     step = step.then(_dispatch.close_connection(state, request.conn, now))
     return step.then(_dispatch.dispatch(step.state, request.endpoint, now))
@@ -229,6 +229,5 @@
 
 
 def _is_sent(request: Request | None) -> bool:
-    """Whether a request has been sent to an endpoint and is not answered in full."""
-    sent_phases = (Phase.RUNNING, Phase.STREAMING, Phase.CONFIRMING)
-    return request is not None and request.phase in sent_phases
+    """Whether a request waits for an answer that its endpoint owes."""
+    return request is not None and request.phase in SENT_PHASES
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -2,7 +2,7 @@
 
 from lovagewalk.catalogue import Endpoint, GroupConfig
 from lovagewalk.core import Code, Effect, Refusal, Step, replace
-from lovagewalk.groups import replica_has_applied
+from lovagewalk.groups import Position, replica_has_applied
 from lovagewalk.node import NodeState
 from lovagewalk.pools import (
     CloseConnection,
@@ -19,9 +19,9 @@
 
 from . import _admit, _place, _recovery
 from ._answer import answer
-from ._effects import OnceId, RunStatement
+from ._effects import BeginTransaction, OnceId, RunStatement, SetUpConnection
 from ._evacuation import is_evacuation_over, takes_no_work
-from ._settings import apply_setup, plan_setup
+from ._settings import plan_setup
 from ._state import Phase, Request
 from ._transactions import abort_transaction, has_lost_transaction
 from ._types import WRITE_KINDS, StatementKind
@@ -212,8 +212,10 @@
     return _admit.authorise(state, session, now)
 
 
-def may_send(state: NodeState, effect: RunStatement, now: float) -> bool:
-    """Whether the statement of an effect may still be sent to its endpoint.
+def may_send(
+    state: NodeState, effect: RunStatement | SetUpConnection, now: float
+) -> bool:
+    """Whether the messages of an effect may still be sent to its endpoint.
 
     Adapters ask again immediately before they send it: its key may have moved and the
     lease may have ended since the decision, while the endpoint began its transaction or
@@ -242,30 +244,66 @@
 def _run_explicit(
     state: NodeState, request: Request, session: Session, begin: bool
 ) -> Step[NodeState]:
-    """Run a request after applying its session's settings to the connection."""
-    pool = state.pools[request.endpoint]
-    connection = pool.connections[request.conn]
-    setup = plan_setup(connection, session, request.prepared)
-    if setup:
-        connection = apply_setup(connection, setup)
-        connections = pool.connections.set(request.conn, connection)
-        pool = replace(pool, connections=connections)
-        state = replace(state, pools=state.pools.set(request.endpoint, pool))
+    """Run a request whose session's settings the connection has, or apply them first.
+
+    A transaction begins in the same round trip as these steps.
+    """
+    connection = state.pools[request.endpoint].connections[request.conn]
+    steps = plan_setup(connection, session, request.prepared)
+    read_only = begin and session.read_only and not request.at_primary
+    min_position = None if session.conn else request.min_position
+    if not steps:
+        return _send_explicit(state, request, begin, read_only, min_position)
+    if begin:
+        steps += (BeginTransaction(read_only, min_position),)
+    request = replace(request, phase=Phase.SETUP)
+    effect = SetUpConnection(request.req, request.conn, steps)
+    return Step(_place.store_request(state, request), (effect,))
+
+
+def _send_explicit(
+    state: NodeState,
+    request: Request,
+    begin: bool,
+    read_only: bool,
+    min_position: Position | None,
+) -> Step[NodeState]:
     effect = RunStatement(
         req=request.req,
         conn=request.conn,
         text=request.text,
         begin=begin,
         request_id=request.marks.request_id,
-        setup=setup,
-        read_only=begin and session.read_only and not request.at_primary,
-        min_position=None if session.conn else request.min_position,
+        read_only=read_only,
+        min_position=min_position,
         require_proof=request.require_proof,
         prepared=request.prepared,
     )
     return Step(_place.store_request(state, request), (effect,))
 
 
+def send_after_setup(state: NodeState, request: Request, now: float) -> Step[NodeState]:
+    """Send the statement of a request whose connection is set up."""
+    session = state.sessions[request.caller]
+    if session.conn and is_evacuation_over(state, request.endpoint, now):
+        return _recovery.end_evacuated_transaction(state, request, now)
+    refusal = _refusal_at_send(state, session, request, now)
+    if refusal is not None:
+        step = _refuse_at_send(state, request, request.conn, refusal, now)
+        return step.then(dispatch(step.state, request.endpoint, now))
+    if not session.conn and takes_no_work(state, request.endpoint, now):
+        step = return_connection(state, request.conn, now)
+        return step.then(_recovery.place_again(step.state, request, now))
+    request = replace(
+        request,
+        phase=Phase.RUNNING,
+        sent_term=state.catalogue.group(request.group).term,
+        sent_at=now,
+    )
+    min_position = None if session.conn else request.min_position
+    return _send_explicit(state, request, False, False, min_position)
+
+
 def needs_begin(request: Request, session: Session) -> bool:
     """Whether this statement opens the session's transaction."""
     if request.kind not in (StatementKind.READ, StatementKind.WRITE):
--- a/lovagewalk/routing/_effects.py
+++ b/lovagewalk/routing/_effects.py
@@ -52,6 +52,18 @@
 SetupStep = DiscardSettings | SetVariable | PrepareShape | BeginTransaction
 
 
+@dataclass(frozen=True, slots=True)
+class SetUpConnection(Effect):
+    """Run the steps that a request's statement needs on its connection.
+
+    The statement is sent once the endpoint has accepted all of them.
+    """
+
+    req: int
+    conn: int
+    steps: tuple[SetupStep, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RunStatement(Effect):
     """Run a statement on a pool connection.
@@ -68,8 +80,6 @@
         Record this id in the same transaction; fail if it is recorded already.
     request_id : str
         The caller's identifier of the request, passed to the endpoint.
-    setup : tuple of SetupStep
-        Steps that apply the session's settings to the connection.
     read_only : bool
         Open a read-only transaction.
     min_position : Position or None
@@ -88,7 +98,6 @@
     stream: bool = False
     once: OnceId | None = None
     request_id: str = ""
-    setup: tuple[SetupStep, ...] = ()
     read_only: bool = False
     min_position: Position | None = None
     require_proof: bool = False
--- a/lovagewalk/routing/_evacuated_work.py
+++ b/lovagewalk/routing/_evacuated_work.py
@@ -13,13 +13,10 @@
     is_group_evacuated,
     takes_no_work,
 )
-from ._state import Phase, Request
+from ._state import SENT_PHASES, Phase, Request
 from ._transactions import abort_transaction
 from ._walks import walk_pools, walk_requests, walk_sessions
 
-# The endpoint's answer to these is awaited and delivered.
-_SENT_PHASES = frozenset((Phase.RUNNING, Phase.STREAMING, Phase.CONFIRMING))
-
 
 def end_evacuated_work(state: NodeState, now: float) -> Step[NodeState]:
     """Refuse waiting requests, roll back transactions, and close idle connections."""
@@ -74,7 +71,7 @@
     if not endpoint or not is_evacuation_over(state, endpoint, now):
         return Step(state)
     request = state.requests.get(session.req)
-    if request is not None and request.phase in _SENT_PHASES:
+    if request is not None and request.phase in SENT_PHASES:
         return Step(state)
     record = TransactionEvacuated(session.caller, endpoint, session.group)
     step = abort_transaction(state, session, TransactionState.LOST, now)
--- a/lovagewalk/routing/_events.py
+++ b/lovagewalk/routing/_events.py
@@ -6,6 +6,7 @@
 from lovagewalk.core import Code, Event
 from lovagewalk.groups import Position
 
+from ._effects import SetupStep
 from ._types import Marks, SessionStatement, StatementKind
 
 
@@ -153,6 +154,33 @@
     in_transaction: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class SetupAnswered(Event):
+    """An endpoint answered all steps that set up a connection, or was lost.
+
+    Attributes
+    ----------
+    applied : tuple of SetupStep
+        The steps that the endpoint accepted, in their order.
+    failure : Failure or None
+        How the first other step failed; None if all were accepted.
+    detail : str
+        Error of the endpoint for that step.
+    usable : bool
+        Whether the connection may be reused.
+    in_transaction : bool
+        Whether the endpoint reports an open transaction.
+    """
+
+    req: int
+    conn: int
+    applied: tuple[SetupStep, ...] = ()
+    failure: Failure | None = None
+    detail: str = ""
+    usable: bool = False
+    in_transaction: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class StreamEnded(Event):
     """Reading a streamed result ended.
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -53,6 +53,9 @@
     """Retry a failed statement where that is safe, or answer its caller."""
     recorded = _record_failure(state, request, event)
     effects = _log_failure(request, event) + log_load_changes(state, recorded, request)
+    if request.phase is Phase.SETUP and event.failure is Failure.LOST:
+        # Only steps that precede the statement were sent.
+        event = replace(event, failure=Failure.NOT_SENT)
     return Step(recorded, effects).then(_retry_or_answer(recorded, request, event))
 
 
--- a/lovagewalk/routing/_settings.py
+++ b/lovagewalk/routing/_settings.py
@@ -8,7 +8,7 @@
 from lovagewalk.pools import PoolConnection
 from lovagewalk.sessions import PreparedShape, Session
 
-from ._effects import DiscardSettings, PrepareShape, SetupStep
+from ._effects import BeginTransaction, DiscardSettings, PrepareShape, SetupStep
 from ._types import SetVariable
 
 
@@ -65,3 +65,9 @@
     shape = step.shape
     prepared = connection.prepared.set(shape.name, len(shape.content))
     return replace(connection, prepared=prepared)
+
+
+@_appliers.on(BeginTransaction)
+def _begin(connection: PoolConnection, step: BeginTransaction) -> PoolConnection:
+    """Return the connection unchanged; the session records its transaction."""
+    return connection
--- a/lovagewalk/routing/_state.py
+++ b/lovagewalk/routing/_state.py
@@ -24,6 +24,9 @@
         A change of the group's primary or of its endpoints.
     CONNECTION
         A connection to its endpoint.
+    SETUP
+        The endpoint's answers to the steps that set up its connection. The statement
+        itself has not been sent.
     RUNNING
         The endpoint's answer.
     STREAMING
@@ -38,12 +41,17 @@
     REPLICA = "replica"
     PRIMARY = "primary"
     CONNECTION = "connection"
+    SETUP = "setup"
     RUNNING = "running"
     STREAMING = "streaming"
     CONFIRMING = "confirming"
     BACKOFF = "backoff"
 
 
+# Phases in which an endpoint owes an answer, whose end is an event of its own.
+SENT_PHASES = frozenset((Phase.SETUP, Phase.RUNNING, Phase.STREAMING, Phase.CONFIRMING))
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A statement of a caller that this daemon processes.
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -39,6 +39,9 @@
 # Added to the idle limit, since idle time includes the last statement's run: the
 # longest statement timeout that the users' sites set for transactions.
 IDLE_MARGIN_S = 1.0
+# The steps that set up a connection need no slot of the endpoint, so their answers come
+# within a round trip.
+SETUP_TIMEOUT_S = UNRESPONSIVE_AFTER_S
 # Phases in which a request may move to another endpoint.
 _MOVABLE_PHASES = frozenset(
     (Phase.PRIMARY, Phase.CONNECTION, Phase.REPLICA, Phase.BACKOFF)
@@ -205,6 +208,8 @@
     if wait_s > request.deadline - now:
         dequeued = _callers.remove_from_queue(state, request)
         return _recovery.refuse_overloaded(dequeued, request, wait_s)
+    if request.phase is Phase.SETUP and now - request.sent_at >= SETUP_TIMEOUT_S:
+        return _time_out_setup(state, request, now)
     if request.phase is Phase.RUNNING and _is_unresponsive(state, request, now):
         event = _outcome.StatementFailed(
             now, request.req, request.conn, _outcome.Failure.LOST, detail="silent"
@@ -213,6 +218,19 @@
     return Step(state)
 
 
+def _time_out_setup(state: NodeState, request: Request, now: float) -> Step[NodeState]:
+    """Run a request on another connection, since this one's setup is not answered.
+
+    Only an endpoint that has answered nothing else either counts as lost.
+    """
+    is_silent = _has_answered_nothing(state, request)
+    failure = _outcome.Failure.LOST if is_silent else _outcome.Failure.NOT_SENT
+    event = _outcome.StatementFailed(
+        now, request.req, request.conn, failure, detail="setup not answered"
+    )
+    return _outcome.handle_failure(state, event)
+
+
 def _estimate_turn(state: NodeState, request: Request, now: float) -> float:
     """Return how long the pace of an endpoint delays a queued request, in seconds."""
     pool = state.pools.get(request.endpoint)
@@ -238,17 +256,21 @@
     """
     if not request.is_read or request.at_primary:
         return False
+    is_overdue = now - request.sent_at >= UNRESPONSIVE_AFTER_S
+    return is_overdue and _has_answered_nothing(state, request)
+
+
+def _has_answered_nothing(state: NodeState, request: Request) -> bool:
+    """Whether a request's endpoint has answered nothing since the request was sent."""
     pool = state.pools.get(request.endpoint)
-    answered_at = pool.answered_at if pool else 0.0
-    return (
-        answered_at <= request.sent_at and now - request.sent_at >= UNRESPONSIVE_AFTER_S
-    )
+    return pool is None or pool.answered_at <= request.sent_at
 
 
 def _expire_explicit(state: NodeState, request: Request, now: float) -> Step[NodeState]:
     """Answer a statement whose time limit has passed."""
     session = state.sessions[request.caller]
     running = request.phase is Phase.RUNNING
+    awaits_endpoint = running or request.phase is Phase.SETUP
     in_doubt = running and request.kind is StatementKind.WRITE and not session.conn
     if running and request.kind is StatementKind.COMMIT and session.has_written:
         in_doubt = True
@@ -259,7 +281,7 @@
         if in_doubt
         else _EXPIRY_CODES.get(request.phase, Code.OVERLOADED)
     )
-    if not running:
+    if not awaits_endpoint:
         dequeued = _callers.remove_from_queue(state, request)
         return answer(dequeued, request, Refusal(code))
     endpoint = request.endpoint
--- a/lovagewalk/routing/tests/endpoint_model.py
+++ b/lovagewalk/routing/tests/endpoint_model.py
@@ -25,6 +25,7 @@
 )
 from lovagewalk.routing import (
     AnswerCaller,
+    BeginTransaction,
     CallerConnected,
     CallerDisconnected,
     CloseCaller,
@@ -35,6 +36,8 @@
     PrepareShape,
     PrepareStatement,
     RunStatement,
+    SetupAnswered,
+    SetUpConnection,
     SetVariable,
     StatementArrived,
     StatementDone,
@@ -58,6 +61,8 @@
 TIMEOUT_S = 6.0
 CONNECTIONS = 5
 BEGINS = (StatementKind.BEGIN, StatementKind.BEGIN_READ)
+# Effects that send messages on a connection.
+AT_CONNECTIONS = (RunStatement, SetUpConnection)
 ENDS = (StatementKind.COMMIT, StatementKind.ROLLBACK)
 KINDS = (StatementKind.READ, StatementKind.WRITE, *BEGINS, *ENDS)
 SESSION_KINDS = (
@@ -443,7 +448,7 @@
                 self._close(effect.conn)
             elif isinstance(effect, OpenConnection | SendToPeer):
                 self.pending.append(effect)
-            elif isinstance(effect, RunStatement):
+            elif isinstance(effect, AT_CONNECTIONS):
                 self._check_sent(effect)
                 self.pending.append(effect)
 
@@ -451,7 +456,7 @@
         sent = self.sent[run.req]
         request = self.state.requests.get(run.req)
         assert request is not None, "sent after its answer"
-        runs = [e.req for e in self.pending if isinstance(e, RunStatement)]
+        runs = [e.req for e in self.pending if isinstance(e, AT_CONNECTIONS)]
         assert run.req not in runs, "sent while it runs"
         holder = self.holders.get(sent.key)
         conn = self.conns[run.conn]
@@ -544,6 +549,8 @@
             self._open(effect, outcome)
         elif isinstance(effect, SendToPeer):
             self.control.deliver(effect, outcome)
+        elif isinstance(effect, SetUpConnection):
+            self._set_up(effect, outcome)
         else:
             self._run(effect, outcome)
 
@@ -562,7 +569,6 @@
         if conn is None:
             return
         if outcome == "busy":
-            _apply_setup(conn, run)
             opened = conn.transaction is not None
             self._fail(run, Failure.BUSY, usable=True, in_transaction=opened)
             return
@@ -586,6 +592,66 @@
                 )
             )
 
+    def _set_up(self, setup, outcome):
+        """Let an endpoint accept or refuse each step that sets up a connection."""
+        conn = self.conns.get(setup.conn)
+        if conn is None:
+            return
+        if outcome == "lost" or not conn.instance.is_up:
+            self.conns.pop(setup.conn)
+            self._lose_setup(setup)
+            self.feed(ConnectionBroken(self.now, setup.conn, conn.instance.name))
+            return
+        applied, failures = (), []
+        refused = self.rng.randrange(len(setup.steps)) if outcome == "busy" else -1
+        for index, step in enumerate(setup.steps):
+            failure = Failure.BUSY
+            if index != refused:
+                failure = self._apply_step(setup, conn, step)
+            if failure is None:
+                applied += (step,)
+            else:
+                failures.append(failure)
+        self.feed(
+            SetupAnswered(
+                self.now,
+                setup.req,
+                setup.conn,
+                applied,
+                failure=failures[0] if failures else None,
+                usable=True,
+                in_transaction=conn.transaction is not None,
+            )
+        )
+
+    def _lose_setup(self, setup):
+        failure = Failure.LOST
+        self.feed(SetupAnswered(self.now, setup.req, setup.conn, failure=failure))
+
+    def _apply_step(self, setup, conn, step):
+        """Perform one step at an endpoint, and return how it failed, or None."""
+        if isinstance(step, DiscardSettings):
+            conn.variables, conn.prepared = {}, set()
+        elif isinstance(step, SetVariable):
+            conn.variables[step.name] = step.value
+        elif isinstance(step, PrepareShape):
+            conn.prepared.add(step.shape.name)
+        else:
+            return self._begin(setup, conn, step)
+        return None
+
+    def _begin(self, effect, conn, step):
+        sent, instance = self.sent[effect.req], conn.instance
+        if step.min_position is not None and not instance.holds(step.min_position):
+            return Failure.BEHIND
+        if not step.read_only and self.leaders[instance.group] != instance.name:
+            return Failure.READ_ONLY
+        assert conn.transaction is None, "begins inside a transaction"
+        conn.transaction = Transaction(
+            sent.caller, sent.transaction_number, step.read_only
+        )
+        return None
+
     def _fail(self, run, failure, **fields):
         self.feed(StatementFailed(self.now, run.req, run.conn, failure, **fields))
 
@@ -596,19 +662,17 @@
         leads = self.leaders[instance.group] == instance.name
         if not instance.is_up:
             return Failure.LOST
-        _apply_setup(conn, run)
         assert conn.variables == sent.variables, "runs with values of another session"
         if run.prepared is not None and run.prepared.name not in conn.prepared:
             return Failure.UNKNOWN_NAME
         if run.min_position is not None and not instance.holds(run.min_position):
             return Failure.BEHIND
-        if (run.require_proof or (run.begin and not run.read_only)) and not leads:
+        if run.require_proof and not leads:
             return Failure.READ_ONLY
         if run.begin:
-            assert conn.transaction is None, "begins inside a transaction"
-            conn.transaction = Transaction(
-                sent.caller, sent.transaction_number, run.read_only
-            )
+            failure = self._begin(run, conn, BeginTransaction(run.read_only))
+            if failure is not None:
+                return failure
         self._check_transaction(sent, conn)
         if conn.transaction is not None and not conn.transaction.is_read_only:
             writes_nothing = not conn.transaction.writes
@@ -674,7 +738,7 @@
 
     def break_connection(self, index):
         """Break a connection that runs no statement; its transaction is rolled back."""
-        busy = {e.conn for e in self.pending if isinstance(e, RunStatement)}
+        busy = {e.conn for e in self.pending if isinstance(e, AT_CONNECTIONS)}
         quiet = sorted(set(self.conns) - busy)
         if quiet:
             number = quiet[index % len(quiet)]
@@ -695,6 +759,8 @@
             self.pending.remove(run)
             if isinstance(run, RunStatement):
                 self._fail(run, Failure.LOST)
+            elif isinstance(run, SetUpConnection):
+                self._lose_setup(run)
         self.feed(ConnectionBroken(self.now, number, instance.name))
 
     def heal(self):
@@ -739,17 +805,6 @@
     return state
 
 
-def _apply_setup(conn, run):
-    """Perform the steps that an endpoint runs before a statement."""
-    for step in run.setup:
-        if isinstance(step, DiscardSettings):
-            conn.variables, conn.prepared = {}, set()
-        elif isinstance(step, SetVariable):
-            conn.variables[step.name] = step.value
-        elif isinstance(step, PrepareShape):
-            conn.prepared.add(step.shape.name)
-
-
 def _common_length(first, second):
     length = 0
     while length < min(len(first), len(second)) and first[length] == second[length]:
--- a/lovagewalk/routing/tests/provider_site.py
+++ b/lovagewalk/routing/tests/provider_site.py
@@ -13,6 +13,7 @@
 from lovagewalk.pools import ConnectionOpened, ConnectionRefused, OpenConnection
 from lovagewalk.routing import (
     AnswerCaller,
+    BeginTransaction,
     CallerConnected,
     CloseCaller,
     Failure,
@@ -20,6 +21,8 @@
     NamedStatement,
     PrepareStatement,
     RunStatement,
+    SetupAnswered,
+    SetUpConnection,
     SetVariable,
     StatementArrived,
     StatementDone,
@@ -71,6 +74,7 @@
         self.last_number = 0
         self.revision = 0
         self.runs = []
+        self.setups = []
         self.opened = []
         self.answers = {}
         self.closed = {}
@@ -176,6 +180,8 @@
                 self.closed[effect.caller] = effect.refusal
             elif isinstance(effect, RunStatement):
                 self.runs.append(effect)
+            elif isinstance(effect, SetUpConnection):
+                self.setups.append(effect)
             elif isinstance(effect, OpenConnection):
                 self.open(effect)
 
@@ -243,6 +249,23 @@
         """Remove and return the statement that was sent last."""
         return self.runs.pop()
 
+    def accept_setup(self):
+        """Accept the steps that were sent last, and return them."""
+        setup = self.setups.pop()
+        opens = any(isinstance(step, BeginTransaction) for step in setup.steps)
+        session = self.state.sessions[self.state.requests[setup.req].caller]
+        self.feed(
+            SetupAnswered(
+                self.now,
+                setup.req,
+                setup.conn,
+                setup.steps,
+                usable=True,
+                in_transaction=opens or session.conn == setup.conn,
+            )
+        )
+        return setup.steps
+
     def complete(self, run, position=None, open_transaction=False):
         self.feed(
             StatementDone(
--- a/lovagewalk/routing/tests/test_evacuation_seeds.py
+++ b/lovagewalk/routing/tests/test_evacuation_seeds.py
@@ -9,7 +9,12 @@
 from lovagewalk import catalogue as cat
 from lovagewalk.core import Code, replace
 from lovagewalk.pools import OpenConnection
-from lovagewalk.routing import Phase, StatementKind
+from lovagewalk.routing import (
+    BeginTransaction,
+    Phase,
+    SetUpConnection,
+    StatementKind,
+)
 from lovagewalk.routing._evacuation import EVACUATION_WORK_S
 
 from .endpoint_model import World
@@ -49,7 +54,11 @@
     def _check_sent(self, run):
         super()._check_sent(run)
         session = self.state.sessions[self.sent[run.req].caller]
-        is_pinned = session.conn == run.conn and not run.begin
+        if isinstance(run, SetUpConnection):
+            begins = any(isinstance(step, BeginTransaction) for step in run.steps)
+        else:
+            begins = run.begin
+        is_pinned = session.conn == run.conn and not begins
         self._check_endpoint(self.conns[run.conn].instance.name, is_pinned)
 
     def _check_endpoint(self, name, is_pinned):
--- a/lovagewalk/routing/tests/test_session_state.py
+++ b/lovagewalk/routing/tests/test_session_state.py
@@ -79,18 +79,18 @@
     site.set_variable(first, "tz", "utc")
     site.set_variable(first, "lang", "ja")
     site.write(first)
+    assert not site.runs, "the statement waits until its settings are accepted"
+    steps = site.accept_setup()
+    assert set(steps) == {SetVariable("tz", "utc"), SetVariable("lang", "ja")}
     run = site.pop_run()
-    assert set(run.setup) == {SetVariable("tz", "utc"), SetVariable("lang", "ja")}
     site.complete(run, Position(1, 11))
     site.write(first)
-    again = site.pop_run()
-    assert again.setup == (), "only settings that differ are sent"
-    site.complete(again, Position(1, 12))
+    assert not site.setups, "only settings that differ are sent"
+    site.complete(site.pop_run(), Position(1, 12))
     site.set_variable(second, "tz", "jst")
     site.write(second)
-    other = site.pop_run()
-    assert other.conn == run.conn
-    assert other.setup == (DiscardSettings(), SetVariable("tz", "jst"))
+    assert site.accept_setup() == (DiscardSettings(), SetVariable("tz", "jst"))
+    assert site.pop_run().conn == run.conn
 
 
 def test_prepared_statements_are_shared_by_content():
@@ -100,12 +100,12 @@
     site.prepare(first, "s1", shape)
     site.prepare(second, "other", shape)
     site.execute(first, "s1")
+    assert site.accept_setup() == (PrepareShape(shape),)
     run = site.pop_run()
-    assert run.setup == (PrepareShape(shape),) and run.prepared == shape
-    assert run.text == "item"
+    assert run.prepared == shape and run.text == "item"
     site.complete(run, Position(1, 11))
     site.execute(second, "other")
-    assert site.pop_run().setup == ()
+    assert not site.setups and site.pop_run().prepared == shape
 
 
 def test_a_prepared_name_is_scoped_to_its_session():
@@ -114,8 +114,10 @@
     site.prepare(first, "s1", PreparedShape(True, "one"))
     site.prepare(second, "s1", PreparedShape(True, "two"))
     site.execute(first, "s1")
+    site.accept_setup()
     site.complete(site.pop_run(), Position(1, 11))
     site.execute(second, "s1")
+    site.accept_setup()
     assert site.pop_run().prepared.content == "two"
     unknown = site.execute(site.connect("till"), "s1")
     assert site.refusal_code(unknown) is Code.STATEMENT_UNKNOWN
@@ -127,10 +129,11 @@
     shape = PreparedShape(True, "q2c")
     site.prepare(caller, "s1", shape)
     site.execute(caller, "s1")
+    site.accept_setup()
     run = site.pop_run()
     site.fail(run, Failure.UNKNOWN_NAME, usable=False)
-    again = site.pop_run()
-    assert again.conn != run.conn and again.setup == (PrepareShape(shape),)
+    assert site.accept_setup() == (PrepareShape(shape),)
+    assert site.pop_run().conn != run.conn
 
 
 def test_without_a_lease_no_route_or_key_is_reported_as_unknown():
--- a/lovagewalk/routing/tests/test_session_storage.py
+++ b/lovagewalk/routing/tests/test_session_storage.py
@@ -80,6 +80,7 @@
     for number in range(5):
         site.prepare(caller, "s", PreparedShape(True, f"{number}{LARGE}"))
         site.execute(caller, "s")
+        site.accept_setup()
         site.complete(site.pop_run(), Position(1, 11 + number))
     (pool,) = [pool for pool in site.state.pools.values() if pool.connections]
     (connection,) = pool.connections.values()
--- a/lovagewalk/runtime/__init__.py
+++ b/lovagewalk/runtime/__init__.py
@@ -45,7 +45,7 @@
 from ._rows import BoundedRows
 from ._signals import on_reload_signal, on_stop_signals
 from ._sockets import set_tcp_options
-from ._statement_runs import AnswerHandler, StatementRun
+from ._statement_runs import AnswerHandler, SetupRun, StatementRun
 
 PERFORMERS = (_performers, _storage)
 
@@ -80,6 +80,7 @@
     "PoolClient",
     "Ports",
     "SettingsReloader",
+    "SetupRun",
     "StatementRun",
     "StreamConnection",
     "UncountedClient",
--- a/lovagewalk/runtime/_performers.py
+++ b/lovagewalk/runtime/_performers.py
@@ -16,6 +16,7 @@
     CloseCaller,
     DiscardResult,
     RunStatement,
+    SetUpConnection,
 )
 
 from ._ports import Ports
@@ -57,6 +58,11 @@
     ports.endpoints.close(effect.conn)
 
 
+@performs(SetUpConnection)
+def _set_up_connection(ports: Ports, effect: SetUpConnection) -> None:
+    ports.endpoints.set_up(effect)
+
+
 @performs(RunStatement)
 def _run_statement(ports: Ports, effect: RunStatement) -> None:
     request = ports.state.requests.get(effect.req)
--- a/lovagewalk/runtime/_pool_client.py
+++ b/lovagewalk/runtime/_pool_client.py
@@ -10,7 +10,13 @@
     OpenConnection,
     OpenFailure,
 )
-from lovagewalk.routing import Failure, RunStatement, StatementFailed
+from lovagewalk.routing import (
+    Failure,
+    RunStatement,
+    SetupAnswered,
+    SetUpConnection,
+    StatementFailed,
+)
 
 from ._ports import Ports
 
@@ -64,6 +70,10 @@
         """Start a statement on a connection."""
         raise NotImplementedError
 
+    def start_setup(self, conn: Any, effect: SetUpConnection) -> RunningStatement:
+        """Start the steps that set up a connection."""
+        raise NotImplementedError
+
     async def open(self, effect: OpenConnection) -> None:
         """Open a pool connection."""
         catalogue = self._ports.state.catalogue
@@ -113,6 +123,17 @@
             StatementFailed(now, effect.req, effect.conn, Failure.NOT_SENT)
         )
 
+    def set_up(self, effect: SetUpConnection) -> None:
+        """Start the steps that set up a connection."""
+        conn = self._conns.get(effect.conn)
+        if conn is not None:
+            self._running[effect.conn] = self.start_setup(conn, effect)
+            return
+        now = self._ports.now()
+        self._ports.feed(
+            SetupAnswered(now, effect.req, effect.conn, failure=Failure.NOT_SENT)
+        )
+
     def close(self, conn_id: int) -> None:
         """Close a pool connection and discard the statement that runs on it."""
         self._running.pop(conn_id, None)
--- a/lovagewalk/runtime/_statement_runs.py
+++ b/lovagewalk/runtime/_statement_runs.py
@@ -3,7 +3,7 @@
 An endpoint answers the messages of a connection in their order.
 """
 
-import logging
+import functools
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -13,6 +13,8 @@
     EndTransaction,
     Failure,
     RunStatement,
+    SetupAnswered,
+    SetUpConnection,
     SetupStep,
     StatementDone,
     StatementFailed,
@@ -21,8 +23,6 @@
 
 from ._ports import Ports
 
-log = logging.getLogger("lovagewalk.endpoints")
-
 
 class Answer(Protocol):
     """An endpoint's complete answer to one message.
@@ -77,8 +77,64 @@
         """
 
 
+class SetupRun:
+    """The steps that set up a connection; all are sent at once."""
+
+    def __init__(
+        self, ports: Ports, conn: StatementConnection, effect: SetUpConnection
+    ) -> None:
+        self._ports = ports
+        self._conn = conn
+        self._effect = effect
+        self._awaited = len(effect.steps)
+        self._applied: tuple[SetupStep, ...] = ()
+        self._refusal: Answer | None = None
+
+    def start(self) -> None:
+        """Send the steps."""
+        ports, effect = self._ports, self._effect
+        if not self._conn.is_open or not may_send(ports.state, effect, ports.now()):
+            self._finish(failure=Failure.NOT_SENT)
+            return
+        for step in effect.steps:
+            self._conn.send_step(functools.partial(self._on_answer, step), step)
+
+    def _on_answer(self, step: SetupStep, answer: Answer) -> None:
+        self._awaited -= 1
+        if answer.failure is None:
+            self._applied += (step,)
+        elif self._refusal is None:
+            self._refusal = answer
+        if self._awaited:
+            return
+        refusal = self._refusal
+        if refusal is None:
+            self._finish(usable=True, in_transaction=answer.in_transaction)
+            return
+        # Whether a step had an effect is not known if it failed in another way.
+        is_refused = refusal.failure is not Failure.ERROR
+        self._finish(
+            failure=refusal.failure,
+            detail=refusal.error,
+            usable=is_refused and not answer.transaction_failed,
+            in_transaction=answer.in_transaction,
+        )
+
+    def connection_lost(self) -> None:
+        """Report a failure, since the connection is lost."""
+        if self._awaited:
+            self._finish(failure=Failure.LOST)
+
+    def _finish(self, **fields: object) -> None:
+        self._awaited = 0
+        effect, now = self._effect, self._ports.now()
+        self._ports.feed(
+            SetupAnswered(now, effect.req, effect.conn, self._applied, **fields)
+        )
+
+
 class StatementRun:
-    """One statement on a pool connection, with the steps that precede it."""
+    """One statement on a pool connection, with the start of its transaction."""
 
     def __init__(
         self, ports: Ports, conn: StatementConnection, effect: RunStatement
@@ -91,13 +147,11 @@
         self._sent_at = 0.0
 
     def start(self) -> None:
-        """Send the setup steps, then the statement or the start of a transaction."""
+        """Send the statement or the start of its transaction."""
         effect = self._effect
         self._sent_at = self._ports.now()
         if not self._may_send():
             return
-        for step in effect.setup:
-            self._conn.send_step(self._on_setup, step)
         if effect.require_proof:
             self._send_with_proof()
         elif effect.begin:
@@ -123,11 +177,6 @@
         self._send_statement(wait=False)
         self._conn.send_step(self._on_proof_end, EndTransaction())
 
-    def _on_setup(self, answer: Answer) -> None:
-        if answer.failure is not None:
-            log.error("endpoints: a setup step was refused: %s", answer.error)
-            self._fail(Failure.NOT_SENT, usable=False)
-
     def _on_proof_begin(self, answer: Answer) -> None:
         if answer.failure is not None:
             self._fail(answer.failure, usable=True, detail=answer.error)
