Routing: a connection that has lost a prepared name is not used again

Callers would see a statement refused after 60 attempts: an endpoint that does not know a prepared name (NOSTMT) was sent the statement again on the same connection, on which the name counted as prepared.

Change: the record of the connection is wrong, so it is closed; the name is prepared on another one.

--- a/lovagewalk/platform/tests/test_setup_steps.py
+++ b/lovagewalk/platform/tests/test_setup_steps.py
@@ -208,6 +208,21 @@
     assert site.is_closed(number) and other != number and messages == [SET]
 
 
+def test_a_connection_that_has_lost_its_prepared_statements_is_closed(site):
+    """Guards against a statement that is refused on the same connection again."""
+    caller = site.connect("till")
+    shape = PreparedShape(True, "q2c")
+    site.prepare(caller, "s1", shape)
+    site.execute(caller, "s1")
+    number, _ = site.take()
+    site.answer(number, "I")
+    site.take()
+    site.answer(number, "I NOSTMT")
+    other, messages = site.take()
+    assert site.is_closed(number) and other != number
+    assert messages == [f"- PREPARE {shape.name} WRITE q2c"]
+
+
 def test_statements_are_prepared_before_they_are_executed(site):
     caller = site.connect("till")
     shape = PreparedShape(True, "q2c")
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -56,6 +56,9 @@
     if request.phase is Phase.SETUP and event.failure is Failure.LOST:
         # Only steps that precede the statement were sent.
         event = replace(event, failure=Failure.NOT_SENT)
+    if event.failure is Failure.UNKNOWN_NAME:
+        # What is recorded of the connection's prepared statements is wrong.
+        event = replace(event, usable=False)
     return Step(recorded, effects).then(_retry_or_answer(recorded, request, event))
 
 
