Pools: a connection is reused once nothing is owed on it

Cause: a read that proves its primary sends BEGIN, READ and ROLLBACK in one piece. The connection returned to the pool with the answer to READ, and that to ROLLBACK was ignored. Where it was refused, the next session's write ran in the open transaction and was rolled back with it.

The primary was not replaced.

Change: results say whether answers are owed. Such a connection stays in use, neither idle nor closed, until `ConnectionSettled`: back to the pool without an open transaction, closed with one, or after 0.6 s. The caller of the read does not wait.

--- a/lovagewalk/pools/__init__.py
+++ b/lovagewalk/pools/__init__.py
@@ -1,7 +1,13 @@
 """Connection pools with a fair queue over customers."""
 
 from ._effects import CloseConnection, OpenConnection
-from ._events import ConnectionBroken, ConnectionOpened, ConnectionRefused, OpenFailure
+from ._events import (
+    ConnectionBroken,
+    ConnectionOpened,
+    ConnectionRefused,
+    ConnectionSettled,
+    OpenFailure,
+)
 from ._policy import (
     MAX_WAITING,
     Assignment,
@@ -9,11 +15,13 @@
     add_connection,
     assign_idle,
     assign_next,
+    await_settled,
     count_to_open,
     discard,
     enqueue,
     estimate_wait,
     find_surplus,
+    find_unsettled,
     is_slow,
     lower_limit,
     plan_openings,
@@ -46,6 +54,7 @@
     "ConnectionBroken",
     "ConnectionOpened",
     "ConnectionRefused",
+    "ConnectionSettled",
     "CustomerQueue",
     "OpenConnection",
     "OpenFailure",
@@ -55,6 +64,7 @@
     "add_connection",
     "assign_idle",
     "assign_next",
+    "await_settled",
     "change_pace",
     "compute_backoff",
     "count_to_open",
@@ -63,6 +73,7 @@
     "estimate_queued_turn",
     "estimate_wait",
     "find_surplus",
+    "find_unsettled",
     "is_slow",
     "lower_limit",
     "may_send",
--- a/lovagewalk/pools/_events.py
+++ b/lovagewalk/pools/_events.py
@@ -38,6 +38,20 @@
     reason: OpenFailure = OpenFailure.UNREACHABLE
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionSettled(Event):
+    """An endpoint has answered all that was sent with the last statement.
+
+    Attributes
+    ----------
+    usable : bool
+        Whether no transaction is open, so that the connection may be reused.
+    """
+
+    conn: int
+    usable: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionBroken(Event):
     """An idle connection was closed by the endpoint."""
--- a/lovagewalk/pools/_policy.py
+++ b/lovagewalk/pools/_policy.py
@@ -49,6 +49,9 @@
 # Latency assumed at an endpoint without a recent measurement: a typical statement of
 # the users' sites.
 READ_ESTIMATE_S = 0.03
+# The end of a read's own transaction needs no slot of the endpoint, so its answer comes
+# within a round trip.
+SETTLE_LIMIT_S = 0.6
 # Idle time after which a connection beyond the fair limit is closed. The next statement
 # of an active session usually arrives within it.
 SURPLUS_IDLE_S = 0.5
@@ -184,12 +187,32 @@
     return min(waiting, key=rank, default=None)
 
 
+def await_settled(pool: Pool, conn: int, now: float) -> Pool:
+    """Keep a connection in use until its endpoint has answered all that was sent."""
+    if conn not in pool.connections:
+        return pool
+    return replace(pool, settling=pool.settling.set(conn, now))
+
+
+def find_unsettled(pool: Pool, now: float) -> tuple[int, ...]:
+    """Return the connections whose endpoint has owed an answer for too long."""
+    return tuple(
+        conn for conn, since in pool.settling.items() if now - since >= SETTLE_LIMIT_S
+    )
+
+
+def _end_settling(pool: Pool, conn: int) -> Pool:
+    if conn not in pool.settling:
+        return pool
+    return replace(pool, settling=pool.settling.delete(conn))
+
+
 def release(pool: Pool, conn: int, weight: float, now: float) -> Pool:
     """Return a connection to the pool and charge its customer for the time of use."""
     connection = pool.connections.get(conn)
     if connection is None or not connection.in_use:
         return pool
-    pool = _charge(pool, connection, weight, now)
+    pool = _end_settling(_charge(pool, connection, weight, now), conn)
     idle = replace(connection, customer="", in_use=False)
     return replace(
         pool,
@@ -205,6 +228,7 @@
         return pool
     if connection.in_use:
         pool = _charge(pool, connection, weight, now)
+    pool = _end_settling(pool, conn)
     return replace(
         pool,
         idle=tuple(other for other in pool.idle if other != conn),
--- a/lovagewalk/pools/_reducer.py
+++ b/lovagewalk/pools/_reducer.py
@@ -3,6 +3,7 @@
 from lovagewalk.core import Effect, Step, reduces, replace
 from lovagewalk.groups import record_primary_failure
 from lovagewalk.node import NodeState
+from lovagewalk.records import ConnectionUnsettled
 from lovagewalk.routing import _callers, _dispatch, _place, _recovery, _sweep
 from lovagewalk.routing._pacing import log_pace_change
 from lovagewalk.routing._state import SENT_PHASES
@@ -10,7 +11,13 @@
 from lovagewalk.sessions import TransactionState
 
 from ._effects import CloseConnection
-from ._events import ConnectionBroken, ConnectionOpened, ConnectionRefused, OpenFailure
+from ._events import (
+    ConnectionBroken,
+    ConnectionOpened,
+    ConnectionRefused,
+    ConnectionSettled,
+    OpenFailure,
+)
 from ._policy import add_connection, lower_limit, record_open_failure
 from ._saturation import record_connected, record_loss
 
@@ -65,6 +72,18 @@
     return record_primary_failure(state, endpoint.group, now)
 
 
+@reduces(ConnectionSettled)
+def _connection_settled(state: NodeState, event: ConnectionSettled) -> Step[NodeState]:
+    endpoint = state.conn_endpoints.get(event.conn)
+    if endpoint is None or event.conn not in state.pools[endpoint].settling:
+        return Step(state)
+    if event.usable:
+        return _dispatch.release_connection(state, event.conn, event.at)
+    record = ConnectionUnsettled(endpoint, event.conn, "its transaction is open")
+    step = _dispatch.close_and_dispatch(state, event.conn, event.at)
+    return Step(step.state, (record, *step.effects))
+
+
 @reduces(ConnectionBroken)
 def _connection_broken(state: NodeState, event: ConnectionBroken) -> Step[NodeState]:
     """Close the connection; a statement that waits in its transaction is answered."""
--- a/lovagewalk/pools/_state.py
+++ b/lovagewalk/pools/_state.py
@@ -107,6 +107,9 @@
         After recent refusals, nothing is sent to the endpoint before this time.
     saturated : bool
         Whether the refusals were more than a burst; reset once `refusals` is 0.
+    settling : Map of int to float
+        Connections whose request has ended while its endpoint still owes an answer, and
+        since when, in monotonic seconds. They stay in use until all is answered.
     pace : Pace or None
         Pace of sends, determined from the answers; None where a fixed backoff applies.
     """
@@ -132,6 +135,7 @@
     refused_at: float = 0.0
     backoff_until: float = 0.0
     saturated: bool = False
+    settling: Map = field(default_factory=Map)
     pace: Pace | None = None
 
     @property
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -81,6 +81,16 @@
     sent_ms_ago: int
 
 
+@logged_as("routing", "connection closed in an uncertain state")
+@dataclass(frozen=True, slots=True)
+class ConnectionUnsettled(LogRecord):
+    """A connection was not reused, although its last statement was answered."""
+
+    endpoint: str
+    conn: int
+    reason: str
+
+
 @logged_as("routing", "endpoint is full")
 @dataclass(frozen=True, slots=True)
 class EndpointSaturated(LogRecord):
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -1,5 +1,6 @@
 """Assigns pool connections to waiting requests and runs them."""
 
+from lovagewalk import pools
 from lovagewalk.catalogue import Endpoint, GroupConfig
 from lovagewalk.core import Code, Effect, Refusal, Step, replace
 from lovagewalk.groups import Position, replica_has_applied
@@ -349,6 +350,30 @@
     return Step(replace(state, pools=state.pools.set(endpoint, pool)))
 
 
+def release_connection(state: NodeState, conn: int, now: float) -> Step[NodeState]:
+    """Return a connection to its pool, and give it to a request that waits for one."""
+    endpoint = state.conn_endpoints.get(conn)
+    step = return_connection(state, conn, now)
+    if endpoint is None or not step.state.pools[endpoint].waiting:
+        return step
+    return step.then(dispatch(step.state, endpoint, now))
+
+
+def await_settled(state: NodeState, conn: int, now: float) -> Step[NodeState]:
+    """Keep a connection out of its pool until its endpoint owes no answer on it.
+
+    What would be sent on it before could run inside a transaction that is still open.
+    """
+    endpoint = state.conn_endpoints.get(conn)
+    if endpoint is None:
+        return Step(state)
+    return Step(
+        _place.update_pool(
+            state, endpoint, lambda pool: pools.await_settled(pool, conn, now)
+        )
+    )
+
+
 def close_connection(state: NodeState, conn: int, now: float) -> Step[NodeState]:
     """Close a connection whose state is unknown or that is no longer needed."""
     endpoint = state.conn_endpoints.get(conn)
--- a/lovagewalk/routing/_events.py
+++ b/lovagewalk/routing/_events.py
@@ -79,6 +79,9 @@
         Whether the endpoint reports an open transaction.
     sent_at : float
         When the statement was sent, in monotonic seconds.
+    answers_owed : bool
+        Whether the endpoint has not yet answered all that was sent with the statement;
+        a `ConnectionSettled` then follows.
     """
 
     req: int
@@ -88,6 +91,7 @@
     streaming: bool = False
     in_transaction: bool = False
     sent_at: float = 0.0
+    answers_owed: bool = False
 
 
 class Failure(Enum):
@@ -142,6 +146,8 @@
         The instance's position after a `DUPLICATE_ID`.
     in_transaction : bool
         Whether the endpoint reports an open transaction.
+    answers_owed : bool
+        As in `StatementDone`.
     """
 
     req: int
@@ -152,6 +158,7 @@
     usable: bool = False
     position: Position | None = None
     in_transaction: bool = False
+    answers_owed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -110,19 +110,13 @@
     if session.conn != event.conn:
         if event.in_transaction:
             return _dispatch.close_connection(state, event.conn, event.at)
-        return _release_connection(state, event.conn, event.at)
+        if event.answers_owed:
+            return _dispatch.await_settled(state, event.conn, event.at)
+        return _dispatch.release_connection(state, event.conn, event.at)
     if request.kind not in (StatementKind.COMMIT, StatementKind.ROLLBACK):
         return Step(state)
     state = end_transaction(state, session, TransactionState.NONE)
-    return _release_connection(state, event.conn, event.at)
-
-
-def _release_connection(state: NodeState, conn: int, now: float) -> Step[NodeState]:
-    endpoint = state.conn_endpoints.get(conn)
-    step = _dispatch.return_connection(state, conn, now)
-    if endpoint is None or not step.state.pools[endpoint].waiting:
-        return step
-    return step.then(_dispatch.dispatch(step.state, endpoint, now))
+    return _dispatch.release_connection(state, event.conn, event.at)
 
 
 def _answer_when_confirmed(
@@ -203,7 +197,7 @@
         return _dispatch.close_and_dispatch(state, event.conn, event.at)
     if session.conn == event.conn:
         return Step(state)
-    return _release_connection(state, event.conn, event.at)
+    return _dispatch.release_connection(state, event.conn, event.at)
 
 
 def _answer_lost_transaction(
@@ -313,7 +307,7 @@
         return _abandon_stream(state, event)
     if _is_pinned(state, request, event.conn):
         return Step(state)
-    return _release_connection(state, event.conn, event.at)
+    return _dispatch.release_connection(state, event.conn, event.at)
 
 
 def _is_pinned(state: NodeState, request: Request | None, conn: int) -> bool:
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -173,9 +173,14 @@
 def _release_or_close_connection(
     state: NodeState, event: StatementFailed
 ) -> Step[NodeState]:
-    """Return the connection to its pool if it is clean, else close it."""
+    """Return the connection to its pool if it is clean, else close it.
+
+    While its endpoint owes an answer on it, it is neither.
+    """
     if not event.usable or event.in_transaction:
         return _dispatch.close_and_dispatch(state, event.conn, event.at)
+    if event.answers_owed:
+        return _dispatch.await_settled(state, event.conn, event.at)
     endpoint = state.conn_endpoints.get(event.conn, "")
     step = _dispatch.return_connection(state, event.conn, event.at)
     return step.then(_dispatch.dispatch(step.state, endpoint, event.at))
--- a/lovagewalk/routing/_sweep.py
+++ b/lovagewalk/routing/_sweep.py
@@ -5,7 +5,14 @@
 from lovagewalk.core import Code, Event, Refusal, Step, every, reduces, replace
 from lovagewalk.groups import is_isolated_from_primary
 from lovagewalk.node import NodeState
-from lovagewalk.pools import Pool, estimate_queued_turn, find_surplus, record_loss
+from lovagewalk.pools import (
+    Pool,
+    estimate_queued_turn,
+    find_surplus,
+    find_unsettled,
+    record_loss,
+)
+from lovagewalk.records import ConnectionUnsettled
 from lovagewalk.sessions import Session, TransactionState
 from lovagewalk.shares import Share, return_tokens, take_token
 
@@ -89,6 +96,10 @@
     endpoint = pool.endpoint
     for conn in find_surplus(pool, now):
         step = step.then(_dispatch.close_connection(step.state, conn, now))
+    for conn in find_unsettled(pool, now):
+        record = ConnectionUnsettled(endpoint, conn, "an answer is owed")
+        step = step.then(Step(step.state, (record,)))
+        step = step.then(_dispatch.close_connection(step.state, conn, now))
     if 0 < pool.limit_lowered_until <= now:
         limit = _place.empty_pool(state, endpoint).limit
         pool = replace(step.state.pools[endpoint], limit=limit, limit_lowered_until=0.0)
--- a/lovagewalk/routing/tests/endpoint_model.py
+++ b/lovagewalk/routing/tests/endpoint_model.py
@@ -20,6 +20,7 @@
     ConnectionBroken,
     ConnectionOpened,
     ConnectionRefused,
+    ConnectionSettled,
     OpenConnection,
     OpenFailure,
 )
@@ -128,6 +129,13 @@
     prepared: set = field(default_factory=set)
 
 
+@dataclass(frozen=True)
+class ReadTransactionEnd:
+    """The end of the transaction of a read that proved its primary."""
+
+    conn: int
+
+
 @dataclass
 class Caller:
     """What a caller knows of its session."""
@@ -551,6 +559,8 @@
             self.control.deliver(effect, outcome)
         elif isinstance(effect, SetUpConnection):
             self._set_up(effect, outcome)
+        elif isinstance(effect, ReadTransactionEnd):
+            self._end_read_transaction(effect, outcome)
         else:
             self._run(effect, outcome)
 
@@ -568,11 +578,22 @@
         conn = self.conns.get(run.conn)
         if conn is None:
             return
+        owed = run.require_proof
         if outcome == "busy":
             opened = conn.transaction is not None
-            self._fail(run, Failure.BUSY, usable=True, in_transaction=opened)
+            if owed:
+                self.pending.append(ReadTransactionEnd(run.conn))
+            self._fail(
+                run,
+                Failure.BUSY,
+                usable=True,
+                in_transaction=opened,
+                answers_owed=owed,
+            )
             return
         failure = self._execute(run, conn)
+        if owed and outcome != "lost":
+            self._open_read_transaction(run, conn, failure)
         if outcome == "lost":
             self.conns.pop(run.conn)
             self._fail(run, Failure.LOST)
@@ -582,16 +603,35 @@
             conn.transaction = None
             self._fail(run, failure)
         elif failure is not None:
-            self._fail(run, failure, usable=True)
+            self._fail(run, failure, usable=True, answers_owed=owed)
         else:
             position = conn.instance.position()
-            opened = conn.transaction is not None
             self.feed(
                 StatementDone(
-                    self.now, run.req, run.conn, position, in_transaction=opened
+                    self.now,
+                    run.req,
+                    run.conn,
+                    position,
+                    in_transaction=conn.transaction is not None and not owed,
+                    answers_owed=owed,
                 )
             )
 
+    def _open_read_transaction(self, run, conn, failure):
+        """Open the transaction of a read that proves its primary."""
+        self.pending.append(ReadTransactionEnd(run.conn))
+        if failure is None:
+            conn.transaction = Transaction(self.sent[run.req].caller, 0, False)
+
+    def _end_read_transaction(self, end, outcome):
+        conn = self.conns.get(end.conn)
+        if conn is None or outcome == "lost":
+            return
+        if outcome == "ok":
+            conn.transaction = None
+        usable = conn.transaction is None
+        self.feed(ConnectionSettled(self.now, end.conn, usable))
+
     def _set_up(self, setup, outcome):
         """Let an endpoint accept or refuse each step that sets up a connection."""
         conn = self.conns.get(setup.conn)
--- a/lovagewalk/runtime/_statement_runs.py
+++ b/lovagewalk/runtime/_statement_runs.py
@@ -8,6 +8,7 @@
 from typing import Any, Protocol
 
 from lovagewalk.groups import Position
+from lovagewalk.pools import ConnectionSettled
 from lovagewalk.routing import (
     BeginTransaction,
     EndTransaction,
@@ -179,10 +180,15 @@
 
     def _on_proof_begin(self, answer: Answer) -> None:
         if answer.failure is not None:
-            self._fail(answer.failure, usable=True, detail=answer.error)
+            self._fail(
+                answer.failure, usable=True, detail=answer.error, answers_owed=True
+            )
 
     def _on_proof_end(self, answer: Answer) -> None:
-        """Ignore the answer to the end of a read's separate transaction."""
+        """Report the connection, whose transaction stays open if its end is refused."""
+        usable = not answer.in_transaction and not answer.transaction_failed
+        now = self._ports.now()
+        self._ports.feed(ConnectionSettled(now, self._effect.conn, usable))
 
     def _on_begin(self, answer: Answer) -> None:
         if answer.failure is not None:
@@ -208,6 +214,7 @@
                 position=answer.position,
                 in_transaction=self._has_open_transaction(answer),
                 sent_at=self._sent_at,
+                answers_owed=effect.require_proof,
             )
         )
 
@@ -218,6 +225,7 @@
             usable=usable,
             detail=answer.error,
             in_transaction=self._has_open_transaction(answer),
+            answers_owed=self._effect.require_proof,
         )
 
     def _has_open_transaction(self, answer: Answer) -> bool:
