Routing: a result in another transaction state is no success

Callers saw: success for a write that ran inside a transaction of another session, since the answer's state was looked at only to close the connection.

Change: a result whose state is not the one that its request expects counts as lost. A write or commit is in doubt, a single read is run again, a transaction is lost; the connection is closed. A statement of a transaction that was answered as if there were none is covered too: its write may have taken effect, so it is not called rolled back.

--- /dev/null
+++ b/lovagewalk/platform/tests/test_transaction_states.py
@@ -0,0 +1,52 @@
+"""Answers that state another transaction than the one their statement belongs to."""
+
+import pytest
+
+from lovagewalk.core import Code
+from lovagewalk.groups import Position
+from lovagewalk.routing import StatementKind
+
+from .line_site import LineSite
+
+
+@pytest.fixture
+def site():
+    return LineSite()
+
+
+def test_a_single_write_inside_a_transaction_is_not_acknowledged(site):
+    """Guards against success for a write that is rolled back with its connection."""
+    req = site.write(site.connect("till"))
+    number, _ = site.take()
+    site.answer(number, "T signed")
+    assert site.refusal_code(req) is Code.CONNECTION_LOST and site.is_closed(number)
+
+
+def test_a_single_read_inside_a_transaction_is_run_again(site):
+    site.record_proof(Position(1, 10))
+    req = site.read(site.connect("board"))
+    number, _ = site.take()
+    site.answer(number, "T signed")
+    assert site.is_closed(number) and req not in site.answers
+    assert site.take()[1] == [f"r{req} WAITLSN 1.10 x"]
+
+
+@pytest.mark.parametrize(
+    ("kind", "code"),
+    [
+        (StatementKind.WRITE, Code.CONNECTION_LOST),
+        (StatementKind.READ, Code.TRANSACTION_LOST),
+    ],
+)
+def test_a_statement_outside_its_transaction_ends_it(site, kind, code):
+    """Guards against a transaction whose statements take effect one by one."""
+    caller = site.begin("till", StatementKind.READ)
+    number, _ = site.take()
+    site.answer(number, "T")
+    site.take()
+    site.answer(number, "T signed")
+    req = site.send(caller, kind)
+    site.take()
+    site.answer(number, "I signed")
+    assert site.refusal_code(req) is code and site.answers[req].failed_transaction
+    assert site.is_closed(number)
--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -27,6 +27,7 @@
 # Kinds whose duration shows the load of an endpoint; a commit also waits for replicas.
 _TIMED_KINDS = frozenset((StatementKind.READ, StatementKind.WRITE))
 READ_ONLY_DETAIL = "primary is read only"
+UNEXPECTED_STATE_DETAIL = "unexpected transaction state"
 
 
 @reduces(StatementDone)
@@ -73,8 +74,10 @@
     state: NodeState, request: Request, event: StatementDone
 ) -> Step[NodeState]:
     """Answer a request whose route has an explicit consistency."""
-    request = replace(request, position=event.position)
     session = state.sessions[request.caller]
+    if event.in_transaction is not _is_in_transaction(request, session, event.conn):
+        return _recover_from_unexpected_state(state, request, event)
+    request = replace(request, position=event.position)
     state = record_contact(state, request.endpoint, event.at)
     if request.is_read and not request.opens_transaction:
         elapsed_s = event.at - request.sent_at
@@ -94,6 +97,35 @@
     return step.then(answer(step.state, request))
 
 
+def _is_in_transaction(request: Request, session: Session, conn: int) -> bool:
+    """Whether a transaction has to be open on a connection after a statement."""
+    is_end = request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK)
+    return session.conn == conn and not is_end
+
+
+def _recover_from_unexpected_state(
+    state: NodeState, request: Request, event: StatementDone
+) -> Step[NodeState]:
+    """Handle a statement that ran in another transaction than its own, or in none.
+
+    The connection is closed, which rolls back what is still open. Whether a write has
+    taken effect is not known.
+    """
+    session = state.sessions[request.caller]
+    if request.kind is StatementKind.WRITE and session.conn == event.conn:
+        step = abort_transaction(state, session, TransactionState.LOST, event.at)
+        refusal = Refusal(Code.CONNECTION_LOST, UNEXPECTED_STATE_DETAIL)
+        return step.then(answer(step.state, request, refusal))
+    failed = StatementFailed(
+        event.at,
+        event.req,
+        event.conn,
+        Failure.LOST,
+        detail=UNEXPECTED_STATE_DETAIL,
+    )
+    return recover(state, request, failed)
+
+
 def _proves_primary(request: Request, session: Session) -> bool:
     """Whether an answer proves that its endpoint was primary at the time of sending."""
     if request.require_proof or request.kind is StatementKind.WRITE:
