Routing: a caller's ROLLBACK that is refused closes its connection and succeeds

Callers saw: a ROLLBACK that the endpoint refused was repeated with a backoff (BUSY), reported as failed with the transaction still open (FAILED), or refused as a lost transaction (READONLY, time limit), after which the caller had to end it again.

Cause: it was handled like any statement of a transaction, although closing the connection does all that it asks for.

Change: `abort_and_answer` closes the connection and answers success for a ROLLBACK; it replaces two special cases.

--- a/lovagewalk/platform/tests/test_transaction_states.py
+++ b/lovagewalk/platform/tests/test_transaction_states.py
@@ -5,6 +5,7 @@
 from lovagewalk.core import Code
 from lovagewalk.groups import Position
 from lovagewalk.routing import StatementKind
+from lovagewalk.routing.tests.provider_site import TIMEOUT_S
 
 from .line_site import LineSite
 
@@ -50,3 +51,35 @@
     site.answer(number, "I signed")
     assert site.refusal_code(req) is code and site.answers[req].failed_transaction
     assert site.is_closed(number)
+
+
+@pytest.mark.parametrize("code", ["BUSY", "FAILED", "READONLY"])
+def test_a_refused_rollback_of_a_caller_closes_its_connection(site, code):
+    """Guards against a caller that is told that its transaction goes on.
+
+    Closing the connection rolls back, so the caller need not wait until the endpoint
+    has accepted the statement.
+    """
+    caller = site.begin("till")
+    number, _ = site.take()
+    site.answer(number, "T")
+    site.take()
+    site.answer(number, "T signed")
+    req = site.send(caller, StatementKind.ROLLBACK, "ROLLBACK")
+    site.take()
+    site.answer(number, f"T {code}")
+    assert site.answers[req].refusal is None and not site.answers[req].in_transaction
+    assert site.is_closed(number)
+
+
+def test_a_rollback_without_an_answer_succeeds_at_its_time_limit(site):
+    """Guards against a ROLLBACK that is refused although it has rolled back."""
+    caller = site.begin("till")
+    number, _ = site.take()
+    site.answer(number, "T")
+    site.take()
+    site.answer(number, "T signed")
+    req = site.send(caller, StatementKind.ROLLBACK, "ROLLBACK")
+    site.sweep(TIMEOUT_S + 0.01)
+    assert site.answers[req].refusal is None and site.is_closed(number)
+    assert not site.answers[req].failed_transaction
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -24,7 +24,7 @@
 from ._evacuation import is_evacuation_over, takes_no_work
 from ._settings import plan_setup
 from ._state import Phase, Request
-from ._transactions import abort_transaction, has_lost_transaction
+from ._transactions import has_lost_transaction
 from ._types import WRITE_KINDS, StatementKind
 
 
@@ -233,9 +233,6 @@
     state: NodeState, request: Request, conn: int, refusal: Refusal, now: float
 ) -> Step[NodeState]:
     session = state.sessions[request.caller]
-    if session.conn and request.kind is StatementKind.ROLLBACK:
-        step = abort_transaction(state, session, TransactionState.NONE, now)
-        return step.then(answer(step.state, request))
     if session.conn:
         return _recovery.abort_and_answer(state, request, now, refusal.code.label)
     step = return_connection(state, conn, now)
--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -17,7 +17,12 @@
 from ._answer import MAX_RETRY_CREDIT, answer
 from ._effects import DiscardResult
 from ._events import Failure, StatementDone, StatementFailed, StreamEnded
-from ._recovery import log_load_changes, record_contact, recover
+from ._recovery import (
+    abort_and_answer,
+    log_load_changes,
+    record_contact,
+    recover,
+)
 from ._state import Phase, Request
 from ._transactions import abort_transaction, end_transaction
 from ._types import WRITE_KINDS, StatementKind
@@ -216,6 +221,8 @@
         return recover(state, request, event)
     session = state.sessions[request.caller]
     pinned = session.conn == event.conn
+    if pinned and request.kind is StatementKind.ROLLBACK:
+        return abort_and_answer(state, request, event.at, event.failure.value)
     step = _release_after_failure(state, session, event)
     if pinned and not event.usable:
         return step.then(_answer_lost_transaction(step.state, request, event))
@@ -236,12 +243,10 @@
     state: NodeState, request: Request, event: StatementFailed
 ) -> Step[NodeState]:
     session = state.sessions[request.caller]
-    ends_transaction = request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK)
-    outcome = TransactionState.NONE if ends_transaction else TransactionState.LOST
+    is_commit = request.kind is StatementKind.COMMIT
+    outcome = TransactionState.NONE if is_commit else TransactionState.LOST
     state = end_transaction(state, session, outcome)
-    if request.kind is StatementKind.ROLLBACK:
-        return answer(state, request)
-    if request.kind is StatementKind.COMMIT and event.failure is not Failure.NOT_SENT:
+    if is_commit and event.failure is not Failure.NOT_SENT:
         return answer(state, request, Refusal(Code.CONNECTION_LOST, "at commit"))
     return answer(state, request, Refusal(Code.TRANSACTION_LOST, event.detail))
 
--- a/lovagewalk/routing/_recovery.py
+++ b/lovagewalk/routing/_recovery.py
@@ -190,6 +190,8 @@
     state: NodeState, request: Request, event: StatementFailed
 ) -> Step[NodeState]:
     """Handle a failure in a transaction that the endpoint has kept open."""
+    if request.kind is StatementKind.ROLLBACK:
+        return abort_and_answer(state, request, event.at, event.failure.value)
     if event.failure is Failure.BUSY and _may_retry(request, event.at):
         wait_s = compute_backoff(request.attempts)
         return Step(_store_in_backoff(state, request, event.at, wait_s))
@@ -202,11 +204,16 @@
 def abort_and_answer(
     state: NodeState, request: Request, now: float, detail: str
 ) -> Step[NodeState]:
-    """Roll a transaction back by closing its connection, and answer the caller."""
+    """Roll a transaction back by closing its connection, and answer the caller.
+
+    That is all that a caller's ROLLBACK asks for, so it succeeds.
+    """
     session = state.sessions[request.caller]
-    ends_transaction = request.kind is StatementKind.COMMIT
+    ends_transaction = request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK)
     outcome = TransactionState.NONE if ends_transaction else TransactionState.LOST
     step = abort_transaction(state, session, outcome, now)
+    if request.kind is StatementKind.ROLLBACK:
+        return step.then(answer(step.state, request))
     refusal = Refusal(Code.TRANSACTION_LOST, detail)
     return step.then(answer(step.state, request, refusal))
 
@@ -299,11 +306,7 @@
     state: NodeState, request: Request, now: float
 ) -> Step[NodeState]:
     """Roll back a transaction in an evacuated zone instead of sending a statement."""
-    if request.kind is not StatementKind.ROLLBACK:
-        return abort_and_answer(state, request, now, EVACUATED_DETAIL)
-    session = state.sessions[request.caller]
-    step = abort_transaction(state, session, TransactionState.NONE, now)
-    return step.then(answer(step.state, request))
+    return abort_and_answer(state, request, now, EVACUATED_DETAIL)
 
 
 def refuse_overloaded(
