Edge: a transaction that did not begin begins with its next statement

Callers saw: after a refused BEGIN the next statements of the transaction ran one by one, and a ROLLBACK undid nothing.

Cause: the session is pinned when BEGIN is sent, and stayed so after an error that left the connection usable.

Change: failures of this front end state the connection's transaction state; where none is open, the session is unpinned, and its connection returns to the pool.

--- a/lovagewalk/edge/_endpoints.py
+++ b/lovagewalk/edge/_endpoints.py
@@ -312,9 +312,17 @@
             failure = Failure.READ_ONLY
         elif errno in ROLLED_BACK_ERRNOS:
             failure = Failure.ROLLED_BACK
-        usable = effect.once is None
+        # An error states no transaction state; that of the last result still holds.
+        in_transaction = bool(conn.get_transaction_status())
         detail = str(exc.args[1]) if len(exc.args) > 1 else ""
-        self._report_failure(effect, failure, errno=errno, detail=detail, usable=usable)
+        self._report_failure(
+            effect,
+            failure,
+            errno=errno,
+            detail=detail,
+            usable=effect.once is None,
+            in_transaction=in_transaction,
+        )
 
     def _report_failure(
         self, effect: RunStatement, failure: Failure, **fields: Any
--- a/lovagewalk/edge/tests/test_send_checks.py
+++ b/lovagewalk/edge/tests/test_send_checks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import asyncmy
 import pytest
 
 from lovagewalk.core import Code, replace
@@ -66,6 +67,38 @@
     return site.pending_effects.pop(0)
 
 
+class RefusingConnection(BlockedConnection):
+    """A connection to an endpoint that refuses to begin a transaction."""
+
+    async def execute(self, text):
+        self.texts.append(text)
+        raise asyncmy.errors.OperationalError(1205, "lock wait timeout")
+
+    def get_transaction_status(self):
+        return False
+
+
+async def test_a_transaction_that_did_not_begin_begins_with_the_next_statement():
+    """Guards against writes of a transaction that are committed one by one.
+
+    After a refused BEGIN the session counted as pinned, so that its next statements ran
+    on the connection without a transaction, and a ROLLBACK undid nothing.
+    """
+    site = Site()
+    caller = site.connect()
+    site.send(caller, StatementKind.BEGIN)
+    refused = site.send(caller, StatementKind.WRITE, "w")
+    effect = _take_run(site)
+    client = EndpointClient(SitePorts(site), Credentials("user", "password"))
+    conn = client._conns[effect.conn] = RefusingConnection()
+    await client._run(effect)
+    assert conn.texts == ["BEGIN"]
+    assert site.answers[refused].code is Code.ENDPOINT_ERROR
+    site.send(caller, StatementKind.WRITE, "w")
+    again = _take_run(site)
+    assert again.begin
+
+
 @pytest.mark.parametrize("marks", [NO_MARKS, once("w")])
 async def test_no_statement_is_sent_once_the_lease_is_over(marks):
     """Guards against a statement that runs long after the last contact with control.
--- a/lovagewalk/routing/_outcome.py
+++ b/lovagewalk/routing/_outcome.py
@@ -255,8 +255,16 @@
 def _endpoint_error(
     state: NodeState, request: Request, event: StatementFailed
 ) -> Step[NodeState]:
+    session = state.sessions[request.caller]
+    step = Step(state)
+    if session.conn == event.conn and not event.in_transaction:
+        # The endpoint has refused to begin the transaction, or has ended it.
+        begun = request.opens_transaction
+        outcome = TransactionState.BEGUN if begun else TransactionState.LOST
+        state = end_transaction(state, session, outcome)
+        step = _dispatch.release_connection(state, event.conn, event.at)
     refusal = Refusal(Code.ENDPOINT_ERROR, event.detail, errno=event.errno)
-    return answer(state, request, refusal)
+    return step.then(answer(step.state, request, refusal))
 
 
 @on_failure(Failure.ROLLED_BACK)
