Edge: a write whose position stays unknown is in doubt, not failed

Callers saw: LW1402, "failed", for a write that was committed. After the write the adapter asks the endpoint for its position; the refusal of that query was taken for that of the write. In the path of a request that has run before, the same error ended the task, and the request waited for its time limit.

Change: such an error is one of its own, which counts as a lost answer (LW1502).

--- a/lovagewalk/edge/_endpoints.py
+++ b/lovagewalk/edge/_endpoints.py
@@ -103,6 +103,10 @@
     """The endpoint has already recorded the request id of a statement."""
 
 
+class PositionUnknownError(OSError):
+    """A statement ran, but whether its effect will last cannot be known."""
+
+
 class NotSentError(Exception):
     """A statement may not be sent any more."""
 
@@ -176,16 +180,10 @@
         endpoint = self._ports.state.conn_endpoints.get(effect.conn, "")
         try:
             await self._emulate_round_trip(endpoint)
-            event = await self._execute(conn, effect)
+            event = await self._execute_once(conn, effect)
         except NotSentError:
             self._report_failure(effect, Failure.NOT_SENT)
             return
-        except DuplicateRequestError:
-            position = await self._read_position(conn)
-            self._report_failure(
-                effect, Failure.DUPLICATE_ID, usable=True, position=position
-            )
-            return
         except asyncmy.errors.Error as exc:
             await self._report_error(conn, effect, exc)
             return
@@ -194,6 +192,23 @@
             return
         self._ports.feed(event)
 
+    async def _execute_once(
+        self, conn: Any, effect: RunStatement
+    ) -> StatementDone | StatementFailed:
+        """Run a statement unless its request id is recorded already."""
+        try:
+            return await self._execute(conn, effect)
+        except DuplicateRequestError:
+            position = await self._read_position(conn)
+        return StatementFailed(
+            self._ports.now(),
+            effect.req,
+            effect.conn,
+            Failure.DUPLICATE_ID,
+            usable=True,
+            position=position,
+        )
+
     async def _execute(self, conn: Any, effect: RunStatement) -> StatementDone:
         if effect.once is not None:
             await self._record_request_id(conn, effect)
@@ -296,9 +311,19 @@
             self._ports.feed(StreamEnded(now, effect.req, effect.conn, complete))
 
     async def _read_position(self, conn: Any) -> Position:
-        async with conn.cursor() as cursor:
-            await cursor.execute(POSITION_QUERY)
-            return parse_position(await cursor.fetchone())
+        """Return the instance's position after a statement that has run.
+
+        Raises
+        ------
+        PositionUnknownError
+            If the endpoint refuses to state it.
+        """
+        try:
+            async with conn.cursor() as cursor:
+                await cursor.execute(POSITION_QUERY)
+                return parse_position(await cursor.fetchone())
+        except asyncmy.errors.Error as exc:
+            raise PositionUnknownError from exc
 
     async def _report_error(
         self, conn: Any, effect: RunStatement, exc: Exception
--- a/lovagewalk/edge/tests/test_send_checks.py
+++ b/lovagewalk/edge/tests/test_send_checks.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lovagewalk.core import Code, replace
-from lovagewalk.edge._endpoints import EndpointClient
+from lovagewalk.edge._endpoints import POSITION_QUERY, EndpointClient
 from lovagewalk.edge._group_client import Credentials
 from lovagewalk.routing import NO_MARKS, RunStatement, StatementKind
 from lovagewalk.routing.tests.fake_group import Site, once
@@ -99,6 +99,33 @@
     assert again.begin
 
 
+class UnknownPositionConnection(BlockedConnection):
+    """A connection to an endpoint that runs statements but states no position."""
+
+    async def execute(self, text):
+        self.texts.append(text)
+        if text == POSITION_QUERY:
+            raise asyncmy.errors.OperationalError(1205, "lock wait timeout")
+
+    def get_transaction_status(self):
+        return False
+
+
+async def test_a_write_without_a_known_position_is_not_reported_as_failed():
+    """Guards against a committed write whose caller is told that it failed.
+
+    The refusal of the query for the position was taken for that of the write.
+    """
+    site = Site()
+    req = site.send(site.connect(), StatementKind.WRITE, "w")
+    effect = _take_run(site)
+    client = EndpointClient(SitePorts(site), Credentials("user", "password"))
+    conn = client._conns[effect.conn] = UnknownPositionConnection()
+    await client._run(effect)
+    assert conn.texts == [effect.text, POSITION_QUERY]
+    assert site.answers[req].code is Code.CONNECTION_LOST
+
+
 @pytest.mark.parametrize("marks", [NO_MARKS, once("w")])
 async def test_no_statement_is_sent_once_the_lease_is_over(marks):
     """Guards against a statement that runs long after the last contact with control.
