Control: no order to resume can undo the pause of a promotion

Cause: each new leader, and each after a promotion, ordered all replicas to resume, although none was paused, and counted that as done once it was sent. The order has no term. Carried out between PAUSE and the promotion, it lets a replica confirm commits that the promoted one lacks.

Orders: both replicas pause at 2.69 s after the cut, the promotion of i-3 is ordered at 2.74 s, i-2 carries out a RESUME of 6.1 s before at 2.90 s, i-3 is promoted at 3.74 s with the log as it was paused.

Change: a survey pauses all replicas but the one that it expects to promote, so no order to resume belongs to a promotion, and commits go on during a planned switch. Only a status that shows the pause counts as paused. A leader that finds replicas paused for a term that has not begun completes the promotion. A replica that is still paused 1 s after its promotion is ordered to resume until its status shows that it receives; as long as an order is unanswered, 15 s at most, no other replica is promoted.

Not covered: an unanswered order to resume of a former leader (read, not shown).

Groups without syncReplicas are polled and promoted as before.

--- a/lovagewalk/control/_provider.py
+++ b/lovagewalk/control/_provider.py
@@ -29,14 +29,16 @@
 from . import _proposals
 from ._effects import PromoteInstance
 from ._events import PromotionAnswered, PromotionOutcome
+from ._pauses import check_pauses, has_interrupted_promotion, is_pause_in_doubt
 from ._state import ControlState, Promotion, PromotionStage
 from ._survey import (
     SURVEY_PERIOD_S,
     answers_needed,
     candidate_key,
+    choose_unpaused,
+    count_settled,
     find_candidates,
     poll_instances,
-    resume_replicas,
 )
 from ._suspicion import Suspicions, collect_suspicions
 from ._zone_moves import can_take_over, may_order, may_start_move, record_order
@@ -86,7 +88,10 @@
     if _is_lost(state, config, suspicions, now):
         return _start_promotion(state, config, now)
     step = poll_instances(state, (endpoint,), PRIMARY_POLL_PERIOD_S, now)
-    step = step.then(resume_replicas(step.state, config, now))
+    if config.sync_replicas:
+        if has_interrupted_promotion(step.state, config):
+            return step.then(_start_promotion(step.state, config, now))
+        step = step.then(check_pauses(step.state, config, now))
     if not state.catalogue.is_evacuated(config.primary):
         return step
     return step.then(_move_primary(step.state, config, now))
@@ -181,9 +186,6 @@
 ) -> Step[NodeState]:
     """Start a promotion by allocating its fence through the log."""
     promotion = Promotion(config.name, PromotionStage.ALLOCATE, now, config.fence)
-    control: ControlState = state.control
-    resumed = control.resumed_groups - {config.name}
-    state = replace(state, control=replace(control, resumed_groups=resumed))
     record = _build_start_record(state, config, now)
     step = _proposals.propose_command(
         _set_promotion(state, promotion), AllocateFence(config.name), now
@@ -220,7 +222,11 @@
     if config.fence <= promotion.fence:
         return Step(state)
     promotion = replace(
-        promotion, stage=PromotionStage.SURVEY, fence=config.fence, stage_started_at=now
+        promotion,
+        stage=PromotionStage.SURVEY,
+        fence=config.fence,
+        stage_started_at=now,
+        target=choose_unpaused(state, config),
     )
     return _survey_replicas(_set_promotion(state, promotion), promotion, config, now)
 
@@ -231,14 +237,13 @@
 ) -> Step[NodeState]:
     """Poll the replicas' positions, then order the promotion of the most advanced.
 
-    Where replicas confirm commits, they are first ordered to stop receiving, so that
-    none confirms a commit that the promoted instance lacks.
+    Where replicas confirm commits, all but one are first ordered to stop receiving, so
+    that none confirms a commit that the promoted instance lacks. If the other one does
+    not catch up with them in time, it is paused too.
     """
     endpoints = state.catalogue.group_endpoints(config.name)
-    order = (
-        ReplicationOrder.PAUSE if config.sync_replicas else ReplicationOrder.NO_CHANGE
-    )
-    step = poll_instances(state, endpoints, SURVEY_PERIOD_S, now, order)
+    is_early = now - promotion.stage_started_at < SURVEY_TIMEOUT_S
+    step = _poll_in_survey(state, promotion, config, is_early, now)
     state = step.state
     new_primary = _find_new_primary(state, config)
     if new_primary is not None:
@@ -251,16 +256,16 @@
         if endpoint.name != config.primary
         and (config.sync_replicas or not state.catalogue.is_evacuated(endpoint.name))
     ]
-    if len(candidates) < answers_needed(config, len(others)):
+    if not candidates or (len(candidates) < len(others) and is_early):
         return step
-    if (
-        len(candidates) < len(others)
-        and now - promotion.stage_started_at < SURVEY_TIMEOUT_S
-    ):
+    target = max(candidates, key=lambda i: candidate_key(state, config, i))
+    settled = count_settled(config, candidates, target)
+    if settled < answers_needed(config, len(others)):
         return step
     if not may_order(state, config, now):
         return step
-    target = max(candidates, key=lambda i: candidate_key(state, config, i))
+    if is_pause_in_doubt(state, config, target.endpoint, now):
+        return step
     promotion = replace(
         promotion,
         stage=PromotionStage.ORDER,
@@ -271,6 +276,26 @@
     return step.then(_order_promotion(_set_promotion(state, promotion), promotion, now))
 
 
+def _poll_in_survey(
+    state: NodeState,
+    promotion: Promotion,
+    config: GroupConfig,
+    is_early: bool,
+    now: float,
+) -> Step[NodeState]:
+    """Poll the instances of a group, and pause those that may confirm commits."""
+    endpoints = state.catalogue.group_endpoints(config.name)
+    unpaused = endpoints
+    if config.sync_replicas:
+        unpaused = tuple(
+            e for e in endpoints if is_early and e.name == promotion.target
+        )
+    paused = tuple(e for e in endpoints if e not in unpaused)
+    step = poll_instances(state, unpaused, SURVEY_PERIOD_S, now)
+    order = ReplicationOrder.PAUSE
+    return step.then(poll_instances(step.state, paused, SURVEY_PERIOD_S, now, order))
+
+
 def _order_promotion(
     state: NodeState, promotion: Promotion, now: float
 ) -> Step[NodeState]:
@@ -299,12 +324,7 @@
         is_excluded = target.leaving or state.catalogue.is_evacuated(target.name)
     if target is None or is_excluded or _target_failed(state, promotion, now):
         return _start_promotion(_remove_promotion(state, promotion.group), config, now)
-    # The other replicas receive nothing, so that every commit that is confirmed before
-    # the promotion is at the target.
-    order = (
-        ReplicationOrder.RESUME if config.sync_replicas else ReplicationOrder.NO_CHANGE
-    )
-    step = poll_instances(state, (target,), SURVEY_PERIOD_S, now, order)
+    step = poll_instances(state, (target,), SURVEY_PERIOD_S, now)
     if promotion.accepted or now - promotion.ordered_at < ORDER_RETRY_S:
         return step
     if not may_order(state, config, now):
--- a/lovagewalk/control/_state.py
+++ b/lovagewalk/control/_state.py
@@ -327,7 +327,8 @@
     fence : int
         The fence of this attempt; while it is being allocated, the last one.
     target : str
-        The instance whose promotion was ordered.
+        The instance whose promotion was ordered; during the survey, the one that is not
+        paused.
     ordered_at : float
         When the order was last sent, in monotonic seconds.
     accepted : bool
@@ -388,8 +389,8 @@
         Promotions through the provider, by group.
     past_catalogues : Map of int to Catalogue
         Earlier catalogues by revision, to compute the followers' deltas from.
-    resumed_groups : frozenset of str
-        Groups whose replicas this leader has ordered to receive log entries again.
+    unanswered_resumes : Map of str to tuple of float
+        When orders to resume that are not answered were sent, by replica.
     queued_customers : frozenset of str
         Customers with requests in the queues of their ledgers.
     proposed_holders : Map of str to str
@@ -415,7 +416,7 @@
     unresponsive_since: Map = field(default_factory=Map)
     promotions: Map = field(default_factory=Map)
     past_catalogues: Map = field(default_factory=Map)
-    resumed_groups: frozenset[str] = frozenset()
+    unanswered_resumes: Map = field(default_factory=Map)
     queued_customers: frozenset[str] = frozenset()
     proposed_holders: Map = field(default_factory=Map)
     proposed_divided: frozenset[str] = frozenset()
--- a/lovagewalk/control/_survey.py
+++ b/lovagewalk/control/_survey.py
@@ -12,10 +12,9 @@
 )
 from lovagewalk.node import NodeState
 
-from ._state import ControlState, Promotion
+from ._state import Promotion
 
-# Instances are polled this often during a promotion, and until replicas have been
-# ordered to resume.
+# Instances are polled this often during a promotion.
 SURVEY_PERIOD_S = 0.1
 # After a pause of this length, such as while another VM led, older results of polls
 # are stale.
@@ -61,27 +60,6 @@
     return max((config.term, *terms))
 
 
-def resume_replicas(
-    state: NodeState, config: GroupConfig, now: float
-) -> Step[NodeState]:
-    """Order replicas to receive again after a promotion by this leader or another."""
-    control: ControlState = state.control
-    if not config.sync_replicas or config.name in control.resumed_groups:
-        return Step(state)
-    replicas = tuple(
-        endpoint
-        for endpoint in state.catalogue.group_endpoints(config.name)
-        if endpoint.name != config.primary
-    )
-    step = poll_instances(
-        state, replicas, SURVEY_PERIOD_S, now, ReplicationOrder.RESUME
-    )
-    if len(step.effects) < len(replicas):
-        return step
-    resumed = replace(control, resumed_groups=control.resumed_groups | {config.name})
-    return Step(replace(step.state, control=resumed), step.effects)
-
-
 def answers_needed(config: GroupConfig, replica_count: int) -> int:
     """Return how many replicas have to answer before one is promoted.
 
@@ -113,6 +91,38 @@
     return candidates
 
 
+def choose_unpaused(state: NodeState, config: GroupConfig) -> str:
+    """Return the replica that a survey does not pause; empty for none.
+
+    It is the one that is most likely to be promoted. What it confirms in the meantime
+    is in the promoted log, so commits go on.
+    """
+    view = get_view(state, config.name)
+    replicas = [
+        instance
+        for endpoint in state.catalogue.group_endpoints(config.name)
+        if (instance := view.instances.get(endpoint.name)) is not None
+        and instance.status is not None
+        and instance.status.role is Role.REPLICA
+        and not endpoint.leaving
+    ]
+    if not replicas or not config.sync_replicas:
+        return ""
+    return max(replicas, key=lambda i: candidate_key(state, config, i)).endpoint
+
+
+def count_settled(
+    config: GroupConfig, candidates: list[InstanceView], target: InstanceView
+) -> int:
+    """Return how many candidates confirm no commit that the target lacks."""
+    if not config.sync_replicas:
+        return len(candidates)
+    return sum(
+        instance is target or instance.status.paused_term > config.term
+        for instance in candidates
+    )
+
+
 def candidate_key(
     state: NodeState, config: GroupConfig, instance: InstanceView
 ) -> tuple[int, int, bool, bool, str]:
--- a/lovagewalk/control/tests/control_fleet.py
+++ b/lovagewalk/control/tests/control_fleet.py
@@ -86,6 +86,12 @@
     received: int = 100
     up: bool = True
     paused: bool = False
+    paused_by: int = 0
+
+    @property
+    def paused_term(self):
+        """Term of the order that pauses it; 0 if it receives."""
+        return (self.paused_by or self.term + 1) if self.paused else 0
 
 
 class ControlFleet:
@@ -174,7 +180,12 @@
             event = InstanceFailed(self.now, effect.endpoint, False, False)
         else:
             status = InstanceStatus(
-                "born", database.role, database.term, database.received, 1
+                "born",
+                database.role,
+                database.term,
+                database.received,
+                1,
+                paused_term=database.paused_term,
             )
             event = InstanceSeen(self.now, effect.endpoint, status, self.now, False)
         self.feed(name, event)
@@ -182,7 +193,7 @@
     def _apply_replication_order(self, database, effect):
         if effect.order is ReplicationOrder.PAUSE:
             assert effect.term > max(d.term for d in self.databases.values())
-            database.paused = True
+            database.paused, database.paused_by = True, effect.term
         elif effect.order is ReplicationOrder.RESUME:
             database.paused = False
 
@@ -215,7 +226,7 @@
         term = max(database.term for database in group) + 1
         for database in group:
             database.role, database.term = Role.REPLICA, term
-            database.paused = False
+            database.paused, database.paused_by = False, 0
         new_primary.role = Role.PRIMARY
 
     def run(self, seconds):
--- a/lovagewalk/groups/_state.py
+++ b/lovagewalk/groups/_state.py
@@ -48,6 +48,8 @@
         Term of the log entry at `index`.
     linked : bool
         Whether a replica is in contact with its primary; True for a primary.
+    paused_term : int
+        Term of the order by which a replica receives no log entries; 0 if it does.
     """
 
     incarnation: str
@@ -56,6 +58,7 @@
     index: int
     last_term: int
     linked: bool = True
+    paused_term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/platform/_lines.py
+++ b/lovagewalk/platform/_lines.py
@@ -299,7 +299,7 @@
     """Parse the status row of an instance.
 
     The fields are role, term, position received, term of a pause, lag in
-    milliseconds, statements running, and connections; only the first three
+    milliseconds, statements running, and connections; only the first four
     are used.
 
     Raises
@@ -311,9 +311,17 @@
     try:
         role, term = Role(fields[0]), parse_count(fields[1])
         position = parse_position(fields[2]) or Position(0, 0)
+        paused_term = parse_count(fields[3]) if len(fields) > 3 else 0
     except (ValueError, IndexError) as exc:
         raise LovageError(Code.PACKET_BAD, "status") from exc
-    return InstanceStatus(incarnation, role, term, position.index, position.term)
+    return InstanceStatus(
+        incarnation,
+        role,
+        term,
+        position.index,
+        position.term,
+        paused_term=paused_term,
+    )
 
 
 _FAILURES_BY_WORD = {
--- a/lovagewalk/records/_records.py
+++ b/lovagewalk/records/_records.py
@@ -286,6 +286,15 @@
     fence: int
 
 
+@logged_as("control", "paused replica ordered to resume")
+@dataclass(frozen=True, slots=True)
+class ReplicaResumed(LogRecord):
+    """A replica was ordered to receive again, since its promotion is over."""
+
+    group: str
+    endpoint: str
+
+
 @logged_as("control", "this VM leads")
 @dataclass(frozen=True, slots=True)
 class LeadershipGained(LogRecord):
