Runtime: a result has to fit its statement

Cause: answers were matched with messages by their order alone. After a lost one, the answer to the end of a read's transaction was taken for that of the read, and each later read on the connection got the answer to the message before its own.

Change: a read, a write and a commit are believed only with a signature, a proven read only inside its transaction, and a BEGIN only without a signature. Otherwise the connection is closed; a read runs again, a write or a commit is in doubt.

--- a/lovagewalk/platform/_lines.py
+++ b/lovagewalk/platform/_lines.py
@@ -191,6 +191,11 @@
         """The result of a statement that was run."""
         return StatementResult(self.rows, self.signature)
 
+    @property
+    def is_signed(self) -> bool:
+        """Whether it is the result of a read, a write or a commit."""
+        return self.signature not in ("", ABSENT)
+
     @property
     def in_transaction(self) -> bool:
         """Whether a transaction is open."""
--- a/lovagewalk/routing/_dispatch.py
+++ b/lovagewalk/routing/_dispatch.py
@@ -276,6 +276,7 @@
         min_position=min_position,
         require_proof=request.require_proof,
         prepared=request.prepared,
+        signed=request.kind is not StatementKind.ROLLBACK,
     )
     return Step(_place.store_request(state, request), (effect,))
 
--- a/lovagewalk/routing/_effects.py
+++ b/lovagewalk/routing/_effects.py
@@ -88,6 +88,8 @@
         The endpoint has to prove that it is the primary at this time.
     prepared : PreparedShape or None
         Statement to execute; the text holds the arguments.
+    signed : bool
+        Whether the endpoint proves by a signature that it ran the statement.
     """
 
     req: int
@@ -102,6 +104,7 @@
     min_position: Position | None = None
     require_proof: bool = False
     prepared: PreparedShape | None = None
+    signed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lovagewalk/runtime/_statement_runs.py
+++ b/lovagewalk/runtime/_statement_runs.py
@@ -24,6 +24,8 @@
 
 from ._ports import Ports
 
+MISSING_ANSWER_DETAIL = "the answer belongs to another message"
+
 
 class Answer(Protocol):
     """An endpoint's complete answer to one message.
@@ -41,6 +43,8 @@
         only waits for its end.
     position : Position or None
         The instance's position afterwards; None if it states none.
+    is_signed : bool
+        Whether the endpoint's signature shows that it ran a caller's statement.
     """
 
     failure: Failure | None
@@ -49,6 +53,7 @@
     in_transaction: bool
     transaction_failed: bool
     position: Position | None
+    is_signed: bool
 
 
 AnswerHandler = Callable[[Answer], None]
@@ -179,7 +184,9 @@
         self._conn.send_step(self._on_proof_end, EndTransaction())
 
     def _on_proof_begin(self, answer: Answer) -> None:
-        if answer.failure is not None:
+        if answer.is_signed:
+            self._fail(Failure.LOST, detail=MISSING_ANSWER_DETAIL)
+        elif answer.failure is not None:
             self._fail(
                 answer.failure, usable=True, detail=answer.error, answers_owed=True
             )
@@ -203,6 +210,9 @@
         if answer.failure is not None:
             self._on_statement_error(answer)
             return
+        if not self._is_expected(answer):
+            self._fail(Failure.LOST, detail=MISSING_ANSWER_DETAIL)
+            return
         self._finished = True
         effect = self._effect
         self._ports.results[effect.req] = answer.result
@@ -218,6 +228,16 @@
             )
         )
 
+    def _is_expected(self, answer: Answer) -> bool:
+        """Whether a result can be that of the statement.
+
+        After a lost answer, that to the next message comes in its place.
+        """
+        effect = self._effect
+        if effect.signed and not answer.is_signed:
+            return False
+        return answer.in_transaction or not effect.require_proof
+
     def _on_statement_error(self, answer: Answer) -> None:
         usable = not answer.transaction_failed or self._effect.require_proof
         self._fail(
