Peers: a dial that ends by an unexpected error may be repeated

Cause: writing on a connection that was just reset raises RuntimeError in uvloop, which the dial did not expect. Its task ended and left its queue, by which later messages took it as still under way.

Change: whatever ends a dial removes its queue and reports the peer as lost; unexpected errors are logged with their traceback. What was queued is sent within the part that removes the link again, since an error there left a link that nobody reads.

--- a/lovagewalk/runtime/_peers.py
+++ b/lovagewalk/runtime/_peers.py
@@ -9,7 +9,7 @@
 import logging
 import secrets
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from hashlib import sha256
 from typing import Any
 
@@ -62,6 +62,8 @@
 # Shorter than the catalogue's lease, so that a new link replaces an unresponsive one
 # before the lease expires.
 PEER_TCP_TIMEOUT_S = 1.0
+# Errors of a peer that is down, unreachable or not of this fleet.
+DIAL_ERRORS = (OSError, TimeoutError, EOFError, LovageError, ValueError)
 _LENGTH_PREFIX = struct.Struct("<I")
 
 log = logging.getLogger("lovagewalk.peers")
@@ -229,26 +231,43 @@
         return False
 
     async def _dial(self, peer: str) -> None:
-        address = self._resolve(peer)
+        """Open a link to a peer; whatever happens, a later message may dial again."""
         try:
-            reader, writer = await self._connect(peer, address)
-            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                name = await self._client_handshake(reader, writer)
-            if name != peer:
-                writer.close()
-                raise LovageError(Code.FRAME_BAD, "the peer states another name")
-        except (OSError, TimeoutError, EOFError, LovageError, ValueError) as exc:
-            log.debug("peers: cannot reach %s: %r", peer, exc)
+            reader, writer = await self._open_link(peer)
+        except Exception as exc:
+            if isinstance(exc, DIAL_ERRORS):
+                log.debug("peers: cannot reach %s: %r", peer, exc)
+            else:
+                log.exception("peers: dialling %s failed", peer)
             if not isinstance(exc, ConnectTimeout):
                 self._ports.feed(PeerLost(self._ports.now(), peer))
             await self._ports.timer.sleep(REDIAL_DELAY_S)
             self._dial_queues.pop(peer, None)
             return
         queue = self._dial_queues.pop(peer, [])
-        link = self._add_link(peer, writer)
-        for payload in queue:
-            link.send(payload)
-        await self._read_messages(link, reader)
+        await self._read_messages(self._add_link(peer, writer), reader, queue)
+
+    async def _open_link(
+        self, peer: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open an authenticated connection to a peer.
+
+        Raises
+        ------
+        OSError, TimeoutError, EOFError, LovageError, ValueError
+            If the peer cannot be reached, or is not the one expected.
+        """
+        reader, writer = await self._connect(peer, self._resolve(peer))
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                name = await self._client_handshake(reader, writer)
+            if name != peer:
+                raise LovageError(Code.FRAME_BAD, "the peer states another name")
+            set_tcp_options(writer.get_extra_info("socket"), PEER_TCP_TIMEOUT_S)
+        except BaseException:
+            writer.close()
+            raise
+        return reader, writer
 
     async def _connect(
         self, peer: str, address: Address
@@ -299,7 +318,6 @@
             self._secret, f"server {name}", local_nonce, peer_nonce
         )
         if version != CODEC_VERSION or not hmac.compare_digest(proof, expected):
-            writer.close()
             raise LovageError(
                 Code.UNAUTHORISED, "codec version or proof of the peer not accepted"
             )
@@ -336,11 +354,16 @@
         """Return the name of the daemon that has connected; empty if it is none."""
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                return await self._server_handshake(reader, writer)
-        except (OSError, TimeoutError, EOFError, LovageError, ValueError) as exc:
-            log.warning("peers: refused an incoming connection: %r", exc)
+                name = await self._server_handshake(reader, writer)
+            set_tcp_options(writer.get_extra_info("socket"), PEER_TCP_TIMEOUT_S)
+        except Exception as exc:
+            if isinstance(exc, DIAL_ERRORS):
+                log.warning("peers: refused an incoming connection: %r", exc)
+            else:
+                log.exception("peers: accepting a connection failed")
             writer.close()
             return ""
+        return name
 
     async def _server_handshake(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -366,13 +389,20 @@
         return name
 
     def _add_link(self, name: str, writer: asyncio.StreamWriter) -> Link:
-        set_tcp_options(writer.get_extra_info("socket"), PEER_TCP_TIMEOUT_S)
         link = Link(name, writer)
         self._links[name] = link
         return link
 
-    async def _read_messages(self, link: Link, reader: asyncio.StreamReader) -> None:
+    async def _read_messages(
+        self,
+        link: Link,
+        reader: asyncio.StreamReader,
+        queue: Sequence[bytes] = (),
+    ) -> None:
+        """Send the queued messages, then read from a link until it ends."""
         try:
+            for payload in queue:
+                link.send(payload)
             while True:
                 payload = await read_frame(reader, MAX_FRAME_BYTES)
                 self._deliver(link.name, payload)
--- a/lovagewalk/runtime/tests/test_peers.py
+++ b/lovagewalk/runtime/tests/test_peers.py
@@ -11,7 +11,7 @@
 from lovagewalk.control._messages import SuspectNotice
 from lovagewalk.core import TimerService
 from lovagewalk.runtime import Peers, Ports
-from lovagewalk.runtime._peers import CONNECT_ATTEMPT_DELAY_S, REDIAL_DELAY_S
+from lovagewalk.runtime._peers import CONNECT_ATTEMPT_DELAY_S, REDIAL_DELAY_S, Link
 from lovagewalk.settings import Address
 
 HOST = "127.0.0.1"
@@ -142,3 +142,30 @@
         await _wait_until(lambda: pair.dialler._ports.shell.count(PeerMessage) == 1)
         assert pair.dialler._ports.shell.events[-1].message == answer
         assert pair.listener.sent_bytes == len(encode(answer, compact=compact))
+
+
+@pytest.mark.parametrize("owner", [Peers, Link])
+async def test_a_peer_is_dialled_again_after_an_unexpected_error(monkeypatch, owner):
+    """Guards against a daemon that never reaches a peer again.
+
+    A connection that was reset as soon as it was open raised RuntimeError on the first
+    write. The dial ended without removing its queue, so that no other one was started;
+    an error while the queue was sent left a link that nobody reads.
+    """
+    name = "_client_handshake" if owner is Peers else "send"
+    original = getattr(owner, name)
+    failures = []
+
+    def fail_once(self, *args):
+        if not failures:
+            failures.append(name)
+            raise RuntimeError("the handler is closed")
+        return original(self, *args)
+
+    monkeypatch.setattr(owner, name, fail_once)
+    async with PeerPair() as pair:
+        async with asyncio.timeout(5.0):
+            while not pair.listener._ports.shell.count(PeerMessage):
+                pair.dialler.send("c", SuspectNotice(()))
+                await asyncio.sleep(0.02)
+        assert failures and pair.dialler._ports.shell.count(PeerLost)
