Runtime: the reducer hears of a task that failed

Callers would see an endpoint with fewer connections, or one that is never polled again: a task that opens a connection, polls an instance or runs a MySQL statement could end by an error that it does not expect, and the state waited for its event for good.

Change: `Ports.spawn` takes the event to feed if the task fails.

--- a/lovagewalk/edge/_endpoints.py
+++ b/lovagewalk/edge/_endpoints.py
@@ -169,7 +169,10 @@
 
     def run(self, effect: RunStatement) -> None:
         """Start a statement on its pool connection."""
-        task = self._ports.spawn(self._run(effect))
+        task = self._ports.spawn(
+            self._run(effect),
+            lambda now: StatementFailed(now, effect.req, effect.conn, Failure.LOST),
+        )
         self._tasks[effect.conn] = task
 
     async def _run(self, effect: RunStatement) -> None:
--- a/lovagewalk/runtime/_performers.py
+++ b/lovagewalk/runtime/_performers.py
@@ -7,8 +7,13 @@
     StopDaemon,
 )
 from lovagewalk.core import performs
-from lovagewalk.groups import AwaitPosition, CloseStatusConnections, PollInstance
-from lovagewalk.pools import CloseConnection, OpenConnection
+from lovagewalk.groups import (
+    AwaitPosition,
+    CloseStatusConnections,
+    InstanceFailed,
+    PollInstance,
+)
+from lovagewalk.pools import CloseConnection, ConnectionRefused, OpenConnection
 from lovagewalk.routing import (
     AcceptCaller,
     AnswerCaller,
@@ -50,7 +55,10 @@
 @performs(OpenConnection)
 def _open_connection(ports: Ports, effect: OpenConnection) -> None:
     ports.metrics.count_connection(effect.endpoint)
-    ports.spawn(ports.endpoints.open(effect))
+    ports.spawn(
+        ports.endpoints.open(effect),
+        lambda now: ConnectionRefused(now, effect.conn, effect.endpoint),
+    )
 
 
 @performs(CloseConnection)
@@ -74,12 +82,18 @@
 
 @performs(PollInstance)
 def _poll_instance(ports: Ports, effect: PollInstance) -> None:
-    ports.spawn(ports.endpoints.poll(effect))
+    ports.spawn(
+        ports.endpoints.poll(effect),
+        lambda now: InstanceFailed(now, effect.endpoint, awaited=False, broken=True),
+    )
 
 
 @performs(AwaitPosition)
 def _await_position(ports: Ports, effect: AwaitPosition) -> None:
-    ports.spawn(ports.endpoints.wait(effect))
+    ports.spawn(
+        ports.endpoints.wait(effect),
+        lambda now: InstanceFailed(now, effect.endpoint, awaited=True, broken=True),
+    )
 
 
 @performs(CloseStatusConnections)
--- a/lovagewalk/runtime/_ports.py
+++ b/lovagewalk/runtime/_ports.py
@@ -1,10 +1,11 @@
 """The adapters of one daemon, on which performers act."""
 
 import asyncio
+import functools
 import itertools
 import logging
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from lovagewalk.core import Event, Shell, TimerService
@@ -78,17 +79,32 @@
         if not self._closed:
             self.shell.feed(event)
 
-    def spawn(self, coro: Coroutine) -> asyncio.Task:
-        """Run a coroutine until it ends or the daemon stops."""
+    def spawn(
+        self, coro: Coroutine, failed: Callable[[float], Event] | None = None
+    ) -> asyncio.Task:
+        """Run a coroutine until it ends or the daemon stops.
+
+        Parameters
+        ----------
+        failed : callable, optional
+            Returns the event to feed if the coroutine raises, from the present time in
+            monotonic seconds. The state waits for the event that the coroutine would
+            have fed.
+        """
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
+        task.add_done_callback(functools.partial(self._on_task_done, failed))
         return task
 
-    def _on_task_done(self, task: asyncio.Task) -> None:
+    def _on_task_done(
+        self, failed: Callable[[float], Event] | None, task: asyncio.Task
+    ) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("daemon: a task failed", exc_info=task.exception())
+        if task.cancelled() or task.exception() is None:
+            return
+        log.error("daemon: a task failed", exc_info=task.exception())
+        if failed is not None:
+            self.feed(failed(self.now()))
 
     def close(self) -> None:
         """Stop all tasks; later events are dropped."""
