--- a/lovagewalk/platform/tests/line_site.py
+++ b/lovagewalk/platform/tests/line_site.py
@@ -7,7 +7,7 @@
 from lovagewalk.core import perform
 from lovagewalk.platform._endpoints import EndpointClient, EndpointConnection
 from lovagewalk.pools import CloseConnection
-from lovagewalk.routing import RunStatement, SetUpConnection
+from lovagewalk.routing import RunStatement, SetUpConnection, StatementKind
 from lovagewalk.routing.tests.provider_site import Site
 from lovagewalk.runtime import Metrics
 
@@ -15,18 +15,17 @@
 
 
 class RecordingTransport:
-    """A transport that keeps the messages that are written to it."""
+    """A transport that keeps the lines that are written to it."""
 
     def __init__(self):
-        self.messages = []
+        self.lines = []
         self.aborted = False
 
     def get_extra_info(self, name):
         return None
 
     def write(self, data):
-        lines = data.decode().splitlines()
-        self.messages += [line.removeprefix("QUERY ") for line in lines]
+        self.lines += data.decode().splitlines()
 
     def is_closing(self):
         return self.aborted
@@ -89,13 +88,13 @@
         sent = [
             (number, line)
             for number, line in self.lines.items()
-            if line._transport.messages and not line._transport.aborted
+            if line._transport.lines and not line._transport.aborted
         ]
         if not sent:
             return 0, []
         ((number, line),) = sent
-        messages, line._transport.messages = line._transport.messages, []
-        return number, messages
+        lines, line._transport.lines = line._transport.lines, []
+        return number, [text.removeprefix("QUERY ") for text in lines]
 
     def answer(self, number, *answers):
         """Answer messages of a connection, in one piece.
@@ -129,6 +128,15 @@
         self.set_variable(caller, "branch", "b1")
         return caller
 
+    def open_transaction(self, route_name, kind=StatementKind.WRITE):
+        """Open a transaction; return its caller and its connection."""
+        caller = self.begin(route_name, kind)
+        number, _ = self.take()
+        self.answer(number, "T")
+        self.take()
+        self.answer(number, "T signed")
+        return caller, number
+
     def set_pooled_value(self, route_name):
         """Leave an idle connection on which another session's variable is set."""
         self.write(self.connect_with_value(route_name))
--- a/lovagewalk/platform/tests/test_missing_answers.py
+++ b/lovagewalk/platform/tests/test_missing_answers.py
@@ -40,11 +40,7 @@
 
 
 def test_a_commit_without_a_signature_is_in_doubt(site):
-    caller = site.begin("till")
-    number, _ = site.take()
-    site.answer(number, "T")
-    site.take()
-    site.answer(number, "T signed")
+    caller, number = site.open_transaction("till")
     req = site.send(caller, StatementKind.COMMIT, "COMMIT")
     site.take()
     site.answer(number, "I")
@@ -52,11 +48,7 @@
 
 
 def test_a_rollback_needs_no_signature(site):
-    caller = site.begin("till")
-    number, _ = site.take()
-    site.answer(number, "T")
-    site.take()
-    site.answer(number, "T signed")
+    caller, number = site.open_transaction("till")
     req = site.send(caller, StatementKind.ROLLBACK, "ROLLBACK")
     site.take()
     site.answer(number, "I")
--- a/lovagewalk/platform/tests/test_send_checks.py
+++ b/lovagewalk/platform/tests/test_send_checks.py
@@ -9,48 +9,12 @@
 from lovagewalk.routing.tests.key_site import OTHER, KeySite
 from lovagewalk.routing.tests.provider_site import KEY, TIMEOUT_S
 
+from .line_site import LinePorts, RecordingTransport
+
 BEGUN = b"COMPLETE -\r\nREADY T -\r\n"
 WRITTEN = b"COMPLETE 7.1f3\r\nREADY T 1.11\r\n"
 
 
-class RecordingTransport:
-    """A transport that keeps the lines that are written to it."""
-
-    def __init__(self):
-        self.lines = []
-        self.aborted = False
-
-    def get_extra_info(self, name):
-        return None
-
-    def write(self, data):
-        self.lines += data.decode().splitlines()
-
-    def is_closing(self):
-        return self.aborted
-
-    def abort(self):
-        self.aborted = True
-
-
-class LinePorts:
-    """The part of a daemon's ports that the adapter uses, in front of a site."""
-
-    def __init__(self, site):
-        self._site = site
-        self.results = {}
-
-    @property
-    def state(self):
-        return self._site.state
-
-    def now(self):
-        return self._site.now
-
-    def feed(self, event):
-        self._site.feed(event)
-
-
 class LineSite(KeySite):
     """A site whose statements are sent over the line protocol."""
 
--- a/lovagewalk/platform/tests/test_setup_steps.py
+++ b/lovagewalk/platform/tests/test_setup_steps.py
@@ -110,11 +110,7 @@
 
 def test_a_commit_follows_its_settings_only_once_they_are_accepted(site):
     """Guards against a commit whose caller is told that nothing was kept."""
-    caller = site.begin("till")
-    number, _ = site.take()
-    site.answer(number, "T")
-    site.take()
-    site.answer(number, "T signed")
+    caller, number = site.open_transaction("till")
     site.set_variable(caller, "branch", "b1")
     req = site.send(caller, StatementKind.COMMIT, "COMMIT")
     assert site.take() == (number, [SET])
@@ -127,11 +123,7 @@
 
 
 def test_a_transaction_that_fails_during_its_settings_is_lost(site):
-    caller = site.begin("till")
-    number, _ = site.take()
-    site.answer(number, "T")
-    site.take()
-    site.answer(number, "T signed")
+    caller, number = site.open_transaction("till")
     site.set_variable(caller, "branch", "b1")
     req = site.write(caller)
     site.take()
--- a/lovagewalk/platform/tests/test_transaction_states.py
+++ b/lovagewalk/platform/tests/test_transaction_states.py
@@ -41,11 +41,7 @@
 )
 def test_a_statement_outside_its_transaction_ends_it(site, kind, code):
     """Guards against a transaction whose statements take effect one by one."""
-    caller = site.begin("till", StatementKind.READ)
-    number, _ = site.take()
-    site.answer(number, "T")
-    site.take()
-    site.answer(number, "T signed")
+    caller, number = site.open_transaction("till", StatementKind.READ)
     req = site.send(caller, kind)
     site.take()
     site.answer(number, "I signed")
@@ -60,11 +56,7 @@
     Closing the connection rolls back, so the caller need not wait until the endpoint
     has accepted the statement.
     """
-    caller = site.begin("till")
-    number, _ = site.take()
-    site.answer(number, "T")
-    site.take()
-    site.answer(number, "T signed")
+    caller, number = site.open_transaction("till")
     req = site.send(caller, StatementKind.ROLLBACK, "ROLLBACK")
     site.take()
     site.answer(number, f"T {code}")
@@ -74,11 +66,7 @@
 
 def test_a_rollback_without_an_answer_succeeds_at_its_time_limit(site):
     """Guards against a ROLLBACK that is refused although it has rolled back."""
-    caller = site.begin("till")
-    number, _ = site.take()
-    site.answer(number, "T")
-    site.take()
-    site.answer(number, "T signed")
+    caller, number = site.open_transaction("till")
     req = site.send(caller, StatementKind.ROLLBACK, "ROLLBACK")
     site.sweep(TIMEOUT_S + 0.01)
     assert site.answers[req].refusal is None and site.is_closed(number)
