Runtime: a BEGIN may carry a signature

Their endpoint signs every answer.

Cause: took a signed answer to the BEGIN of a proven read for that to the read. The protocol says which results need a signature, and not which have none.

--- a/lovagewalk/platform/tests/test_missing_answers.py
+++ b/lovagewalk/platform/tests/test_missing_answers.py
@@ -32,6 +32,17 @@
     assert site.answers[req].refusal is None
 
 
+def test_the_steps_of_a_read_may_be_signed_too(site):
+    """Guards against reads that fail where an endpoint signs every answer.
+
+    The protocol says which answers need a signature, not which have none.
+    """
+    req = site.read(site.connect("till"))
+    number, _ = site.take()
+    site.answer(number, "T signed", "T signed", "I signed")
+    assert site.answers[req].refusal is None and not site.is_closed(number)
+
+
 def test_a_single_write_without_a_signature_is_in_doubt(site):
     req = site.write(site.connect("till"))
     number, _ = site.take()
